Add authenticated peer connections with heartbeats

Connections open only after a mutual HMAC proof over fresh nonces. Frames are limited to 4 KiB before that, so that a foreign sender cannot make the process hold memory. A connection on which nothing arrives for 2 s is dropped. websocketpp stays behind a C++17 source file.

--- /dev/null
+++ b/packages/transport/frame_socket.cc
@@ -0,0 +1,240 @@
+// Implements frame_socket with websocketpp and Boost.Asio. Compiled as C++17.
+
+#include "transport/frame_socket.h"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <utility>
+#include <vector>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+namespace trefoil::transport {
+
+namespace {
+
+using server_endpoint = websocketpp::server<websocketpp::config::asio>;
+using client_endpoint = websocketpp::client<websocketpp::config::asio_client>;
+
+constexpr std::size_t small_frame_bytes = 4096;
+constexpr std::size_t large_frame_bytes = std::size_t{4} << 20U;
+constexpr std::size_t unsent_limit_bytes = std::size_t{16} << 20U;
+constexpr long open_timeout_ms = 2000;
+
+}  // namespace
+
+class frame_socket::implementation {
+public:
+    explicit implementation(frame_events& receiver) : events(receiver) {}
+
+    std::string start(const frame_socket_options& options) {
+        try {
+            this->prepare(this->server);
+            this->prepare(this->client);
+            this->server.set_reuse_addr(true);
+            this->server.listen(boost::asio::ip::tcp::endpoint(
+                boost::asio::ip::make_address(options.ip), options.port));
+            this->server.start_accept();
+        } catch (const std::exception& error) {
+            return error.what();
+        }
+        this->client.start_perpetual();
+        for (int i = 0; i < options.threads; ++i) {
+            this->threads.emplace_back([this] { this->run(); });
+        }
+        return {};
+    }
+
+    void stop() {
+        this->stopping = true;
+        this->context.stop();
+        for (std::thread& thread : this->threads) {
+            thread.join();
+        }
+        this->threads.clear();
+    }
+
+    connection_id connect(const std::string& ip, std::uint16_t port) {
+        connection_id id = this->next_id++;
+        websocketpp::lib::error_code error;
+        auto connection =
+            this->client.get_connection("ws://" + ip + ":" + std::to_string(port) + "/", error);
+        if (error) {
+            boost::asio::post(this->context, [this, id] { this->events.on_disconnected(id); });
+            return id;
+        }
+        this->attach(connection, id, true);
+        this->client.connect(connection);
+        return id;
+    }
+
+    bool send(connection_id id, const std::string& frame) {
+        return this->with_connection(id, [&frame](auto& connection) {
+            if (connection->get_buffered_amount() > unsent_limit_bytes) {
+                return false;
+            }
+            auto error =
+                connection->send(frame.data(), frame.size(), websocketpp::frame::opcode::binary);
+            return !error;
+        });
+    }
+
+    void allow_large_frames(connection_id id) {
+        this->with_connection(id, [](auto& connection) {
+            connection->set_max_message_size(large_frame_bytes);
+            return true;
+        });
+    }
+
+    void drop(connection_id id) {
+        this->with_connection(id, [](auto& connection) {
+            // The connection's own handlers run on its strand, so terminate() has to run there too.
+            connection->get_strand()->post(
+                [connection] { connection->terminate(websocketpp::lib::error_code()); });
+            return true;
+        });
+    }
+
+private:
+    struct handle {
+        server_endpoint::connection_ptr server;
+        client_endpoint::connection_ptr client;
+    };
+
+    template <class Endpoint>
+    void prepare(Endpoint& endpoint) {
+        endpoint.clear_access_channels(websocketpp::log::alevel::all);
+        endpoint.clear_error_channels(websocketpp::log::elevel::all);
+        endpoint.init_asio(&this->context);
+        endpoint.set_open_handshake_timeout(open_timeout_ms);
+        endpoint.set_max_message_size(small_frame_bytes);
+        endpoint.set_tcp_post_init_handler([&endpoint](websocketpp::connection_hdl hdl) {
+            websocketpp::lib::error_code error;
+            auto connection = endpoint.get_con_from_hdl(hdl, error);
+            if (!error) {
+                boost::system::error_code ignored;
+                connection->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true),
+                                                        ignored);
+            }
+        });
+        if constexpr (std::is_same_v<Endpoint, server_endpoint>) {
+            endpoint.set_open_handler([this, &endpoint](websocketpp::connection_hdl hdl) {
+                this->on_accepted(endpoint.get_con_from_hdl(hdl));
+            });
+        }
+    }
+
+    void on_accepted(const server_endpoint::connection_ptr& connection) {
+        connection_id id = this->next_id++;
+        this->attach(connection, id, false);
+        this->events.on_connected(id, false);
+    }
+
+    template <class ConnectionPtr>
+    void attach(const ConnectionPtr& connection, connection_id id, bool outgoing) {
+        {
+            std::lock_guard<std::mutex> lock(this->mutex);
+            if constexpr (std::is_same_v<ConnectionPtr, server_endpoint::connection_ptr>) {
+                this->connections[id].server = connection;
+            } else {
+                this->connections[id].client = connection;
+            }
+        }
+        connection->set_message_handler([this, id](websocketpp::connection_hdl, auto message) {
+            if (message->get_opcode() == websocketpp::frame::opcode::binary) {
+                this->events.on_frame(id, std::move(message->get_raw_payload()));
+            } else {
+                this->drop(id);
+            }
+        });
+        connection->set_close_handler([this, id](websocketpp::connection_hdl) { this->gone(id); });
+        connection->set_fail_handler([this, id](websocketpp::connection_hdl) { this->gone(id); });
+        if (outgoing) {
+            connection->set_open_handler(
+                [this, id](websocketpp::connection_hdl) { this->events.on_connected(id, true); });
+        }
+    }
+
+    void gone(connection_id id) {
+        {
+            std::lock_guard<std::mutex> lock(this->mutex);
+            if (this->connections.erase(id) == 0) {
+                return;
+            }
+        }
+        this->events.on_disconnected(id);
+    }
+
+    // Calls `use` with the connection, outside the lock. Returns false when there is none.
+    template <class Use>
+    bool with_connection(connection_id id, Use use) {
+        handle found;
+        {
+            std::lock_guard<std::mutex> lock(this->mutex);
+            auto entry = this->connections.find(id);
+            if (entry == this->connections.end()) {
+                return false;
+            }
+            found = entry->second;
+        }
+        return found.server ? use(found.server) : use(found.client);
+    }
+
+    // A library exception in one connection's handler must not end the thread for all others.
+    void run() {
+        while (!this->stopping) {
+            try {
+                this->context.run();
+                return;
+            } catch (const std::exception&) {
+                continue;
+            }
+        }
+    }
+
+    frame_events& events;
+    boost::asio::io_context context;
+    server_endpoint server;
+    client_endpoint client;
+    std::vector<std::thread> threads;
+    std::atomic<bool> stopping{false};
+    std::atomic<connection_id> next_id{1};
+    std::mutex mutex;
+    std::map<connection_id, handle> connections;  // Guarded by mutex; open or opening.
+};
+
+frame_socket::frame_socket(frame_events& events) : self(std::make_unique<implementation>(events)) {}
+
+frame_socket::~frame_socket() {
+    this->stop();
+}
+
+std::string frame_socket::start(const frame_socket_options& options) {
+    return this->self->start(options);
+}
+
+void frame_socket::stop() {
+    this->self->stop();
+}
+
+connection_id frame_socket::connect(const std::string& ip, std::uint16_t port) {
+    return this->self->connect(ip, port);
+}
+
+bool frame_socket::send(connection_id id, const std::string& frame) {
+    return this->self->send(id, frame);
+}
+
+void frame_socket::allow_large_frames(connection_id id) {
+    this->self->allow_large_frames(id);
+}
+
+void frame_socket::drop(connection_id id) {
+    this->self->drop(id);
+}
+
+}  // namespace trefoil::transport
--- /dev/null
+++ b/packages/transport/peer_endpoint.cc
@@ -0,0 +1,269 @@
+// Implements the handshake, the heartbeats and the detection of silent connections.
+
+#include "transport/peer_endpoint.h"
+
+#include <charconv>
+#include <optional>
+#include <vector>
+
+#include "base/hash.h"
+#include "base/log.h"
+#include "base/random.h"
+#include "messages/codec.h"
+
+namespace trefoil::transport {
+
+namespace {
+
+constexpr std::size_t nonce_bytes = 16;
+constexpr std::chrono::milliseconds watch_interval{50};
+
+// The role is part of the proof, so that a proof cannot be reflected to its sender.
+std::string proof_of(const std::string& secret, bool from_connector, const messages::hello& sender,
+                     const std::string& receiver_nonce) {
+    std::string text = from_connector ? "connector" : "acceptor";
+    for (const std::string& part :
+         {sender.fleet_protocol, sender.instance, std::to_string(sender.incarnation),
+          sender.failure_domain, sender.site, sender.service, sender.address, sender.nonce,
+          receiver_nonce}) {
+        text += '\n';
+        text += part;
+    }
+    return hmac_sha256_hex(secret, text);
+}
+
+bool is_control(const messages::peer_message& message) {
+    return !std::holds_alternative<messages::call>(message) &&
+           !std::holds_alternative<messages::call_result>(message) &&
+           !std::holds_alternative<messages::cancel>(message);
+}
+
+}  // namespace
+
+std::optional<std::pair<std::string, std::uint16_t>> split_address(const std::string& address) {
+    std::size_t colon = address.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    std::uint16_t port = 0;
+    const char* end = address.data() + address.size();
+    auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+    if (parsed.ec != std::errc() || parsed.ptr != end || port == 0) {
+        return std::nullopt;
+    }
+    return std::make_pair(address.substr(0, colon), port);
+}
+
+// One connection. The members up to `opened` are used only by the connection's own events, which
+// come one at a time.
+struct peer_endpoint::session {
+    bool outgoing = false;
+    messages::hello self;  // Our hello, with the nonce of this connection.
+    std::optional<messages::hello> peer;
+    std::atomic<bool> opened{false};  // Set once, after the peer's proof was checked.
+    std::atomic<std::int64_t> connected_us{0};
+    std::atomic<std::int64_t> last_received_us{0};
+    std::atomic<std::int64_t> last_ping_us{0};
+};
+
+peer_endpoint::peer_endpoint(peer_endpoint_options given, peer_events& receiver,
+                             const time_source& time)
+    : options(std::move(given)), events(receiver), clock(time), socket(*this) {}
+
+peer_endpoint::~peer_endpoint() {
+    this->stop();
+}
+
+result<started, listen_failure> peer_endpoint::start(const std::string& ip, std::uint16_t port) {
+    std::string problem =
+        this->socket.start({.ip = ip, .port = port, .threads = this->options.threads});
+    if (!problem.empty()) {
+        return listen_failure{.address = ip + ":" + std::to_string(port), .detail = problem};
+    }
+    this->watcher = std::thread([this] { this->watch_connections(); });
+    return started{};
+}
+
+void peer_endpoint::stop() {
+    if (this->stopping.exchange(true)) {
+        return;
+    }
+    if (this->watcher.joinable()) {
+        this->watcher.join();
+    }
+    this->socket.stop();
+}
+
+connection_id peer_endpoint::connect(const std::string& address) {
+    auto target = split_address(address);
+    if (!target.has_value()) {
+        return this->socket.connect("0.0.0.0", 1);  // Fails and reports on_disconnected.
+    }
+    return this->socket.connect(target->first, target->second);
+}
+
+bool peer_endpoint::send(connection_id id, const messages::peer_message& message) {
+    auto found = this->sessions.find(id);
+    if (!found.has_value() || !(*found)->opened) {
+        return false;
+    }
+    std::string frame = messages::encode(message);
+    if (!this->socket.send(id, frame)) {
+        return false;
+    }
+    ++this->frames_sent;
+    this->bytes_sent += frame.size();
+    if (is_control(message)) {
+        this->control_bytes_sent += frame.size();
+    }
+    return true;
+}
+
+void peer_endpoint::close(connection_id id) {
+    this->socket.drop(id);
+}
+
+traffic_totals peer_endpoint::totals() const {
+    return {.frames_sent = this->frames_sent,
+            .bytes_sent = this->bytes_sent,
+            .bytes_received = this->bytes_received,
+            .control_bytes_sent = this->control_bytes_sent,
+            .control_bytes_received = this->control_bytes_received,
+            .rejected_connections = this->rejected_connections};
+}
+
+void peer_endpoint::on_connected(connection_id id, bool outgoing) {
+    auto created = std::make_shared<session>();
+    created->outgoing = outgoing;
+    created->self = this->options.self;
+    created->self.nonce = secure_random_hex(nonce_bytes);
+    std::int64_t now = to_microseconds(this->clock.now());
+    created->connected_us = now;
+    created->last_received_us = now;
+    this->sessions.update(id, [&created](std::shared_ptr<session>& slot) { slot = created; });
+    this->transmit(id, created->self);
+}
+
+void peer_endpoint::on_frame(connection_id id, std::string frame) {
+    mono_time received = this->clock.now();
+    auto found = this->sessions.find(id);
+    if (!found.has_value()) {
+        return;
+    }
+    session& peer = **found;
+    auto decoded = messages::decode(frame);
+    auto* message = std::get_if<messages::peer_message>(&decoded);
+    if (message == nullptr) {
+        this->reject(id, "undecodable_frame");
+        return;
+    }
+    peer.last_received_us = to_microseconds(received);
+    this->count_received(*message, frame.size());
+    if (auto* hello = std::get_if<messages::hello>(message)) {
+        this->on_hello(id, peer, *hello);
+    } else if (auto* proof = std::get_if<messages::proof>(message)) {
+        this->on_proof(id, peer, *proof);
+    } else if (!peer.opened) {
+        this->reject(id, "message_before_proof");
+    } else if (auto* ping = std::get_if<messages::ping>(message)) {
+        this->send(id,
+                   messages::pong{.echo_us = ping->sent_us, .clock_us = to_microseconds(received)});
+    } else {
+        this->events.on_message(id, *peer.peer, std::move(*message), received);
+    }
+}
+
+void peer_endpoint::on_hello(connection_id id, session& peer, const messages::hello& hello) {
+    bool acceptable = !peer.peer.has_value() && !hello.instance.empty() &&
+                      hello.fleet_protocol == this->options.self.fleet_protocol;
+    if (!acceptable) {
+        this->reject(id, "unacceptable_hello");
+        return;
+    }
+    peer.peer = hello;
+    this->transmit(id, messages::proof{.hmac = proof_of(this->options.fleet_secret, peer.outgoing,
+                                                        peer.self, hello.nonce)});
+}
+
+void peer_endpoint::on_proof(connection_id id, session& peer, const messages::proof& proof) {
+    bool expected_now = peer.peer.has_value() && !peer.opened;
+    bool valid =
+        expected_now &&
+        equal_constant_time(proof.hmac, proof_of(this->options.fleet_secret, !peer.outgoing,
+                                                 *peer.peer, peer.self.nonce));
+    if (!valid) {
+        this->reject(id, "wrong_proof");
+        return;
+    }
+    this->socket.allow_large_frames(id);
+    peer.opened = true;
+    std::int64_t now = to_microseconds(this->clock.now());
+    peer.last_ping_us = now;
+    this->send(id, messages::ping{.sent_us = now});
+    this->events.on_open(id, *peer.peer, peer.outgoing);
+}
+
+void peer_endpoint::on_disconnected(connection_id id) {
+    auto found = this->sessions.take(id);
+    if (this->stopping) {
+        return;
+    }
+    bool was_open = found.has_value() && (*found)->opened;
+    this->events.on_close(id, was_open ? &*(*found)->peer : nullptr);
+}
+
+void peer_endpoint::reject(connection_id id, const char* cause) {
+    ++this->rejected_connections;
+    log(log_level::warning, "peer_connection_rejected", {{"cause", cause}});
+    this->socket.drop(id);
+}
+
+// Sends a handshake message, which goes out before the connection counts as open.
+void peer_endpoint::transmit(connection_id id, const messages::peer_message& message) {
+    std::string frame = messages::encode(message);
+    this->socket.send(id, frame);
+    ++this->frames_sent;
+    this->bytes_sent += frame.size();
+    this->control_bytes_sent += frame.size();
+}
+
+void peer_endpoint::count_received(const messages::peer_message& message, std::size_t bytes) {
+    this->bytes_received += bytes;
+    if (is_control(message)) {
+        this->control_bytes_received += bytes;
+    }
+}
+
+void peer_endpoint::watch_connections() {
+    while (!this->stopping) {
+        std::this_thread::sleep_for(watch_interval);
+        this->check_connections(this->clock.now());
+    }
+}
+
+void peer_endpoint::check_connections(mono_time now) {
+    const std::int64_t now_us = to_microseconds(now);
+    const std::int64_t silence_us = std::chrono::microseconds(this->options.silence_limit).count();
+    const std::int64_t heartbeat_us =
+        std::chrono::microseconds(this->options.heartbeat_interval).count();
+    std::vector<connection_id> silent;
+    std::vector<connection_id> due;
+    this->sessions.for_each([&](connection_id id, const std::shared_ptr<session>& each) {
+        bool handshake_late = !each->opened && now_us - each->connected_us > silence_us;
+        if (handshake_late || now_us - each->last_received_us > silence_us) {
+            silent.push_back(id);
+        } else if (each->opened && now_us - each->last_ping_us >= heartbeat_us) {
+            each->last_ping_us = now_us;
+            due.push_back(id);
+        }
+    });
+    for (connection_id id : silent) {
+        log(log_level::info, "peer_connection_silent", {{"connection", std::to_string(id)}});
+        this->socket.drop(id);
+    }
+    for (connection_id id : due) {
+        this->send(id, messages::ping{.sent_us = now_us});
+    }
+}
+
+}  // namespace trefoil::transport
--- /dev/null
+++ b/packages/transport/peer_endpoint.h
@@ -0,0 +1,133 @@
+// Authenticated connections between daemons with heartbeats. A connection counts as open once both
+// sides have proved that they know the fleet secret. A connection on which nothing arrives for the
+// silence limit is dropped, because a path that lost its state delivers nothing and reports no
+// error.
+//
+// Example:
+//
+//     transport::peer_endpoint endpoint({.self = hello, .fleet_secret = secret}, events, clock);
+//     endpoint.start("127.0.0.1", 7001);
+//     auto id = endpoint.connect("127.0.0.1:7002");
+
+#ifndef TREFOIL_TRANSPORT_PEER_ENDPOINT_H_
+#define TREFOIL_TRANSPORT_PEER_ENDPOINT_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "absl/synchronization/mutex.h"
+#include "base/result.h"
+#include "base/sharded_map.h"
+#include "base/time.h"
+#include "messages/messages.h"
+#include "transport/frame_socket.h"
+
+namespace trefoil::transport {
+
+// Receives authenticated traffic. Calls for one connection come in order and one at a time; calls
+// for different connections come from several threads. Implementations must not block.
+class peer_events {
+public:
+    virtual ~peer_events() = default;
+    virtual void on_open(connection_id id, const messages::hello& peer, bool outgoing) = 0;
+    // Delivers every message except hello, proof and ping.
+    virtual void on_message(connection_id id, const messages::hello& peer,
+                            messages::peer_message message, mono_time received) = 0;
+    // `peer` is null when the connection never opened.
+    virtual void on_close(connection_id id, const messages::hello* peer) = 0;
+};
+
+struct peer_endpoint_options {
+    messages::hello self;
+    std::string fleet_secret;
+    std::chrono::milliseconds heartbeat_interval{500};
+    std::chrono::milliseconds silence_limit{2000};
+    int threads = 2;
+};
+
+// The listen address cannot be used.
+struct listen_failure {
+    std::string address;
+    std::string detail;
+
+    friend bool operator==(const listen_failure&, const listen_failure&) = default;
+};
+
+struct started {
+    friend bool operator==(const started&, const started&) = default;
+};
+
+// Traffic since the start, for metrics.
+struct traffic_totals {
+    std::uint64_t frames_sent = 0;
+    std::uint64_t bytes_sent = 0;
+    std::uint64_t bytes_received = 0;
+    std::uint64_t control_bytes_sent = 0;      // All messages but call, call_result and cancel.
+    std::uint64_t control_bytes_received = 0;  // Likewise.
+    std::uint64_t rejected_connections = 0;    // Closed because of a wrong proof or a bad frame.
+
+    friend bool operator==(const traffic_totals&, const traffic_totals&) = default;
+};
+
+// Splits "ip:port". Returns nothing when the text has another form.
+std::optional<std::pair<std::string, std::uint16_t>> split_address(const std::string& address);
+
+// All members are safe for concurrent use.
+class peer_endpoint final : private frame_events {
+public:
+    peer_endpoint(peer_endpoint_options options, peer_events& events, const time_source& clock);
+    ~peer_endpoint() override;
+    peer_endpoint(const peer_endpoint&) = delete;
+    peer_endpoint& operator=(const peer_endpoint&) = delete;
+
+    result<started, listen_failure> start(const std::string& ip, std::uint16_t port);
+    void stop();
+
+    // Opens a connection to "ip:port"; on_open or on_close follows.
+    connection_id connect(const std::string& address);
+
+    // Returns false when the connection is not open; the message has then not left the process.
+    bool send(connection_id id, const messages::peer_message& message);
+
+    void close(connection_id id);
+
+    traffic_totals totals() const;
+
+private:
+    struct session;
+
+    void on_connected(connection_id id, bool outgoing) override;
+    void on_frame(connection_id id, std::string frame) override;
+    void on_disconnected(connection_id id) override;
+
+    void on_hello(connection_id id, session& peer, const messages::hello& hello);
+    void on_proof(connection_id id, session& peer, const messages::proof& proof);
+    void reject(connection_id id, const char* cause);
+    void transmit(connection_id id, const messages::peer_message& message);
+    void count_received(const messages::peer_message& message, std::size_t bytes);
+    void watch_connections();
+    void check_connections(mono_time now);
+
+    const peer_endpoint_options options;
+    peer_events& events;
+    const time_source& clock;
+    sharded_map<connection_id, std::shared_ptr<session>> sessions;
+    std::atomic<bool> stopping{false};
+    std::atomic<std::uint64_t> frames_sent{0};
+    std::atomic<std::uint64_t> bytes_sent{0};
+    std::atomic<std::uint64_t> bytes_received{0};
+    std::atomic<std::uint64_t> control_bytes_sent{0};
+    std::atomic<std::uint64_t> control_bytes_received{0};
+    std::atomic<std::uint64_t> rejected_connections{0};
+    std::thread watcher;
+    frame_socket socket;
+};
+
+}  // namespace trefoil::transport
+
+#endif  // TREFOIL_TRANSPORT_PEER_ENDPOINT_H_
--- /dev/null
+++ b/packages/transport/testing/peer_endpoint_test.cc
@@ -0,0 +1,127 @@
+// Tests of authenticated peer connections over loopback.
+
+#define BOOST_TEST_MODULE transport_peer_endpoint
+#include "transport/peer_endpoint.h"
+
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <vector>
+
+namespace trefoil::transport {
+
+namespace {
+
+// Collects events and lets the test wait for them.
+class recorder final : public peer_events {
+public:
+    void on_open(connection_id id, const messages::hello& peer, bool) override {
+        absl::MutexLock lock(&this->mutex);
+        this->open_ids.push_back(id);
+        this->opened.push_back(peer.instance);
+    }
+    void on_message(connection_id, const messages::hello&, messages::peer_message message,
+                    mono_time) override {
+        absl::MutexLock lock(&this->mutex);
+        if (!std::holds_alternative<messages::pong>(message)) {
+            this->received.push_back(std::move(message));
+        }
+    }
+    void on_close(connection_id, const messages::hello*) override {
+        absl::MutexLock lock(&this->mutex);
+        ++this->closed;
+    }
+
+    bool wait(const std::function<bool()>& condition) {
+        absl::MutexLock lock(&this->mutex);
+        return this->mutex.AwaitWithTimeout(
+            absl::Condition(
+                +[](const std::function<bool()>* check) { return (*check)(); }, &condition),
+            absl::Seconds(20));
+    }
+
+    absl::Mutex mutex;
+    std::vector<connection_id> open_ids;
+    std::vector<std::string> opened;
+    std::vector<messages::peer_message> received;
+    int closed = 0;
+};
+
+std::uint16_t free_port(int offset) {
+    return static_cast<std::uint16_t>(20000 + (getpid() * 8 + offset) % 20000);
+}
+
+struct node {
+    node(const std::string& name, const std::string& secret, std::uint16_t port_number)
+        : port(port_number),
+          endpoint({.self = {.fleet_protocol = "trefoil/1", .instance = name, .incarnation = 1},
+                    .fleet_secret = secret},
+                   events, clock) {
+        BOOST_REQUIRE(succeeded(this->endpoint.start("127.0.0.1", this->port)));
+    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(this->port); }
+
+    std::uint16_t port;
+    steady_time_source clock;
+    recorder events;
+    peer_endpoint endpoint;
+};
+
+}  // namespace
+
+// Guards against messages that are lost, reordered or accepted before both sides are authenticated.
+BOOST_AUTO_TEST_CASE(authenticated_peers_exchange_messages_in_order) {
+    node left("left", "a-shared-fleet-secret", free_port(0));
+    node right("right", "a-shared-fleet-secret", free_port(1));
+    connection_id id = left.endpoint.connect(right.address());
+    BOOST_REQUIRE(left.events.wait([&] { return left.events.opened.size() == 1; }));
+    BOOST_TEST(left.events.opened[0] == "right");
+    for (std::uint64_t i = 1; i <= 50; ++i) {
+        BOOST_TEST(left.endpoint.send(id, messages::cancel{.sequence = i}));
+    }
+    BOOST_REQUIRE(right.events.wait([&] { return right.events.received.size() == 50; }));
+    for (std::uint64_t i = 1; i <= 50; ++i) {
+        BOOST_TEST(std::get<messages::cancel>(right.events.received[i - 1]).sequence == i);
+    }
+}
+
+// Guards against a sender that does not know the fleet secret and is believed.
+BOOST_AUTO_TEST_CASE(peer_with_another_secret_is_rejected) {
+    node left("left", "a-shared-fleet-secret", free_port(2));
+    node right("right", "some-other-fleet-secret", free_port(3));
+    left.endpoint.connect(right.address());
+    BOOST_REQUIRE(left.events.wait([&] { return left.events.closed == 1; }));
+    BOOST_TEST(left.events.opened.empty());
+    BOOST_TEST(right.events.opened.empty());
+}
+
+// Guards against a foreign sender on the peer port that disturbs other connections.
+BOOST_AUTO_TEST_CASE(garbage_on_the_peer_port_leaves_other_connections_open) {
+    node left("left", "a-shared-fleet-secret", free_port(4));
+    node right("right", "a-shared-fleet-secret", free_port(5));
+    connection_id id = left.endpoint.connect(right.address());
+    BOOST_REQUIRE(left.events.wait([&] { return left.events.opened.size() == 1; }));
+
+    class ignore final : public frame_events {
+        void on_connected(connection_id id, bool) override {
+            this->socket->send(id, "not a CBOR frame");
+        }
+        void on_frame(connection_id, std::string) override {}
+        void on_disconnected(connection_id) override { this->dropped = true; }
+
+    public:
+        frame_socket* socket = nullptr;
+        std::atomic<bool> dropped{false};
+    } foreign_events;
+    frame_socket foreign(foreign_events);
+    foreign_events.socket = &foreign;
+    BOOST_REQUIRE(foreign.start({.ip = "127.0.0.1", .port = free_port(6)}).empty());
+    foreign.connect("127.0.0.1", right.port);
+    BOOST_TEST(right.events.wait([&] { return foreign_events.dropped.load(); }));
+    BOOST_TEST(left.endpoint.send(id, messages::cancel{.sequence = 1}));
+    BOOST_TEST(right.events.wait([&] { return right.events.received.size() == 1; }));
+    foreign.stop();
+}
+
+}  // namespace trefoil::transport
