--- /dev/null
+++ b/packages/edge/http_types.h
@@ -0,0 +1,65 @@
+// HTTP requests and responses as the daemon handles them, and the rules for header names.
+//
+// Example:
+//
+//     edge::http_response response{.status = 200, .body = "ok\n"};
+
+#ifndef TREFOIL_EDGE_HTTP_TYPES_H_
+#define TREFOIL_EDGE_HTTP_TYPES_H_
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "messages/messages.h"
+
+namespace trefoil::edge {
+
+constexpr std::size_t max_body_bytes = std::size_t{1} << 20U;
+constexpr std::size_t max_header_bytes = std::size_t{16} << 10U;
+
+struct http_request {
+    std::string method;
+    std::string path;   // As the caller wrote it, without decoding.
+    std::string query;  // Likewise, without the question mark.
+    std::vector<messages::header> headers;
+    std::string body;
+
+    friend bool operator==(const http_request&, const http_request&) = default;
+};
+
+struct http_response {
+    unsigned status = 200;
+    std::vector<messages::header> headers;
+    std::string body;
+    bool close_connection = false;
+
+    friend bool operator==(const http_response&, const http_response&) = default;
+};
+
+// Compares header names, ignoring ASCII case.
+bool same_header_name(std::string_view left, std::string_view right);
+
+// Returns the value of the first header called `name`.
+std::optional<std::string> find_header(const std::vector<messages::header>& headers,
+                                       std::string_view name);
+
+// Whether a header describes one connection and not the message (RFC 9110, section 7.6.1), or is
+// worked out anew by each HTTP library on the way.
+bool is_hop_header(std::string_view name);
+
+// Whether a header belongs to the mesh itself: Authorization, which carries the key, and every
+// Trefoil- header.
+bool is_mesh_header(std::string_view name);
+
+// Returns the headers that may cross the mesh, without hop and mesh headers.
+std::vector<messages::header> forwardable(const std::vector<messages::header>& headers);
+
+// Returns the decoded value of a query parameter.
+std::optional<std::string> query_parameter(std::string_view query, std::string_view name);
+
+}  // namespace trefoil::edge
+
+#endif  // TREFOIL_EDGE_HTTP_TYPES_H_
--- /dev/null
+++ b/packages/edge/testing/edge_http_test.cc
@@ -0,0 +1,114 @@
+// Tests of the HTTP server and the upstream client against each other over loopback.
+
+#define BOOST_TEST_MODULE edge_http
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+#include <future>
+
+#include "edge/http_server.h"
+#include "edge/upstream_client.h"
+
+namespace trefoil::edge {
+
+namespace {
+
+// Echoes the request's body from another thread, so that the suspended path is used.
+class echo_handler final : public request_handler {
+public:
+    void handle(http_request request, std::shared_ptr<responder> target) override {
+        ++this->handled;
+        if (request.path == "/never") {
+            absl::MutexLock lock(&this->mutex);
+            this->held.push_back(std::move(target));
+            return;
+        }
+        std::thread([request, target] {
+            std::string text = request.method + " " + request.path + "?" + request.query + " ";
+            target->respond({.status = 200,
+                             .headers = {{.name = "Seen", .value = "yes"}},
+                             .body = text + request.body});
+        }).detach();
+    }
+    http_response refuse(unsigned status) override { return {.status = status}; }
+
+    std::atomic<int> handled{0};
+    absl::Mutex mutex;
+    std::vector<std::shared_ptr<responder>> held;
+};
+
+struct fixture {
+    fixture() { BOOST_REQUIRE(succeeded(this->server.start())); }
+
+    static std::uint16_t next_port() {
+        static int count = 0;
+        return static_cast<std::uint16_t>(40000 + (getpid() * 8 + count++) % 20000);
+    }
+
+    upstream_result run(upstream_request request) {
+        std::promise<upstream_result> promise;
+        this->client.start(std::move(request),
+                           [&promise](upstream_result r) { promise.set_value(std::move(r)); });
+        return promise.get_future().get();
+    }
+
+    mono_time soon(int ms) const { return this->clock.now() + std::chrono::milliseconds(ms); }
+
+    std::uint16_t port = next_port();
+    steady_time_source clock;
+    echo_handler handler;
+    http_server server{{.ip = "127.0.0.1", .port = port}, handler};
+    upstream_client client{{.address = "127.0.0.1:" + std::to_string(port)}, clock};
+};
+
+}  // namespace
+
+// Guards against a body, query or header that is lost on the way.
+BOOST_FIXTURE_TEST_CASE(request_and_response_cross_whole, fixture) {
+    auto result = this->run({.method = "POST",
+                             .target = "/a/b?x=1%202",
+                             .body = std::string(100000, 'z'),
+                             .deadline = this->soon(5000)});
+    auto& response = std::get<http_response>(result);
+    BOOST_TEST(response.status == 200U);
+    BOOST_TEST(response.body == "POST /a/b?x=1%202 " + std::string(100000, 'z'));
+    BOOST_TEST(find_header(response.headers, "seen").value() == "yes");
+}
+
+// Guards against unbounded memory for a request body.
+BOOST_FIXTURE_TEST_CASE(body_above_the_limit_is_refused, fixture) {
+    auto result = this->run({.method = "POST",
+                             .target = "/",
+                             .body = std::string(max_body_bytes + 1, 'z'),
+                             .deadline = this->soon(5000)});
+    BOOST_TEST(std::get<http_response>(result).status == 413U);
+    BOOST_TEST(this->handler.handled == 0);
+}
+
+// Guards against a request that outlives its deadline, and a stop that leaves it waiting.
+BOOST_FIXTURE_TEST_CASE(deadline_interrupts_the_request, fixture) {
+    auto result = this->run({.method = "GET", .target = "/never", .deadline = this->soon(100)});
+    BOOST_TEST(std::holds_alternative<interrupted>(result));
+}
+
+// Guards against "may have run" for a request that never left the process.
+BOOST_FIXTURE_TEST_CASE(refused_connection_is_reported_as_such, fixture) {
+    upstream_client other({.address = "127.0.0.1:1"}, this->clock);
+    std::promise<upstream_result> promise;
+    other.start({.method = "GET", .target = "/", .deadline = this->soon(1000)},
+                [&promise](upstream_result r) { promise.set_value(std::move(r)); });
+    BOOST_TEST(std::holds_alternative<connection_refused>(promise.get_future().get()));
+}
+
+// Guards against a key or an internal header that reaches an upstream.
+BOOST_AUTO_TEST_CASE(mesh_and_hop_headers_are_not_forwarded) {
+    auto kept = forwardable({{.name = "AUTHORIZATION", .value = "Bearer k"},
+                             {.name = "trefoil-context", .value = "1"},
+                             {.name = "Connection", .value = "close"},
+                             {.name = "Accept", .value = "a"}});
+    BOOST_REQUIRE(kept.size() == 1U);
+    BOOST_TEST(kept[0].name == "Accept");
+    BOOST_TEST(query_parameter("a=1&b=x%20y", "b").value() == "x y");
+}
+
+}  // namespace trefoil::edge
