--- /dev/null
+++ b/packages/config/build_snapshot.h
@@ -0,0 +1,27 @@
+// Builds a snapshot from a base document and an overlay, or reports everything that is wrong with
+// the pair.
+//
+// Example:
+//
+//     auto outcome = config::build_snapshot(base, config::empty_overlay("north"));
+//     if (auto* failures = std::get_if<config::validation_failures>(&outcome)) { ... }
+
+#ifndef TREFOIL_CONFIG_BUILD_SNAPSHOT_H_
+#define TREFOIL_CONFIG_BUILD_SNAPSHOT_H_
+
+#include "base/result.h"
+#include "config/document.h"
+#include "config/snapshot.h"
+#include "config/validation_failure.h"
+
+namespace trefoil::config {
+
+// Maps of base and overlay merge, lists and scalars of the overlay replace, and a key with the
+// value
+// `!remove` in the overlay removes that key. The whole merged document is validated; the failures
+// are in the order of the document and never empty.
+result<snapshot, validation_failures> build_snapshot(const document& base, const document& overlay);
+
+}  // namespace trefoil::config
+
+#endif  // TREFOIL_CONFIG_BUILD_SNAPSHOT_H_
--- /dev/null
+++ b/packages/config/route_table.h
@@ -0,0 +1,66 @@
+// Finds the route of a request: the longest path prefix wins, and a route that accepts the method
+// goes before one that does not.
+//
+// Example:
+//
+//     config::route_table table(routes);
+//     auto found = table.find("GET", "/station/7/level");
+//     if (auto* route = std::get_if<const config::route*>(&found)) { ... }
+
+#ifndef TREFOIL_CONFIG_ROUTE_TABLE_H_
+#define TREFOIL_CONFIG_ROUTE_TABLE_H_
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/result.h"
+#include "config/string_hash.h"
+#include "config/values.h"
+
+namespace trefoil::config {
+
+// No route's prefix matches the path.
+struct no_route {
+    friend bool operator==(const no_route&, const no_route&) = default;
+};
+
+// Routes match the path, but none accepts the method.
+struct method_not_allowed {
+    std::vector<std::string> allowed;  // Sorted and unique.
+
+    friend bool operator==(const method_not_allowed&, const method_not_allowed&) = default;
+};
+
+// The route points into the table and is valid as long as the table.
+using route_lookup = result<const route*, no_route, method_not_allowed>;
+
+class route_table {
+public:
+    route_table() = default;
+    explicit route_table(std::vector<route> entries);
+
+    // Finds the route for a method and a path; a query ("?...") is not considered. A path with "."
+    // or ".." segments, also percent-encoded ones, has no route, because the upstream could resolve
+    // it to a path that belongs to another route, and so bypass the key check.
+    route_lookup find(std::string_view method, std::string_view path) const;
+
+    const std::vector<route>& routes() const { return this->entries; }
+
+    friend bool operator==(const route_table& left, const route_table& right) {
+        return left.entries == right.entries;
+    }
+
+private:
+    std::vector<route> entries;  // Sorted by name.
+    // Positions in `entries`, never pointers, so that a copied table is independent.
+    std::unordered_map<std::string, std::vector<std::size_t>, detail::string_hash, std::equal_to<>>
+        by_prefix;
+    std::vector<std::size_t> prefix_lengths;  // Unique and descending.
+};
+
+}  // namespace trefoil::config
+
+#endif  // TREFOIL_CONFIG_ROUTE_TABLE_H_
