--- /dev/null
+++ b/packages/config/build_snapshot.cc
@@ -0,0 +1,109 @@
+// Implements build_snapshot(): read both documents, check the overlay on its own, merge, read the
+// sections.
+
+#include "config/build_snapshot.h"
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <tuple>
+#include <utility>
+
+#include "config/sections.h"
+#include "config/yaml_node.h"
+
+namespace trefoil::config {
+
+namespace {
+
+constexpr std::array<std::string_view, 3> fleet_wide_sections = {"fleet", "workspaces", "keys"};
+
+document_version version_of(const document& source) {
+    return document_version{source.name, source.revision, source.checksum};
+}
+
+void require_map(const yaml_node& root, validation_failures& failures) {
+    if (root.kind != yaml_kind::map) {
+        location where{root.document, root.line, ""};
+        failures.emplace_back(
+            wrong_type{std::move(where), "a map of sections", "a value of another type"});
+    }
+}
+
+void check_fleet_wide_sections(const yaml_node& overlay, validation_failures& failures) {
+    for (std::string_view name : fleet_wide_sections) {
+        if (const yaml_node* section = overlay.find(name)) {
+            failures.emplace_back(
+                fleet_wide_section{location{section->document, section->line, std::string(name)}});
+        }
+    }
+}
+
+// A misspelt failure domain in an overlay would silently take out nothing.
+void check_failure_domains(const yaml_node& base, const yaml_node& overlay,
+                           validation_failures& failures) {
+    const yaml_node* declared = base.find("failure_domains");
+    const yaml_node* changed = overlay.find("failure_domains");
+    if (changed == nullptr) {
+        return;
+    }
+    for (const yaml_entry& entry : changed->entries) {
+        bool known = declared != nullptr && declared->find(entry.key) != nullptr;
+        bool removal = entry.value.kind == yaml_kind::remove;
+        if (!known && !removal) {
+            failures.emplace_back(unresolved_reference{
+                location{entry.value.document, entry.value.line,
+                         child_path("failure_domains", entry.key)},
+                "the name of a failure domain that the base document lists", ""});
+        }
+    }
+}
+
+void sort_by_place(validation_failures& failures, const std::string& base_name) {
+    auto place = [&base_name](const validation_failure& failure) {
+        const location& at = where(failure);
+        return std::make_tuple(at.document != base_name, at.line);
+    };
+    std::stable_sort(failures.begin(), failures.end(),
+                     [&place](const validation_failure& left, const validation_failure& right) {
+                         return place(left) < place(right);
+                     });
+}
+
+// Moves the failures of a reading into `failures`; returns the tree, or null after a failure.
+const yaml_node* take_tree(result<yaml_node, validation_failures>& outcome,
+                           validation_failures& failures) {
+    if (auto* found = std::get_if<validation_failures>(&outcome)) {
+        failures.insert(failures.end(), found->begin(), found->end());
+        return nullptr;
+    }
+    const yaml_node* root = std::get_if<yaml_node>(&outcome);
+    require_map(*root, failures);
+    return root;
+}
+
+}  // namespace
+
+result<snapshot, validation_failures> build_snapshot(const document& base,
+                                                     const document& overlay) {
+    validation_failures failures;
+    auto base_outcome = read_yaml(base, {.allow_remove = false});
+    auto overlay_outcome = read_yaml(overlay, {.allow_remove = true});
+    const yaml_node* base_tree = take_tree(base_outcome, failures);
+    const yaml_node* overlay_tree = take_tree(overlay_outcome, failures);
+    if (!failures.empty()) {
+        return failures;
+    }
+    check_fleet_wide_sections(*overlay_tree, failures);
+    check_failure_domains(*base_tree, *overlay_tree, failures);
+    snapshot_contents contents = detail::read_sections(merge(*base_tree, *overlay_tree), failures);
+    if (!failures.empty()) {
+        sort_by_place(failures, base.name);
+        return failures;
+    }
+    contents.base = version_of(base);
+    contents.overlay = version_of(overlay);
+    return snapshot(std::move(contents));
+}
+
+}  // namespace trefoil::config
--- /dev/null
+++ b/packages/config/difference.cc
@@ -0,0 +1,174 @@
+// Implements the comparison of snapshots. Each entry is turned into a list of named fields, so that
+// added, removed and changed entries of every section are found by the same code.
+
+#include "config/difference.h"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <map>
+#include <string_view>
+#include <utility>
+
+namespace trefoil::config {
+
+namespace {
+
+struct field_text {
+    std::string name;
+    std::string value;
+    bool hidden = false;
+};
+
+// The fields of one entry. All entries of a section have the same fields in the same order.
+using field_list = std::vector<field_text>;
+
+std::string yes_or_no(bool value) {
+    return value ? "true" : "false";
+}
+
+field_list fields_of(const fleet& each) {
+    return {{"max_instances", fmt::to_string(each.max_instances)}};
+}
+
+field_list fields_of(const service& each) {
+    std::string availability = "none";
+    std::string latency = "none";
+    if (each.objective) {
+        availability = fmt::to_string(each.objective->availability);
+        latency = fmt::format("{} ms", each.objective->latency.count());
+    }
+    return {{"slots", fmt::to_string(each.slots)},
+            {"timeout", fmt::format("{} ms", each.timeout.count())},
+            {"queue", fmt::to_string(each.queue)},
+            {"objective availability", availability},
+            {"objective latency", latency}};
+}
+
+field_list fields_of(const route& each) {
+    std::string methods =
+        each.methods.empty() ? "all" : fmt::format("{}", fmt::join(each.methods, " "));
+    std::string idempotent = each.idempotent ? yes_or_no(*each.idempotent) : "by method";
+    bool serves = each.when_unconfirmed == unconfirmed_policy::serve;
+    return {{"path_prefix", each.path_prefix}, {"methods", methods},
+            {"service", each.service},         {"idempotent", idempotent},
+            {"open", yes_or_no(each.open)},    {"when_unconfirmed", serves ? "serve" : "refuse"}};
+}
+
+field_list fields_of(const workspace& each) {
+    return {{"rate", fmt::to_string(each.rate)}, {"burst", fmt::to_string(each.burst)}};
+}
+
+field_list fields_of(const access_key& each) {
+    return {{"workspace", each.workspace}, {"digest", each.sha256, true}};
+}
+
+field_list fields_of(bool out) {
+    return {{"out", yes_or_no(out)}};
+}
+
+void compare_fields(const std::string& subject, const std::string& name, const field_list& before,
+                    const field_list& after, std::vector<difference>& differences) {
+    for (std::size_t i = 0; i < before.size(); ++i) {
+        if (before[i].value == after[i].value) {
+            continue;
+        }
+        bool hidden = before[i].hidden;
+        differences.push_back({.subject = subject,
+                               .name = name,
+                               .kind = change_kind::changed,
+                               .field = before[i].name,
+                               .before = hidden ? "" : before[i].value,
+                               .after = hidden ? "" : after[i].value});
+    }
+}
+
+// Reports an added or removed entry; its fields follow as a summary in `before` or `after`.
+difference whole_entry(const std::string& subject, const std::string& name, change_kind kind,
+                       const field_list& fields) {
+    std::vector<std::string> shown;
+    for (const field_text& each : fields) {
+        if (!each.hidden) {
+            shown.push_back(fmt::format("{} {}", each.name, each.value));
+        }
+    }
+    std::string summary = fmt::format("{}", fmt::join(shown, ", "));
+    bool added = kind == change_kind::added;
+    return {.subject = subject,
+            .name = name,
+            .kind = kind,
+            .field = "",
+            .before = added ? "" : summary,
+            .after = added ? summary : ""};
+}
+
+template <class Entries>
+void compare_entries(const std::string& subject, const Entries& before, const Entries& after,
+                     std::vector<difference>& differences) {
+    auto left = before.begin();
+    auto right = after.begin();
+    while (left != before.end() || right != after.end()) {
+        bool only_left =
+            right == after.end() || (left != before.end() && left->first < right->first);
+        bool only_right =
+            left == before.end() || (right != after.end() && right->first < left->first);
+        if (only_left) {
+            differences.push_back(
+                whole_entry(subject, left->first, change_kind::removed, fields_of(left->second)));
+            ++left;
+        } else if (only_right) {
+            differences.push_back(
+                whole_entry(subject, right->first, change_kind::added, fields_of(right->second)));
+            ++right;
+        } else {
+            compare_fields(subject, left->first, fields_of(left->second), fields_of(right->second),
+                           differences);
+            ++left;
+            ++right;
+        }
+    }
+}
+
+std::map<std::string, route> routes_by_name(const snapshot_contents& contents) {
+    std::map<std::string, route> routes;
+    for (const route& each : contents.routes.routes()) {
+        routes.emplace(each.name, each);
+    }
+    return routes;
+}
+
+}  // namespace
+
+std::vector<difference> compare(const snapshot& before, const snapshot& after) {
+    const snapshot_contents& left = before.contents();
+    const snapshot_contents& right = after.contents();
+    std::vector<difference> differences;
+    compare_fields("fleet", "", fields_of(left.fleet), fields_of(right.fleet), differences);
+    compare_entries("service", left.services, right.services, differences);
+    compare_entries("route", routes_by_name(left), routes_by_name(right), differences);
+    compare_entries("workspace", left.workspaces, right.workspaces, differences);
+    compare_entries("key", left.keys, right.keys, differences);
+    compare_entries("failure domain", left.failure_domain_out, right.failure_domain_out,
+                    differences);
+    compare_entries("instance", left.instance_out, right.instance_out, differences);
+    return differences;
+}
+
+std::string describe(const difference& each) {
+    std::string subject =
+        each.name.empty() ? each.subject : fmt::format("{} {}", each.subject, each.name);
+    switch (each.kind) {
+        case change_kind::added:
+            return fmt::format("{}: added ({})", subject, each.after);
+        case change_kind::removed:
+            return fmt::format("{}: removed ({})", subject, each.before);
+        case change_kind::changed:
+            break;
+    }
+    if (each.before.empty() && each.after.empty()) {
+        return fmt::format("{}: {} changed", subject, each.field);
+    }
+    return fmt::format("{}: {} {} -> {}", subject, each.field, each.before, each.after);
+}
+
+}  // namespace trefoil::config
--- a/packages/config/difference.h
+++ b/packages/config/difference.h
@@ -22,12 +22,12 @@
 
 // One changed entry, or one changed field of an entry.
 struct difference {
-    std::string subject;  // "route", "service", "workspace", "key", "failure domain", ...
-    std::string name;
+    std::string subject{};  // "route", "service", "workspace", "key", "failure domain", ...
+    std::string name{};
     change_kind kind = change_kind::changed;
-    std::string field;   // Empty when the whole entry was added or removed.
-    std::string before;  // Empty where there is no value or it must not be shown.
-    std::string after;
+    std::string field{};   // Empty when the whole entry was added or removed.
+    std::string before{};  // Empty where there is no value or it must not be shown.
+    std::string after{};
 
     friend bool operator==(const difference&, const difference&) = default;
 };
--- a/packages/config/document.h
+++ b/packages/config/document.h
@@ -17,11 +17,11 @@
 inline constexpr std::string_view base_document_name = "base";
 
 struct document {
-    std::string name;  // Also names the document in validation failures.
+    std::string name{};  // Also names the document in validation failures.
     std::uint64_t revision =
         0;  // Given by the platform; 0 only for an overlay that does not exist.
     std::uint64_t checksum = 0;  // XXH3 of `body`.
-    std::string body;            // YAML.
+    std::string body{};          // YAML.
 
     friend bool operator==(const document&, const document&) = default;
 };
--- /dev/null
+++ b/packages/config/field_reader.cc
@@ -0,0 +1,232 @@
+// Implements the typed reading of YAML trees.
+
+#include "config/field_reader.h"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
+#include <charconv>
+#include <system_error>
+#include <utility>
+
+namespace trefoil::config {
+
+namespace {
+
+constexpr std::string_view expected_name =
+    "a name of 1 to 64 letters, digits, dots, hyphens and underscores that starts with a letter or "
+    "digit";
+
+std::string kind_of(const yaml_node& node) {
+    switch (node.kind) {
+        case yaml_kind::null:
+            return "no value";
+        case yaml_kind::scalar:
+            return node.quoted ? "a quoted text" : "a plain value";
+        case yaml_kind::sequence:
+            return "a list";
+        case yaml_kind::map:
+            return "a map";
+        case yaml_kind::remove:
+            return "!remove";
+    }
+    return "";
+}
+
+void reject_type(const yaml_field& field, std::string_view expected,
+                 validation_failures& failures) {
+    failures.emplace_back(wrong_type{field.where(), std::string(expected), kind_of(*field.value)});
+}
+
+// Returns the text of an unquoted scalar, or null with a failure.
+const std::string* plain_text(const yaml_field& field, std::string_view expected,
+                              validation_failures& failures) {
+    if (field.value == nullptr) {
+        return nullptr;
+    }
+    if (field.value->kind != yaml_kind::scalar || field.value->quoted) {
+        reject_type(field, expected, failures);
+        return nullptr;
+    }
+    return &field.value->text;
+}
+
+// Parses the whole text; `Number` decides between integers and decimal fractions.
+template <class Number>
+std::optional<Number> parse(const std::string& text) {
+    Number number = 0;
+    const char* end = text.data() + text.size();
+    auto [rest, error] = std::from_chars(text.data(), end, number);
+    bool complete = error == std::errc() && rest == end;
+    return complete ? std::optional<Number>(number) : std::nullopt;
+}
+
+template <class Number>
+std::optional<Number> read_between(const yaml_field& field, Number min, Number max,
+                                   const std::string& expected, validation_failures& failures) {
+    const std::string* text = plain_text(field, expected, failures);
+    if (text == nullptr) {
+        return std::nullopt;
+    }
+    std::optional<Number> number = parse<Number>(*text);
+    // Written so that "nan" fails, too.
+    bool allowed = number && *number >= min && *number <= max;
+    if (!allowed) {
+        reject_value(field, expected, failures);
+        return std::nullopt;
+    }
+    return number;
+}
+
+}  // namespace
+
+location yaml_field::where() const {
+    return location{this->value->document, this->value->line, this->path};
+}
+
+std::string yaml_field::shown() const {
+    return this->secret || this->value == nullptr ? "" : this->value->text;
+}
+
+yaml_field root_field(const yaml_node& root) {
+    return yaml_field{.value = &root, .path = "", .secret = false};
+}
+
+map_reader::map_reader(yaml_field map, validation_failures& failures)
+    : source(std::move(map)), sink(failures) {
+    bool present = this->source.value != nullptr;
+    if (present && this->source.value->kind != yaml_kind::map) {
+        reject_type(this->source, "a map", this->sink);
+        this->source.value = nullptr;
+    }
+}
+
+yaml_field map_reader::optional(std::string_view name) {
+    this->defined.emplace_back(name);
+    return yaml_field{
+        .value = this->source.value == nullptr ? nullptr : this->source.value->find(name),
+        .path = child_path(this->source.path, name),
+        .secret = this->source.secret};
+}
+
+yaml_field map_reader::required(std::string_view name, std::string_view expected) {
+    yaml_field field = this->optional(name);
+    bool missing = this->source.value != nullptr && field.value == nullptr;
+    if (missing) {
+        location where = this->source.where();
+        where.path = field.path;
+        this->sink.emplace_back(missing_field{std::move(where), std::string(expected)});
+    }
+    return field;
+}
+
+yaml_field map_reader::secret(std::string_view name) {
+    yaml_field field = this->optional(name);
+    field.secret = true;
+    return field;
+}
+
+void map_reader::reject_unknown() const {
+    if (this->source.value == nullptr) {
+        return;
+    }
+    for (const yaml_entry& entry : this->source.value->entries) {
+        bool known =
+            std::find(this->defined.begin(), this->defined.end(), entry.key) != this->defined.end();
+        if (known) {
+            continue;
+        }
+        yaml_field field{.value = &entry.value, .path = child_path(this->source.path, entry.key)};
+        this->sink.emplace_back(
+            unknown_field{field.where(), fmt::format("{}", fmt::join(this->defined, ", "))});
+    }
+}
+
+std::vector<std::pair<std::string, yaml_field>> read_entries(const yaml_field& map,
+                                                             validation_failures& failures) {
+    std::vector<std::pair<std::string, yaml_field>> entries;
+    if (map.value == nullptr) {
+        return entries;
+    }
+    if (map.value->kind != yaml_kind::map) {
+        reject_type(map, "a map", failures);
+        return entries;
+    }
+    for (const yaml_entry& entry : map.value->entries) {
+        yaml_field field{
+            .value = &entry.value, .path = child_path(map.path, entry.key), .secret = map.secret};
+        entries.emplace_back(entry.key, std::move(field));
+    }
+    return entries;
+}
+
+std::optional<std::string> read_text(const yaml_field& field, std::string_view expected,
+                                     validation_failures& failures) {
+    if (field.value == nullptr) {
+        return std::nullopt;
+    }
+    if (field.value->kind != yaml_kind::scalar) {
+        reject_type(field, expected, failures);
+        return std::nullopt;
+    }
+    return field.value->text;
+}
+
+std::optional<std::string> read_name(const yaml_field& field, std::string_view expected,
+                                     validation_failures& failures) {
+    std::optional<std::string> text = read_text(field, expected, failures);
+    if (text && !is_name(*text)) {
+        reject_value(field, expected_name, failures);
+        return std::nullopt;
+    }
+    return text;
+}
+
+std::optional<bool> read_boolean(const yaml_field& field, validation_failures& failures) {
+    const std::string* text = plain_text(field, "true or false", failures);
+    if (text == nullptr) {
+        return std::nullopt;
+    }
+    if (*text != "true" && *text != "false") {
+        reject_value(field, "true or false", failures);
+        return std::nullopt;
+    }
+    return *text == "true";
+}
+
+std::optional<std::uint32_t> read_integer(const yaml_field& field, std::uint32_t min,
+                                          std::uint32_t max, validation_failures& failures) {
+    return read_between(field, min, max, fmt::format("an integer from {} to {}", min, max),
+                        failures);
+}
+
+std::optional<double> read_number(const yaml_field& field, double min, double max,
+                                  validation_failures& failures) {
+    return read_between(field, min, max, fmt::format("a number from {} to {}", min, max), failures);
+}
+
+std::vector<yaml_field> read_list(const yaml_field& field, std::string_view expected,
+                                  validation_failures& failures) {
+    std::vector<yaml_field> elements;
+    if (field.value == nullptr) {
+        return elements;
+    }
+    if (field.value->kind != yaml_kind::sequence) {
+        reject_type(field, expected, failures);
+        return elements;
+    }
+    for (std::size_t i = 0; i < field.value->items.size(); ++i) {
+        elements.push_back(yaml_field{.value = &field.value->items[i],
+                                      .path = element_path(field.path, i),
+                                      .secret = field.secret});
+    }
+    return elements;
+}
+
+void reject_value(const yaml_field& field, std::string_view expected,
+                  validation_failures& failures) {
+    failures.emplace_back(value_out_of_range{field.where(), std::string(expected), field.shown()});
+}
+
+}  // namespace trefoil::config
--- /dev/null
+++ b/packages/config/field_reader.h
@@ -0,0 +1,85 @@
+// Reads typed values out of a YAML tree and collects a failure for each value that does not fit.
+//
+// Example:
+//
+//     config::validation_failures failures;
+//     config::map_reader map(config::root_field(tree), failures);
+//     auto slots = config::read_integer(map.required("slots", "an integer"), 1, 100, failures);
+//     map.reject_unknown();
+
+#ifndef TREFOIL_CONFIG_FIELD_READER_H_
+#define TREFOIL_CONFIG_FIELD_READER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "config/validation_failure.h"
+#include "config/yaml_node.h"
+
+namespace trefoil::config {
+
+// A place in a tree. `value` is null when the field is absent. The readers below return nothing for
+// an absent field, without a failure, and nothing with a failure for one that does not fit.
+struct yaml_field {
+    const yaml_node* value = nullptr;
+    std::string path;
+    bool secret = false;  // Failures must not show the value.
+
+    location where() const;
+    // The text of a scalar, or nothing when it must not be shown.
+    std::string shown() const;
+};
+
+yaml_field root_field(const yaml_node& root);
+
+// Reads the fields of one map and remembers which ones are defined.
+class map_reader {
+public:
+    // Adds a failure when the field is present and not a map; all its fields are then absent.
+    map_reader(yaml_field map, validation_failures& failures);
+
+    yaml_field optional(std::string_view name);
+    // Adds a failure when the map is present and lacks the field.
+    yaml_field required(std::string_view name, std::string_view expected);
+    // Like optional() and required() for a field whose value must not be shown.
+    yaml_field secret(std::string_view name);
+
+    // Adds a failure for each field that was not asked for.
+    void reject_unknown() const;
+
+    bool is_map() const { return this->source.value != nullptr; }
+
+private:
+    yaml_field source;  // `value` is null unless it is a map.
+    std::vector<std::string> defined;
+    validation_failures& sink;
+};
+
+// The entries of a map from names to values. Adds failures for a field that is not a map.
+std::vector<std::pair<std::string, yaml_field>> read_entries(const yaml_field& map,
+                                                             validation_failures& failures);
+
+std::optional<std::string> read_text(const yaml_field& field, std::string_view expected,
+                                     validation_failures& failures);
+std::optional<std::string> read_name(const yaml_field& field, std::string_view expected,
+                                     validation_failures& failures);
+std::optional<bool> read_boolean(const yaml_field& field, validation_failures& failures);
+// Both bounds are allowed values.
+std::optional<std::uint32_t> read_integer(const yaml_field& field, std::uint32_t min,
+                                          std::uint32_t max, validation_failures& failures);
+std::optional<double> read_number(const yaml_field& field, double min, double max,
+                                  validation_failures& failures);
+// A list of texts, each as a field of its own.
+std::vector<yaml_field> read_list(const yaml_field& field, std::string_view expected,
+                                  validation_failures& failures);
+
+// Adds a failure for a value of the right type that is not allowed.
+void reject_value(const yaml_field& field, std::string_view expected,
+                  validation_failures& failures);
+
+}  // namespace trefoil::config
+
+#endif  // TREFOIL_CONFIG_FIELD_READER_H_
--- a/packages/config/route_table.h
+++ b/packages/config/route_table.h
@@ -42,10 +42,10 @@
     route_table() = default;
     explicit route_table(std::vector<route> entries);
 
-    // Finds the route for a method and a path; a query ("?...") is not considered. A path with "."
-    // or ".." segments, also percent-encoded ones, has no route, because the upstream could resolve
-    // it to a path that belongs to another route, and so bypass the key check.
-    route_lookup find(std::string_view method, std::string_view path) const;
+    // Finds the route for a method and a target; a query ("?...") is not considered. A path with
+    // "." or ".." segments, also percent-encoded ones, has no route, because the upstream could
+    // resolve it to a path that belongs to another route, and so bypass the key check.
+    route_lookup find(std::string_view method, std::string_view target) const;
 
     const std::vector<route>& routes() const { return this->entries; }
 
--- a/packages/config/snapshot.h
+++ b/packages/config/snapshot.h
@@ -25,7 +25,7 @@
 
 // Identifies one version of one document.
 struct document_version {
-    std::string name;
+    std::string name{};
     std::uint64_t revision = 0;
     std::uint64_t checksum = 0;
 
@@ -38,12 +38,12 @@
     document_version base;
     document_version overlay;  // Revision 0 when there is no overlay.
     config::fleet fleet;
-    std::map<std::string, service, std::less<>> services;
+    std::map<std::string, service, std::less<>> services{};
     route_table routes;
-    std::map<std::string, workspace, std::less<>> workspaces;
-    std::map<std::string, access_key, std::less<>> keys;          // By key id.
-    std::map<std::string, bool, std::less<>> failure_domain_out;  // True: taken out.
-    std::map<std::string, bool, std::less<>> instance_out;        // True: taken out.
+    std::map<std::string, workspace, std::less<>> workspaces{};
+    std::map<std::string, access_key, std::less<>> keys{};          // By key id.
+    std::map<std::string, bool, std::less<>> failure_domain_out{};  // True: taken out.
+    std::map<std::string, bool, std::less<>> instance_out{};        // True: taken out.
 
     friend bool operator==(const snapshot_contents&, const snapshot_contents&) = default;
 };
--- a/packages/config/validation_failure.h
+++ b/packages/config/validation_failure.h
@@ -20,9 +20,9 @@
 namespace trefoil::config {
 
 struct location {
-    std::string document;  // Name of the document that holds the offending node.
-    int line = 0;          // Counted from 1.
-    std::string path;      // Keys joined by dots, list elements as [index]; empty for the document.
+    std::string document{};  // Name of the document that holds the offending node.
+    int line = 0;            // Counted from 1.
+    std::string path{};  // Keys joined by dots, list elements as [index]; empty for the document.
 
     friend bool operator==(const location&, const location&) = default;
 };
@@ -30,71 +30,71 @@
 // The body is not YAML, or uses YAML that documents must not use (aliases, tags, several
 // documents).
 struct malformed_document {
-    location where;
-    std::string expected;
+    location where{};
+    std::string expected{};
 
     friend bool operator==(const malformed_document&, const malformed_document&) = default;
 };
 
 // A key occurs twice in one map.
 struct duplicate_key {
-    location where;
+    location where{};
 
     friend bool operator==(const duplicate_key&, const duplicate_key&) = default;
 };
 
 // A map has a key that is not defined; `expected` lists the defined ones.
 struct unknown_field {
-    location where;
-    std::string expected;
+    location where{};
+    std::string expected{};
 
     friend bool operator==(const unknown_field&, const unknown_field&) = default;
 };
 
 struct missing_field {
-    location where;
-    std::string expected;
+    location where{};
+    std::string expected{};
 
     friend bool operator==(const missing_field&, const missing_field&) = default;
 };
 
 struct wrong_type {
-    location where;
-    std::string expected;
-    std::string found;  // Kind of node, never its value.
+    location where{};
+    std::string expected{};
+    std::string found{};  // Kind of node, never its value.
 
     friend bool operator==(const wrong_type&, const wrong_type&) = default;
 };
 
 // A value of the right type that is not allowed.
 struct value_out_of_range {
-    location where;
-    std::string expected;
-    std::string found;  // Empty when the value must not be shown.
+    location where{};
+    std::string expected{};
+    std::string found{};  // Empty when the value must not be shown.
 
     friend bool operator==(const value_out_of_range&, const value_out_of_range&) = default;
 };
 
 // A name that refers to nothing in the merged document.
 struct unresolved_reference {
-    location where;
-    std::string expected;
-    std::string found;  // Empty when the value must not be shown.
+    location where{};
+    std::string expected{};
+    std::string found{};  // Empty when the value must not be shown.
 
     friend bool operator==(const unresolved_reference&, const unresolved_reference&) = default;
 };
 
 // Two entries that exclude each other, such as two routes that match the same requests.
 struct conflicting_entries {
-    location where;
-    std::string expected;
+    location where{};
+    std::string expected{};
 
     friend bool operator==(const conflicting_entries&, const conflicting_entries&) = default;
 };
 
 // An overlay contains a section that is fleet-wide and belongs into the base document only.
 struct fleet_wide_section {
-    location where;
+    location where{};
 
     friend bool operator==(const fleet_wide_section&, const fleet_wide_section&) = default;
 };
--- a/packages/config/values.h
+++ b/packages/config/values.h
@@ -32,11 +32,11 @@
 };
 
 struct service {
-    std::string name;
+    std::string name{};
     std::uint32_t slots = 1;                  // Concurrent requests at one upstream; at least 1.
     std::chrono::milliseconds timeout{2000};  // Deadline of a call that brings none.
     std::uint32_t queue = 64;                 // Waiting requests in the gate, all workspaces.
-    std::optional<config::objective> objective;
+    std::optional<config::objective> objective{};
 
     friend bool operator==(const service&, const service&) = default;
 };
@@ -45,12 +45,12 @@
 enum class unconfirmed_policy { refuse, serve };
 
 struct route {
-    std::string name;
-    std::string path_prefix;           // Starts with "/".
-    std::vector<std::string> methods;  // Sorted and unique; empty accepts every method.
-    std::string service;               // Always names a service of the same snapshot.
-    std::optional<bool> idempotent;    // Absent: decided by the method.
-    bool open = false;                 // True: no key needed.
+    std::string name{};
+    std::string path_prefix{};           // Starts with "/".
+    std::vector<std::string> methods{};  // Sorted and unique; empty accepts every method.
+    std::string service{};               // Always names a service of the same snapshot.
+    std::optional<bool> idempotent{};    // Absent: decided by the method.
+    bool open = false;                   // True: no key needed.
     unconfirmed_policy when_unconfirmed = unconfirmed_policy::refuse;
 
     bool accepts(std::string_view method) const;
@@ -63,7 +63,7 @@
 };
 
 struct workspace {
-    std::string name;
+    std::string name{};
     double rate = 0;   // Requests per second over the whole fleet.
     double burst = 0;  // Requests over the whole fleet.
 
@@ -71,9 +71,9 @@
 };
 
 struct access_key {
-    std::string id;
-    std::string workspace;  // Always names a workspace of the same snapshot.
-    std::string sha256;     // 64 lower-case hex digits; unique in a snapshot; never printed.
+    std::string id{};
+    std::string workspace{};  // Always names a workspace of the same snapshot.
+    std::string sha256{};     // 64 lower-case hex digits; unique in a snapshot; never printed.
 
     friend bool operator==(const access_key&, const access_key&) = default;
 };
--- /dev/null
+++ b/packages/config/yaml_node.cc
@@ -0,0 +1,118 @@
+// Implements the look-ups and the merge of YAML trees, and the names used in their paths.
+
+#include "config/yaml_node.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+namespace trefoil::config {
+
+namespace {
+
+constexpr std::size_t name_length_max = 64;
+// Shorter hexadecimal text is common in ids; 128 bits and more are likely to be a secret.
+constexpr std::size_t hidden_hex_digits_min = 32;
+
+bool is_alphanumeric(char c) {
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9');
+}
+
+bool is_hex_digit(char c) {
+    return (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F') || (c >= '0' && c <= '9');
+}
+
+bool may_be_shown(std::string_view parent, std::string_view key) {
+    if (parent == "keys") {
+        return is_key_id(key);
+    }
+    if (parent.substr(0, 5) == "keys.") {
+        return key == "workspace" || key == "sha256";
+    }
+    return true;
+}
+
+// A map of the overlay that replaces nothing must not keep the nodes that stand for removals.
+yaml_node without_removals(const yaml_node& source) {
+    yaml_node kept = source;
+    kept.entries.clear();
+    for (const yaml_entry& entry : source.entries) {
+        if (entry.value.kind != yaml_kind::remove) {
+            kept.entries.push_back({entry.key, without_removals(entry.value)});
+        }
+    }
+    return kept;
+}
+
+yaml_node merge_maps(const yaml_node& base, const yaml_node& overlay) {
+    std::unordered_map<std::string_view, const yaml_node*> changes;
+    for (const yaml_entry& entry : overlay.entries) {
+        changes.emplace(entry.key, &entry.value);
+    }
+    yaml_node merged = base;
+    merged.entries.clear();
+    for (const yaml_entry& entry : base.entries) {
+        auto change = changes.find(entry.key);
+        if (change == changes.end()) {
+            merged.entries.push_back(entry);
+            continue;
+        }
+        if (change->second->kind != yaml_kind::remove) {
+            merged.entries.push_back({entry.key, merge(entry.value, *change->second)});
+        }
+        changes.erase(change);
+    }
+    for (const yaml_entry& entry : overlay.entries) {
+        bool added = changes.contains(entry.key) && entry.value.kind != yaml_kind::remove;
+        if (added) {
+            merged.entries.push_back({entry.key, without_removals(entry.value)});
+        }
+    }
+    return merged;
+}
+
+}  // namespace
+
+const yaml_node* yaml_node::find(std::string_view key) const {
+    for (const yaml_entry& entry : this->entries) {
+        if (entry.key == key) {
+            return &entry.value;
+        }
+    }
+    return nullptr;
+}
+
+yaml_node merge(const yaml_node& base, const yaml_node& overlay) {
+    if (base.kind == yaml_kind::map && overlay.kind == yaml_kind::map) {
+        return merge_maps(base, overlay);
+    }
+    return without_removals(overlay);
+}
+
+std::string child_path(std::string_view parent, std::string_view key) {
+    std::string_view shown = may_be_shown(parent, key) ? key : "<hidden>";
+    return parent.empty() ? std::string(shown) : fmt::format("{}.{}", parent, shown);
+}
+
+std::string element_path(std::string_view parent, std::size_t index) {
+    return fmt::format("{}[{}]", parent, index);
+}
+
+bool is_name(std::string_view text) {
+    if (text.empty() || text.size() > name_length_max || !is_alphanumeric(text.front())) {
+        return false;
+    }
+    return std::all_of(text.begin(), text.end(), [](char c) {
+        return is_alphanumeric(c) || c == '.' || c == '_' || c == '-';
+    });
+}
+
+bool is_key_id(std::string_view text) {
+    bool like_a_secret =
+        text.size() >= hidden_hex_digits_min && std::all_of(text.begin(), text.end(), is_hex_digit);
+    return is_name(text) && !like_a_secret;
+}
+
+}  // namespace trefoil::config
