Add fleet-wide rate limits by loaned shares

Change: package admission with the token pool of shares, the own share and its loans, the home's record of batches, the ingress's holder of batches with waiting calls, and the concurrent facade rate_limiter. A loan has an id, and a release names it, so that a former home gives its shares back without waiting for loan_time and a copy of a release ends no later loan. token_grant can recall unspent tokens.

--- /dev/null
+++ b/packages/admission/rate_limiter.h
@@ -0,0 +1,127 @@
+// Fleet-wide rate limits at one daemon: decides whether a call from outside may enter.
+//
+// Example:
+//
+//     admission::rate_limiter limiter({.incarnation = incarnation}, clock.now());
+//     limiter.set_limits({{.workspace = "north", .rate = 50, .burst = 20}}, 12, clock.now());
+//     limiter.set_members("station-1", {"station-1", "station-2"});
+//     admission::limiter_output out;
+//     auto result = limiter.try_admit("north", call_id, clock.now(), out);
+//     // Send out.messages, finish the calls in out.decisions; call tick() every 10 ms.
+//
+// docs/limits.md has the rules and the argument that all daemons together stay within a limit.
+
+#ifndef TREFOIL_ADMISSION_RATE_LIMITER_H_
+#define TREFOIL_ADMISSION_RATE_LIMITER_H_
+
+#include <array>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/synchronization/mutex.h"
+#include "admission/limit_options.h"
+#include "admission/round_source.h"
+#include "admission/workspace_limiter.h"
+
+namespace trefoil::admission {
+
+// Safe for concurrent use. State is sharded by workspace, with one lock per shard. No member
+// function blocks on anything but these locks.
+//
+// The time of an admission is the `now` that the caller passed. A caller must read the clock for
+// each call and must not use a time from before it waited for something else.
+class rate_limiter {
+public:
+    // Starts without tokens. The own shares become usable `loan_time` after `now`.
+    rate_limiter(const limit_options& settings, mono_time now);
+
+    // Decides on a call from outside. `call` identifies it in a later wait_decision when the result
+    // is `wait`; it must be unique among waiting calls. Unknown workspaces are refused.
+    admit_result try_admit(std::string_view workspace, std::uint64_t call, mono_time now,
+                           limiter_output& out);
+
+    // Handles loan_request, loan_grant, token_request and token_grant; ignores other messages.
+    void on_message(const std::string& from, const messages::peer_message& message, mono_time now,
+                    limiter_output& out);
+
+    // Does what is due. Waiting calls are refused at most one tick after their wait bound.
+    void tick(mono_time now, limiter_output& out);
+
+    // Sets the instances among which homes are chosen. A daemon that leaves is not in `live`, also
+    // in its own call; it then gives back the shares that it borrowed.
+    void set_members(const std::string& self, const std::vector<std::string>& live);
+
+    // Sets the limits of all workspaces. A larger `max_instances` applies at once, a smaller one
+    // after 2 x loan_time.
+    void set_limits(const std::vector<workspace_limit>& limits, int max_instances, mono_time now);
+
+    // Number of shares of the workspace in use at this daemon, and the whole tokens of them.
+    struct pool_state {
+        int shares = 0;
+        double tokens = 0;
+        double outstanding = 0;
+        bool is_home = false;
+    };
+    std::optional<pool_state> inspect(std::string_view workspace);
+
+private:
+    static constexpr std::size_t shard_count = 16;
+
+    struct entry {
+        std::unique_ptr<workspace_limiter> limiter;
+        workspace_limit limit;
+        bool removed = false;
+        mono_time removed_at;
+    };
+    struct shard {
+        absl::Mutex mutex;
+        std::map<std::string, entry, std::less<>> entries;  // Guarded by mutex.
+    };
+    struct member_view {
+        std::string self;
+        std::vector<std::string> live;
+    };
+    using loan_requests = std::map<std::string, messages::loan_request>;
+
+    shard& shard_of(std::string_view workspace);
+    template <class Action>
+    void with_workspace(std::string_view workspace, Action action);
+    void assign_home(workspace_limiter& limiter, const std::string& workspace,
+                     const member_view& view);
+    void apply_limit(const workspace_limit& limit, int shares, mono_time now);
+    void retire_missing(const std::vector<workspace_limit>& limits, int shares, mono_time now);
+    int change_shares(int max_instances, mono_time now);
+    void apply_pending_shares(mono_time now);
+    void collect_loan_requests(shard& each, mono_time now, loan_requests& requests);
+    void handle(const std::string& from, const messages::loan_request& request, mono_time now,
+                limiter_output& out);
+    void handle(const std::string& from, const messages::loan_grant& grant, mono_time now,
+                limiter_output& out);
+    void handle(const std::string& from, const messages::token_request& request, mono_time now,
+                limiter_output& out);
+    void handle(const std::string& from, const messages::token_grant& grant, mono_time now,
+                limiter_output& out);
+
+    const limit_options options;
+    const mono_time usable_from;  // End of the wait after the start.
+    round_source rounds;
+    std::array<shard, shard_count> shards;
+
+    // Serialises changes of limits and members. Taken before a shard's mutex, never after one.
+    absl::Mutex settings_mutex;
+    member_view members;      // Guarded by settings_mutex.
+    int shares_in_force = 0;  // Guarded by settings_mutex; 0 before the first set_limits().
+    struct pending_shares {
+        int shares = 0;
+        mono_time due;
+    };
+    std::optional<pending_shares> pending;  // Guarded by settings_mutex.
+};
+
+}  // namespace trefoil::admission
+
+#endif  // TREFOIL_ADMISSION_RATE_LIMITER_H_
--- /dev/null
+++ b/packages/admission/workspace_limiter.h
@@ -0,0 +1,80 @@
+// The limit of one workspace at one daemon: tokens at home, batches and waiting calls together.
+//
+// Example:
+//
+//     admission::workspace_limiter north(options, "north", rounds, now, usable_from);
+//     north.set_limit({.workspace = "north", .rate = 50, .burst = 20}, 12);
+//     north.set_home("station-1", members);
+//     admission::admit_result result = north.try_admit(call_id, now, out);
+
+#ifndef TREFOIL_ADMISSION_WORKSPACE_LIMITER_H_
+#define TREFOIL_ADMISSION_WORKSPACE_LIMITER_H_
+
+#include <string>
+#include <vector>
+
+#include "admission/limit_options.h"
+#include "admission/round_source.h"
+#include "admission/token_holder.h"
+#include "admission/workspace_home.h"
+
+namespace trefoil::admission {
+
+enum class admit_result {
+    admitted,
+    wait,     // A later call returns the decision.
+    refused,  // No token within the wait bound; the call was not run.
+};
+
+// Not safe for concurrent use. Times may go backwards by the delay between reading the clock and
+// taking the shard's lock; the latest time seen counts.
+class workspace_limiter {
+public:
+    // `numbers` must outlive this object. The own share becomes usable at `usable_from`.
+    workspace_limiter(const limit_options& settings, const std::string& name, round_source& numbers,
+                      mono_time now, mono_time usable_from);
+
+    void set_limit(const workspace_limit& limit, int shares, mono_time now);
+
+    // Sets the home and all live instances. An empty `home` means that no instance is known.
+    void set_home(const std::string& self, const std::string& home,
+                  const std::vector<std::string>& members);
+
+    admit_result try_admit(std::uint64_t call, mono_time time, limiter_output& out);
+
+    void on_token_request(const std::string& from, const messages::token_request& request,
+                          mono_time time, limiter_output& out);
+    void on_token_grant(const std::string& from, const messages::token_grant& grant, mono_time time,
+                        limiter_output& out);
+
+    // Handles one workspace of a loan_request. Only the home that this daemon knows gets the share:
+    // lending to another claimant would keep it from the home for loan_time.
+    std::optional<messages::loan> on_loan_request(const std::string& from, mono_time time);
+    void on_release(const std::string& from, const messages::loan_request::release& release,
+                    mono_time time, limiter_output& out);
+    void on_loan(const std::string& from, std::uint64_t round, mono_duration duration,
+                 const messages::loan& loan, mono_time time, limiter_output& out);
+
+    void tick(mono_time time, limiter_output& out);
+
+    // The tokens at home, for loan requests and for reports.
+    workspace_home& home() { return this->pool; }
+
+private:
+    mono_time advance(mono_time time);
+    bool take(mono_time now);
+    void pump(mono_time now, limiter_output& out);
+
+    limit_options options;
+    std::string workspace;
+    round_source& rounds;
+    workspace_home pool;
+    token_holder holder;
+    std::string home_instance;  // Empty when unknown.
+    std::string remote_home;    // `home_instance` unless this daemon is the home.
+    mono_time latest;
+};
+
+}  // namespace trefoil::admission
+
+#endif  // TREFOIL_ADMISSION_WORKSPACE_LIMITER_H_
--- a/packages/messages/codec.cc
+++ b/packages/messages/codec.cc
@@ -77,13 +77,17 @@
     return json::array({m.sequence});
 }
 json fields(const loan_request& m) {
-    return json::array({m.round, m.workspaces});
+    json releases = json::array();
+    for (const loan_request::release& each : m.releases) {
+        releases.push_back(json::array({each.workspace, each.loan, each.tokens}));
+    }
+    return json::array({m.round, m.workspaces, std::move(releases)});
 }
 
 json fields(const loan_grant& m) {
     json loans = json::array();
     for (const loan& each : m.loans) {
-        loans.push_back(json::array({each.workspace, each.weight, each.tokens}));
+        loans.push_back(json::array({each.workspace, each.id, each.weight, each.tokens}));
     }
     return json::array({m.round, m.duration_ms, std::move(loans)});
 }
@@ -98,7 +102,7 @@
 }
 
 json fields(const token_grant& m) {
-    return json::array({m.round, m.workspace, m.batch, m.tokens, m.life_ms, m.is_home});
+    return json::array({m.round, m.workspace, m.batch, m.tokens, m.life_ms, m.is_home, m.recall});
 }
 
 // Reads the fields of one message in order. Throws json::exception or std::out_of_range, which
@@ -193,6 +197,12 @@
 }
 void read_fields(field_reader& in, loan_request& m) {
     read_all(in, m.round, m.workspaces);
+    for (const json& each : in.next()) {
+        field_reader entry(each);
+        loan_request::release item;
+        read_all(entry, item.workspace, item.loan, item.tokens);
+        m.releases.push_back(std::move(item));
+    }
 }
 
 void read_fields(field_reader& in, loan_grant& m) {
@@ -200,7 +210,7 @@
     for (const json& each : in.next()) {
         field_reader entry(each);
         loan item;
-        read_all(entry, item.workspace, item.weight, item.tokens);
+        read_all(entry, item.workspace, item.id, item.weight, item.tokens);
         m.loans.push_back(std::move(item));
     }
 }
@@ -216,7 +226,7 @@
 }
 
 void read_fields(field_reader& in, token_grant& m) {
-    read_all(in, m.round, m.workspace, m.batch, m.tokens, m.life_ms, m.is_home);
+    read_all(in, m.round, m.workspace, m.batch, m.tokens, m.life_ms, m.is_home, m.recall);
 }
 
 // Builds the variant alternative with index `type`.
--- a/packages/messages/messages.h
+++ b/packages/messages/messages.h
@@ -149,18 +149,29 @@
     friend bool operator==(const cancel&, const cancel&) = default;
 };
 
-// Asks a lender for its shares of the workspaces whose home the sender believes to be.
+// Asks a lender for its shares of the workspaces whose home the sender believes to be, and gives
+// back shares that the sender no longer needs.
 struct loan_request {
+    struct release {
+        std::string workspace;
+        std::uint64_t loan = 0;  // The `id` of the loan; a copy of a release names no later loan.
+        double tokens = 0;       // Unspent tokens that move back with the share.
+
+        friend bool operator==(const release&, const release&) = default;
+    };
+
     std::uint64_t round = 0;
     std::vector<std::string> workspaces;
+    std::vector<release> releases;
 
     friend bool operator==(const loan_request&, const loan_request&) = default;
 };
 
 struct loan {
     std::string workspace;
-    double weight = 0;  // Number of shares lent.
-    double tokens = 0;  // Unspent tokens that move with the shares.
+    std::uint64_t id = 0;  // Stays the same while the loan is renewed.
+    double weight = 0;     // Number of shares lent.
+    double tokens = 0;     // Unspent tokens that move with the shares.
 
     friend bool operator==(const loan&, const loan&) = default;
 };
@@ -178,7 +189,8 @@
     std::string workspace;
     double wanted_now = 0;    // For calls that wait.
     double wanted_ahead = 0;  // Ahead of demand; granted only from what others do not need.
-    // Earlier batches of this holder that are finished: what was spent and what is given back.
+    // Report on an earlier batch. Both amounts count from the grant, so that a report that arrives
+    // twice or after a newer one changes nothing.
     struct settlement {
         std::uint64_t batch = 0;
         double spent = 0;
@@ -199,6 +211,7 @@
     std::int64_t life_ms = 0;
     bool is_home =
         true;  // False when the receiver of the request holds no loans for the workspace.
+    bool recall = false;  // Asks the holder to settle and to return unspent tokens now.
 
     friend bool operator==(const token_grant&, const token_grant&) = default;
 };
