Add routing package: candidates, load table, picker, retries, clock estimate

The ingress needs to choose an upstream, to decide on retries and to compute deadlines across clocks. All decisions return typed results and take time and randomness as arguments.

The package depends on base and messages only; the daemon builds the candidate list from configuration and membership. Not tested yet.

--- /dev/null
+++ b/packages/routing/clock_offset.cc
@@ -0,0 +1,45 @@
+// Implements the clock estimate with a sliding-window minimum of round trips.
+
+#include "routing/clock_offset.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace trefoil::routing {
+
+namespace {
+
+constexpr std::chrono::seconds sample_life{10};
+
+}  // namespace
+
+void clock_offset::on_pong(const messages::pong& pong, mono_time now) {
+    sample added{.ping_sent = from_microseconds(pong.echo_us),
+                 .pong_received = now,
+                 .peer_clock_us = pong.clock_us};
+    if (added.ping_sent > now) {
+        return;
+    }
+    absl::MutexLock lock(&this->mutex);
+    while (!this->samples.empty() && this->samples.back().round_trip() >= added.round_trip()) {
+        this->samples.pop_back();
+    }
+    this->samples.push_back(added);
+    while (this->samples.front().pong_received + sample_life < now) {
+        this->samples.pop_front();
+    }
+}
+
+std::variant<mono_time, no_clock_estimate> clock_offset::earliest_send(std::int64_t sent_us,
+                                                                       mono_time now) const {
+    absl::MutexLock lock(&this->mutex);
+    for (const sample& each : this->samples) {
+        if (each.pong_received + sample_life >= now) {
+            std::chrono::microseconds after(sent_us - each.peer_clock_us);
+            return std::min(now, each.ping_sent + after);
+        }
+    }
+    return no_clock_estimate{};
+}
+
+}  // namespace trefoil::routing
--- /dev/null
+++ b/packages/routing/clock_offset.h
@@ -0,0 +1,60 @@
+// Estimates when a peer sent a message on the local clock, from answered pings. A call's remaining
+// time counts from that estimate, so that time spent in socket buffers is not overlooked.
+//
+// Example:
+//
+//     routing::clock_offset clock;
+//     clock.on_pong(pong, now);
+//     auto sent = clock.earliest_send(call.sent_us, now);
+//     if (const mono_time* time = std::get_if<mono_time>(&sent)) { deadline = *time + budget; }
+
+#ifndef TREFOIL_ROUTING_CLOCK_OFFSET_H_
+#define TREFOIL_ROUTING_CLOCK_OFFSET_H_
+
+#include <cstdint>
+#include <deque>
+#include <variant>
+
+#include "absl/synchronization/mutex.h"
+#include "base/time.h"
+#include "messages/messages.h"
+
+namespace trefoil::routing {
+
+// No ping was answered within the last 10 s, so nothing is known of the peer's clock.
+struct no_clock_estimate {
+    friend bool operator==(const no_clock_estimate&, const no_clock_estimate&) = default;
+};
+
+// One per connection, because a peer's clock is meaningful for one incarnation only. Safe for
+// concurrent use. The method is that of section 7 of the design page: the pong with the smallest
+// round trip gives the tightest bound (as in D. Mills, RFC 5905, clock filter).
+class clock_offset {
+public:
+    // `pong.echo_us` must be the local clock at which the ping was sent. A pong that claims a ping
+    // from the future is ignored.
+    void on_pong(const messages::pong& pong, mono_time now);
+
+    // The earliest local time at which a message that the peer stamped with `sent_us` of its clock
+    // can have been sent; never later than `now`. The true time is later by at most the smallest
+    // round trip, plus the drift of both clocks over 10 s.
+    std::variant<mono_time, no_clock_estimate> earliest_send(std::int64_t sent_us,
+                                                             mono_time now) const;
+
+private:
+    struct sample {
+        mono_time ping_sent;
+        mono_time pong_received;
+        std::int64_t peer_clock_us = 0;  // Read at ping_sent or later.
+        mono_duration round_trip() const { return this->pong_received - this->ping_sent; }
+    };
+
+    mutable absl::Mutex mutex;
+    // Guarded by mutex. In order of arrival, with growing round trips: a sample is dropped when a
+    // newer one has a round trip that is not longer, so the first valid one is the best.
+    std::deque<sample> samples;
+};
+
+}  // namespace trefoil::routing
+
+#endif  // TREFOIL_ROUTING_CLOCK_OFFSET_H_
--- /dev/null
+++ b/packages/routing/load_table.cc
@@ -0,0 +1,41 @@
+// Implements the load table on the sharded map of the base package.
+
+#include "routing/load_table.h"
+
+namespace trefoil::routing {
+
+void load_table::call_sent(const std::string& instance) {
+    this->loads.update(instance, [](instance_load& load) { ++load.in_flight; });
+}
+
+void load_table::call_ended(const std::string& instance) {
+    this->loads.update(instance, [](instance_load& load) {
+        if (load.in_flight > 0) {
+            --load.in_flight;
+        }
+    });
+}
+
+void load_table::reported(const std::string& instance, const messages::load_report& report,
+                          mono_time now) {
+    this->loads.update(instance, [&](instance_load& load) {
+        load.report = report;
+        load.reported_at = now;
+    });
+}
+
+void load_table::connection_failed(const std::string& instance, mono_time now) {
+    this->loads.update(instance, [&](instance_load& load) { load.connection_failed_at = now; });
+}
+
+instance_load load_table::find(const std::string& instance) const {
+    return this->loads.find(instance).value_or(instance_load{});
+}
+
+void load_table::forget_unless(const std::function<bool(const std::string&)>& keep) {
+    this->loads.erase_if([&](const std::string& instance, const instance_load& load) {
+        return load.in_flight == 0 && !keep(instance);
+    });
+}
+
+}  // namespace trefoil::routing
--- /dev/null
+++ b/packages/routing/load_table.h
@@ -0,0 +1,61 @@
+// What an ingress knows of the load of each instance: its own calls in flight, the load that the
+// egress last reported, and recent connection failures.
+//
+// Example:
+//
+//     routing::load_table loads;
+//     loads.call_sent("station-1");
+//     loads.call_ended("station-1");
+//     loads.reported("station-1", result.load, now);
+
+#ifndef TREFOIL_ROUTING_LOAD_TABLE_H_
+#define TREFOIL_ROUTING_LOAD_TABLE_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "base/sharded_map.h"
+#include "base/time.h"
+#include "messages/messages.h"
+
+namespace trefoil::routing {
+
+// State of one instance as this ingress sees it.
+struct instance_load {
+    std::uint32_t in_flight = 0;  // Own calls that were sent and are not over.
+    messages::load_report report;
+    std::optional<mono_time> reported_at;  // When `report` arrived; nothing before the first one.
+    std::optional<mono_time> connection_failed_at;
+
+    friend bool operator==(const instance_load&, const instance_load&) = default;
+};
+
+// Safe for concurrent use; one lock per shard of instances.
+class load_table {
+public:
+    void call_sent(const std::string& instance);
+    void call_ended(const std::string& instance);
+
+    // A report that arrives with a call result. Call call_ended() for that call first.
+    void reported(const std::string& instance, const messages::load_report& report, mono_time now);
+
+    // A connection could not be opened, or was lost.
+    void connection_failed(const std::string& instance, mono_time now);
+
+    // All zero for an unknown instance.
+    instance_load find(const std::string& instance) const;
+
+    // Drops instances for which `keep` is false and that have no call in flight.
+    void forget_unless(const std::function<bool(const std::string&)>& keep);
+
+    std::size_t size() const { return this->loads.size(); }
+
+private:
+    sharded_map<std::string, instance_load> loads;
+};
+
+}  // namespace trefoil::routing
+
+#endif  // TREFOIL_ROUTING_LOAD_TABLE_H_
--- /dev/null
+++ b/packages/routing/retry_budget.h
@@ -0,0 +1,54 @@
+// Bounds retries to a share of calls, so that retries do not multiply the load of an upstream that
+// is already overloaded.
+//
+// Example:
+//
+//     routing::retry_budget budget({});
+//     budget.count_call(now);
+//     if (budget.take(now)) { ... retry ... }
+
+#ifndef TREFOIL_ROUTING_RETRY_BUDGET_H_
+#define TREFOIL_ROUTING_RETRY_BUDGET_H_
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+
+#include "absl/synchronization/mutex.h"
+#include "base/time.h"
+
+namespace trefoil::routing {
+
+struct retry_budget_options {
+    double share = 0.1;                    // Of the calls of the last ten seconds.
+    std::uint32_t minimum_per_second = 3;  // Allowed whatever the share.
+};
+
+// Safe for concurrent use.
+class retry_budget {
+public:
+    explicit retry_budget(retry_budget_options initial) : options(initial) {}
+
+    // Counts a call (not a retry).
+    void count_call(mono_time now);
+
+    // Takes a retry from the budget. Returns false when the budget is used up.
+    bool take(mono_time now);
+
+private:
+    struct second_count {
+        std::int64_t second = 0;  // Since the epoch of the clock.
+        std::uint64_t calls = 0;
+        std::uint64_t retries = 0;
+    };
+
+    second_count& count_of(mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+
+    retry_budget_options options;
+    absl::Mutex mutex;
+    std::array<second_count, 10> seconds{};  // Ring, indexed by second modulo its size.
+};
+
+}  // namespace trefoil::routing
+
+#endif  // TREFOIL_ROUTING_RETRY_BUDGET_H_
--- /dev/null
+++ b/packages/routing/upstream_picker.h
@@ -0,0 +1,83 @@
+// Chooses the upstream for a call: the less loaded of two random candidates, the caller's own
+// failure domain first.
+//
+// Example:
+//
+//     routing::upstream_picker picker({.failure_domain = "d1"});
+//     auto choice = picker.pick(list->of_service("station"), tried, loads, now, random);
+//     if (const auto* picked = std::get_if<routing::picked_upstream>(&choice)) { ... }
+
+#ifndef TREFOIL_ROUTING_UPSTREAM_PICKER_H_
+#define TREFOIL_ROUTING_UPSTREAM_PICKER_H_
+
+#include <chrono>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "routing/candidate_list.h"
+#include "routing/load_table.h"
+
+namespace trefoil::routing {
+
+struct upstream_picker_options {
+    std::string failure_domain;  // Of the caller.
+    // After this time a reported load counts half, because the calls that it counted are over.
+    std::chrono::milliseconds report_half_life{500};
+    // An instance whose connection failed within this time is not chosen.
+    std::chrono::milliseconds failure_memory{1000};
+    // A local candidate with at least this score would queue the call; other failure domains are
+    // then considered.
+    double full_score = 1.0;
+};
+
+struct picked_upstream {
+    candidate chosen;
+    double score = 0;  // Load of the chosen one as a share of its limit.
+
+    friend bool operator==(const picked_upstream&, const picked_upstream&) = default;
+};
+
+// The service has no candidate that may be chosen.
+struct no_upstream_available {
+    friend bool operator==(const no_upstream_available&, const no_upstream_available&) = default;
+};
+
+// Some candidates accept work, but each of them was tried already.
+struct every_upstream_tried {
+    friend bool operator==(const every_upstream_tried&, const every_upstream_tried&) = default;
+};
+
+using pick_result = std::variant<picked_upstream, no_upstream_available, every_upstream_tried>;
+
+// Immutable and therefore safe for concurrent use, with a random source per thread. The method is
+// "the power of two choices" (M. Mitzenmacher, 2001).
+class upstream_picker {
+public:
+    explicit upstream_picker(upstream_picker_options initial) : options(std::move(initial)) {}
+
+    // `tried` names the instances that this call was already sent to.
+    pick_result pick(const std::vector<candidate>& candidates,
+                     const std::vector<std::string>& tried, const load_table& loads, mono_time now,
+                     random_source& random) const;
+
+    // Load of an instance as a share of its limit.
+    double score(const instance_load& load, mono_time now) const;
+
+private:
+    struct scored {
+        const candidate* chosen = nullptr;
+        double score = 0;
+    };
+
+    bool recently_failed(const instance_load& load, mono_time now) const;
+    scored better_of_two(const std::vector<scored>& from, random_source& random) const;
+
+    upstream_picker_options options;
+};
+
+}  // namespace trefoil::routing
+
+#endif  // TREFOIL_ROUTING_UPSTREAM_PICKER_H_
