Add the decision core of dissemination

The core keeps the three documents at the newest revision by watches of chosen readers, digests and pulls, and says when they were last confirmed by the platform, by peers or by a majority. Digests confirm only as replies, counted from the request; an unasked digest can be arbitrarily old when its receiver was paused. So requests carry no age vector. A peer of another site confirms only the documents that both hold.

--- /dev/null
+++ b/packages/dissemination/core.cc
@@ -0,0 +1,397 @@
+// Wires the parts of dissemination together.
+
+#include "dissemination/core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/result.h"
+
+namespace trefoil::dissemination {
+
+namespace {
+
+// A reply that comes later than this confirms nothing that is still useful.
+constexpr milliseconds round_lifetime{5000};
+// Shortest time between two unasked digests to one peer. Without it, two daemons that each hold one
+// newer document would answer each other's digests until both documents have crossed.
+constexpr milliseconds correction_interval{200};
+// An ingress may have hundreds of connections; the other peers learn of a revision by gossip.
+constexpr std::size_t announcement_limit = 16;
+
+}  // namespace
+
+core::core(core_options settings, document_store& configuration, random_source& source,
+           mono_time start_time)
+    : options(std::move(settings)),
+      random(source),
+      held(configuration, this->options.site),
+      confirmations(this->options.instance, this->options.site),
+      puller(this->options.request_timeout, this->options.bridge_invalid),
+      schedule(this->options, source, start_time),
+      peers(this->options, source, start_time),
+      readers(this->options.instance, this->options.failure_domain,
+              this->options.readers_per_domain),
+      start(this->options.instance, start_time, this->options.start_patience),
+      view(std::make_shared<const membership::view>(
+          std::make_shared<const membership::instance_list>(
+              0, std::vector<membership::instance_record>()),
+          std::vector<membership::member>(), std::vector<membership::member>())),
+      next_round_at(start_time) {}
+
+std::vector<action> core::take_actions() {
+    return std::exchange(this->actions, {});
+}
+
+bool core::confirmed(mono_time now) const {
+    auto at = this->confirmed_at();
+    return at.has_value() && now - *at <= this->options.confirmation_limit;
+}
+
+void core::send(const std::string& peer, messages::peer_message message) {
+    this->actions.emplace_back(send_message{.peer = peer, .message = std::move(message)});
+}
+
+mono_time core::counted_from(mono_time asked_at, mono_time now) const {
+    return this->options.check_pauses ? asked_at : now;
+}
+
+messages::digest core::make_digest(bool wants_reply, std::uint64_t round) const {
+    messages::digest result;
+    result.wants_reply = wants_reply;
+    result.round = round;
+    result.leaving = this->leaving;
+    result.documents = this->held.states_for_digest();
+    result.list_revision = this->confirmations.list_revision();
+    return result;
+}
+
+// Inputs.
+
+void core::tick(mono_time now) {
+    this->held.refresh();
+    this->read_platform(now);
+    if (this->options.gossip) {
+        this->peers.tick(now, *this->view, this->actions);
+        this->send_rounds(now);
+    }
+    this->finish_input(now);
+}
+
+void core::receive(mono_time now, const std::string& peer, const messages::digest& message) {
+    this->held.refresh();
+    comparison result = this->compare(now, peer, message);
+    if (message.wants_reply) {
+        this->peers.used_by_peer(now, peer);
+        messages::digest reply = this->make_digest(false, message.round);
+        auto at = this->confirmations.platform_confirmed_at();
+        if (at.has_value()) {
+            reply.platform_age_ms = std::chrono::ceil<std::chrono::milliseconds>(now - *at).count();
+        }
+        if (message.list_revision == reply.list_revision) {
+            reply.ages = this->confirmations.ages(now);
+        }
+        this->send(peer, std::move(reply));
+    } else {
+        this->use_reply(now, peer, message, result);
+        mono_time& corrected = this->corrected_at.try_emplace(peer, unknown_time).first->second;
+        bool due = corrected == unknown_time || now - corrected >= correction_interval;
+        if (result.newer_here && due && this->options.gossip) {
+            corrected = now;
+            this->send(peer, this->make_digest(false, 0));
+        }
+    }
+    this->finish_input(now);
+}
+
+void core::receive(mono_time now, const std::string& peer,
+                   const messages::document_request& message) {
+    auto index = this->held.index_of(message.name);
+    if (!index.has_value()) {
+        return;
+    }
+    auto body = this->held.body(*index, message.revision);
+    if (!body.has_value()) {
+        // The peer asks for a revision that was replaced here; a digest names the present one.
+        this->send(peer, this->make_digest(false, 0));
+        return;
+    }
+    ++this->totals.documents_sent;
+    std::uint64_t checksum = checksum64(*body);
+    this->send(peer, messages::document{.name = message.name,
+                                        .revision = message.revision,
+                                        .checksum = checksum,
+                                        .body = std::move(*body)});
+    this->finish_input(now);
+}
+
+void core::receive(mono_time now, const std::string& /*peer*/, const messages::document& message) {
+    this->held.refresh();
+    auto index = this->held.index_of(message.name);
+    if (!index.has_value()) {
+        return;
+    }
+    ++this->totals.documents_received;
+    if (checksum64(message.body) != message.checksum) {
+        // The request's timeout asks another peer.
+        ++this->totals.damaged_documents;
+        return;
+    }
+    const held_document& state = this->held.held(*index);
+    bool bridges = message.revision > state.revision_in_force &&
+                   this->puller.wants_bridge(*index, message.revision);
+    if (message.revision > state.revision || bridges) {
+        this->offer(now, *index, message);
+    }
+    this->finish_input(now);
+}
+
+void core::platform_answered(mono_time now, std::uint64_t request, const platform_answer& answer) {
+    auto sent = this->schedule.finish(request);
+    if (!sent.has_value()) {
+        return;
+    }
+    this->held.refresh();
+    read_outcome outcome = std::visit(
+        overloaded{
+            [&](const platform_document& found) { return this->use_document(now, *sent, found); },
+            [&](const platform_unchanged& same) {
+                return this->use_unchanged(now, *sent, same.revision);
+            },
+            [&](const platform_absent&) { return this->use_unchanged(now, *sent, 0); },
+            [](const platform_unavailable&) { return read_outcome::failed; },
+        },
+        answer);
+    if (outcome == read_outcome::newer || outcome == read_outcome::confirmed) {
+        this->platform_answered_at = now;
+    } else if (outcome == read_outcome::stale) {
+        ++this->totals.stale_answers;
+    }
+    this->schedule.schedule_next(now, *sent, outcome, this->is_reader);
+    this->read_platform(now);
+    this->finish_input(now);
+}
+
+void core::connection_opened(mono_time now, const membership::instance_record& peer,
+                             const std::string& opened_address) {
+    this->peers.connected(now, peer, opened_address);
+    if (this->options.gossip && !this->start.ready()) {
+        // A daemon that starts asks each peer at once.
+        this->send(peer.id, this->make_digest(true, ++this->last_round));
+        this->rounds.push_back({.peer = peer.id, .round = this->last_round, .asked_at = now});
+    }
+}
+
+void core::connection_closed(const std::string& peer) {
+    this->peers.disconnected(peer);
+    this->puller.disconnected(peer);
+    this->corrected_at.erase(peer);
+    std::erase_if(this->rounds, [&](const pending_round& each) { return each.peer == peer; });
+}
+
+void core::connection_failed(mono_time now, const std::string& address) {
+    this->peers.failed(now, address);
+}
+
+void core::set_view(std::shared_ptr<const membership::view> next) {
+    this->view = std::move(next);
+    this->confirmations.set_list(this->view->list());
+    this->is_reader = this->readers.update(*this->view) && !this->leaving;
+}
+
+void core::set_leaving(mono_time now) {
+    this->leaving = true;
+    this->is_reader = false;
+    this->announce_pending = true;
+    this->finish_input(now);
+}
+
+// Digests.
+
+core::comparison core::compare(mono_time now, const std::string& peer,
+                               const messages::digest& message) {
+    comparison result;
+    for (const messages::document_state& state : message.documents) {
+        auto index = this->held.index_of(state.name);
+        if (!index.has_value()) {
+            continue;
+        }
+        const held_document& own = this->held.held(*index);
+        this->puller.announced(*index, peer, state, own, now);
+        result.newer_there = result.newer_there || state.revision > own.revision;
+        result.newer_here = result.newer_here || state.revision < own.revision;
+        bool same_revision = state.revision == own.revision;
+        bool conflict = same_revision && state.checksum != own.checksum;
+        result.conflict = result.conflict || conflict;
+        result.equal[*index] = same_revision && !conflict;
+        result.same_site = result.same_site || *index == overlay_index;
+        result.peer_has_base =
+            result.peer_has_base || (*index == base_index && state.revision != 0);
+    }
+    this->totals.checksum_conflicts += result.conflict ? 1 : 0;
+    return result;
+}
+
+std::optional<mono_time> core::take_round(const std::string& peer, std::uint64_t round) {
+    auto found = std::find_if(
+        this->rounds.begin(), this->rounds.end(),
+        [&](const pending_round& each) { return each.round == round && each.peer == peer; });
+    if (found == this->rounds.end()) {
+        return std::nullopt;
+    }
+    mono_time asked_at = found->asked_at;
+    this->rounds.erase(found);
+    return asked_at;
+}
+
+void core::use_reply(mono_time now, const std::string& peer, const messages::digest& message,
+                     const comparison& result) {
+    auto asked = this->take_round(peer, message.round);
+    if (!asked.has_value()) {
+        return;
+    }
+    mono_time from = this->counted_from(*asked, now);
+    static const std::vector<std::uint8_t> no_ages;
+    bool same_list = message.list_revision == this->confirmations.list_revision();
+    const auto& ages = same_list ? message.ages : no_ages;
+    this->confirmations.alive(peer, from, ages);
+    auto connection = this->peers.connections().find(peer);
+    if (connection != this->peers.connections().end()) {
+        this->start.responded(peer, connection->second.record.failure_domain);
+    }
+    if (this->options.confirm_by_peers && message.platform_age_ms >= 0) {
+        mono_time at = from - milliseconds(message.platform_age_ms);
+        for (std::size_t i = 0; i < document_count; ++i) {
+            if (result.equal[i]) {
+                this->confirmations.confirm(i, at);
+            }
+        }
+    }
+    // A peer without a base has just started. It does not count, because it cannot know a newer
+    // revision either.
+    bool nothing_newer = !result.newer_there && !result.conflict && result.peer_has_base;
+    if (nothing_newer) {
+        this->confirmations.heard(peer, result.same_site, from, ages);
+    }
+}
+
+// Documents.
+
+void core::offer(mono_time now, std::size_t index, const messages::document& offered) {
+    std::uint64_t before = this->held.held(index).revision;
+    this->held.offer(index, offered, this->actions);
+    const held_document& after = this->held.held(index);
+    if (after.revision != before) {
+        this->confirmations.replaced(index);
+        this->announce_pending = true;
+    }
+    this->puller.settled(index, offered.revision, after, now);
+}
+
+read_outcome core::use_document(mono_time now, const platform_schedule::call& sent,
+                                const platform_document& answer) {
+    std::uint64_t checksum = checksum64(answer.body);
+    const held_document& state = this->held.held(sent.document);
+    if (answer.revision < state.revision) {
+        return read_outcome::stale;
+    }
+    if (answer.revision == state.revision && checksum != state.checksum) {
+        ++this->totals.checksum_conflicts;
+        return read_outcome::failed;
+    }
+    if (answer.revision > state.revision) {
+        this->offer(now, sent.document,
+                    messages::document{.name = this->held.name(sent.document),
+                                       .revision = answer.revision,
+                                       .checksum = checksum,
+                                       .body = answer.body});
+    }
+    // When the platform read the document is not known, but not before it was asked.
+    this->confirmations.confirm(sent.document, this->counted_from(sent.issued_at, now));
+    return read_outcome::newer;
+}
+
+read_outcome core::use_unchanged(mono_time now, const platform_schedule::call& sent,
+                                 std::uint64_t revision) {
+    std::uint64_t own = this->held.held(sent.document).revision;
+    if (revision != own) {
+        return revision < own ? read_outcome::stale : read_outcome::failed;
+    }
+    // A watch that ended without a newer document covers its whole wait, by the protocol. An answer
+    // that came earlier is counted from the request.
+    bool waited = revision != 0 && now - sent.issued_at >= sent.wait;
+    mono_time at = waited ? sent.issued_at + sent.wait : sent.issued_at;
+    this->confirmations.confirm(sent.document, this->counted_from(at, now));
+    return read_outcome::confirmed;
+}
+
+// Outputs.
+
+void core::read_platform(mono_time now) {
+    for (std::size_t i = 0; i < document_count; ++i) {
+        auto request =
+            this->schedule.due(now, i, this->held.name(i), this->held.held(i).revision,
+                               this->is_reader, this->confirmations.document_confirmed_at(i));
+        if (request.has_value()) {
+            ++this->totals.platform_reads;
+            this->actions.emplace_back(std::move(*request));
+        }
+    }
+}
+
+void core::send_rounds(mono_time now) {
+    std::erase_if(this->rounds,
+                  [&](const pending_round& each) { return now - each.asked_at > round_lifetime; });
+    const std::vector<std::string>& chosen = this->peers.chosen();
+    if (now < this->next_round_at || chosen.empty()) {
+        return;
+    }
+    const std::string& peer = chosen[this->next_peer++ % chosen.size()];
+    this->send(peer, this->make_digest(true, ++this->last_round));
+    this->rounds.push_back({.peer = peer, .round = this->last_round, .asked_at = now});
+    // Jitter of a tenth keeps the rounds of daemons that started together apart.
+    auto interval = static_cast<double>(mono_duration(this->options.round_interval).count());
+    this->next_round_at = now + mono_duration(static_cast<mono_duration::rep>(
+                                    interval * (0.95 + 0.1 * this->random.uniform())));
+}
+
+void core::announce() {
+    this->announce_pending = false;
+    if (!this->options.gossip) {
+        return;
+    }
+    std::vector<std::string> targets = this->peers.chosen();
+    for (const auto& [id, connection] : this->peers.connections()) {
+        if (targets.size() >= announcement_limit) {
+            break;
+        }
+        if (std::find(targets.begin(), targets.end(), id) == targets.end()) {
+            targets.push_back(id);
+        }
+    }
+    for (const std::string& peer : targets) {
+        this->send(peer, this->make_digest(false, 0));
+    }
+}
+
+void core::finish_input(mono_time now) {
+    if (this->options.confirm_by_majority) {
+        this->confirmations.apply_majority(now);
+    }
+    if (this->announce_pending) {
+        this->announce();
+    }
+    for (const pull& each : this->puller.due(now)) {
+        this->send(each.peer, messages::document_request{.name = this->held.name(each.document),
+                                                         .revision = each.revision});
+    }
+    start_facts facts{.valid_pair = this->held.held(base_index).revision_in_force != 0,
+                      .platform_confirmed = this->confirmations.platform_confirmed_at().has_value(),
+                      .majority_heard = this->confirmations.majority_at() != unknown_time,
+                      .document_missing = this->puller.waits_for_newest(),
+                      .platform_answered_at = this->platform_answered_at};
+    this->start.update(now, facts, *this->view);
+}
+
+}  // namespace trefoil::dissemination
--- /dev/null
+++ b/packages/dissemination/core.h
@@ -0,0 +1,155 @@
+// The decision core of dissemination: it keeps the documents of this daemon at the newest revision
+// and says when they were last confirmed. It performs no I/O, reads no clock, has no lock and is
+// deterministic for a given random source. Its owner calls it under one lock, passes on every input
+// and then executes the actions.
+//
+// Example:
+//
+//     dissemination::core core(options, store, random, now);
+//     core.tick(now);
+//     for (const dissemination::action& each : core.take_actions()) { std::visit(executor, each); }
+//     bool serve = core.ready() && core.confirmed(now);
+
+#ifndef TREFOIL_DISSEMINATION_CORE_H_
+#define TREFOIL_DISSEMINATION_CORE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "dissemination/action.h"
+#include "dissemination/confirmation.h"
+#include "dissemination/core_options.h"
+#include "dissemination/document_puller.h"
+#include "dissemination/document_store.h"
+#include "dissemination/gossip_peers.h"
+#include "dissemination/held_documents.h"
+#include "dissemination/platform_answer.h"
+#include "dissemination/platform_schedule.h"
+#include "dissemination/reader_choice.h"
+#include "dissemination/start_rule.h"
+#include "membership/view.h"
+
+namespace trefoil::dissemination {
+
+struct core_counts {
+    std::uint64_t platform_reads = 0;
+    std::uint64_t stale_answers = 0;  // The platform knew only an older revision.
+    std::uint64_t documents_received = 0;
+    std::uint64_t documents_sent = 0;
+    std::uint64_t damaged_documents = 0;   // The checksum did not match the body.
+    std::uint64_t checksum_conflicts = 0;  // One revision with two different bodies.
+
+    friend bool operator==(const core_counts&, const core_counts&) = default;
+};
+
+class core {
+public:
+    // `configuration` and `source` must outlive the core.
+    core(core_options settings, document_store& configuration, random_source& source,
+         mono_time start);
+    core(const core&) = delete;
+    core& operator=(const core&) = delete;
+
+    // To be called every 50 to 200 ms.
+    void tick(mono_time now);
+
+    // Messages from an authenticated peer, after its connection_opened.
+    void receive(mono_time now, const std::string& peer, const messages::digest& message);
+    void receive(mono_time now, const std::string& peer, const messages::document_request& message);
+    void receive(mono_time now, const std::string& peer, const messages::document& message);
+
+    void platform_answered(mono_time now, std::uint64_t request, const platform_answer& answer);
+
+    // The first authenticated connection to a peer is up, or the last one is down.
+    // `opened_address` is the address of the open_connection action; empty when the peer opened it.
+    void connection_opened(mono_time now, const membership::instance_record& peer,
+                           const std::string& opened_address);
+    void connection_closed(const std::string& peer);
+    void connection_failed(mono_time now, const std::string& address);
+
+    void set_view(std::shared_ptr<const membership::view> next);
+
+    // The daemon stops: it watches no longer and tells its peers.
+    void set_leaving(mono_time now);
+
+    // Returns the actions since the last call, in the order in which they arose.
+    std::vector<action> take_actions();
+
+    // The held documents were the newest at this time. Never decreases.
+    std::optional<mono_time> confirmed_at() const { return this->confirmations.confirmed_at(); }
+    // To be asked when a request is admitted, because a process may have been paused.
+    bool confirmed(mono_time now) const;
+    bool ready() const { return this->start.ready(); }
+    const std::string& waiting_for() const { return this->start.waiting_for(); }
+    bool reader() const { return this->is_reader; }
+    const held_documents& documents() const { return this->held; }
+    // For membership::tracker::reported_contacts, with the revision of its list.
+    const confirmation& confirmation_state() const { return this->confirmations; }
+    const core_counts& counts() const { return this->totals; }
+
+private:
+    struct pending_round {
+        std::string peer;
+        std::uint64_t round = 0;
+        mono_time asked_at;
+    };
+    // How a peer's digest compares with what is held here, over the documents that both hold.
+    struct comparison {
+        bool newer_there = false;
+        bool newer_here = false;
+        bool conflict = false;
+        bool peer_has_base = false;
+        bool same_site = false;  // Both hold the same overlay document.
+        bool equal[document_count] = {false, false, false};
+    };
+
+    comparison compare(mono_time now, const std::string& peer, const messages::digest& message);
+    void use_reply(mono_time now, const std::string& peer, const messages::digest& message,
+                   const comparison& result);
+    std::optional<mono_time> take_round(const std::string& peer, std::uint64_t round);
+    void offer(mono_time now, std::size_t index, const messages::document& offered);
+    read_outcome use_document(mono_time now, const platform_schedule::call& sent,
+                              const platform_document& answer);
+    read_outcome use_unchanged(mono_time now, const platform_schedule::call& sent,
+                               std::uint64_t revision);
+    mono_time counted_from(mono_time asked_at, mono_time now) const;
+    messages::digest make_digest(bool wants_reply, std::uint64_t round) const;
+    void send(const std::string& peer, messages::peer_message message);
+    void send_rounds(mono_time now);
+    void read_platform(mono_time now);
+    void announce();
+    void finish_input(mono_time now);
+
+    const core_options options;
+    random_source& random;
+    held_documents held;
+    confirmation confirmations;
+    document_puller puller;
+    platform_schedule schedule;
+    gossip_peers peers;
+    reader_choice readers;
+    start_rule start;
+    std::shared_ptr<const membership::view> view;  // Never null.
+    bool is_reader = false;
+    bool leaving = false;
+    mono_time platform_answered_at = unknown_time;
+    mono_time next_round_at;
+    std::uint64_t last_round = 0;
+    std::size_t next_peer = 0;  // Rounds go to the chosen peers in turn.
+    std::vector<pending_round> rounds;
+    absl::flat_hash_map<std::string, mono_time> corrected_at;  // Last unasked digest per peer.
+    bool announce_pending = false;  // A new revision is held that peers have not been told of.
+    core_counts totals;
+    std::vector<action> actions;
+};
+
+}  // namespace trefoil::dissemination
+
+#endif  // TREFOIL_DISSEMINATION_CORE_H_
--- /dev/null
+++ b/packages/dissemination/core_options.h
@@ -0,0 +1,52 @@
+// Settings of the dissemination core.
+//
+// Example:
+//
+//     dissemination::core_options options{.instance = "station-1", .failure_domain = "d1",
+//                                         .site = "north", .address = "127.0.0.1:7001"};
+
+#ifndef TREFOIL_DISSEMINATION_CORE_OPTIONS_H_
+#define TREFOIL_DISSEMINATION_CORE_OPTIONS_H_
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace trefoil::dissemination {
+
+using std::chrono::milliseconds;
+
+struct core_options {
+    std::string instance;
+    std::string failure_domain;
+    std::string site;
+    std::string address;             // Own peer address, which is never opened.
+    std::vector<std::string> seeds;  // Addresses to ask while no list is known.
+
+    std::size_t gossip_peers = 4;
+    std::size_t readers_per_domain = 2;
+    milliseconds round_interval{1000};
+    milliseconds rotation_interval{60000};
+    milliseconds request_timeout{1000};  // After this a document is asked from another peer.
+
+    milliseconds watch_wait{2000};
+    milliseconds read_after{3000};     // Age of the confirmation at which a daemon reads itself.
+    milliseconds read_interval{2000};  // Shortest time between two reads of one document.
+    milliseconds longest_backoff{30000};
+    milliseconds first_read_spread{2000};
+
+    milliseconds confirmation_limit{4000};
+    milliseconds start_patience{3000};  // How long a start waits for peers or for the platform.
+
+    // Switches with which tests show that a mechanism is needed.
+    bool gossip = true;
+    bool confirm_by_peers = true;
+    bool confirm_by_majority = true;
+    bool bridge_invalid = true;  // Asks peers for bodies in force when the newest is invalid.
+    bool check_pauses = true;    // Counts confirmations from the request, not from the response.
+};
+
+}  // namespace trefoil::dissemination
+
+#endif  // TREFOIL_DISSEMINATION_CORE_OPTIONS_H_
--- /dev/null
+++ b/packages/dissemination/document_puller.h
@@ -0,0 +1,82 @@
+// Decides which document is asked from which peer. A document crosses a link only after a digest
+// showed that it is missing here. There is one request per document at a time; when it is not
+// answered, the next peer that announced the revision is asked.
+//
+// Example:
+//
+//     puller.announced(index, "station-1", state, held);
+//     for (const pull& each : puller.due(now)) { ... }
+
+#ifndef TREFOIL_DISSEMINATION_DOCUMENT_PULLER_H_
+#define TREFOIL_DISSEMINATION_DOCUMENT_PULLER_H_
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "dissemination/held_documents.h"
+
+namespace trefoil::dissemination {
+
+struct pull {
+    std::string peer;
+    std::size_t document = 0;
+    std::uint64_t revision = 0;
+
+    friend bool operator==(const pull&, const pull&) = default;
+};
+
+class document_puller {
+public:
+    // Without `bridge_bodies` only newest revisions are asked for.
+    document_puller(std::chrono::milliseconds answer_timeout, bool bridge_bodies);
+
+    // A peer's digest says that it holds `state` of a document. A newer revision is wanted; and
+    // when the newest revision is held here but something older is in force, the greatest revision
+    // that a peer has in force in between is wanted too (a bridge).
+    void announced(std::size_t document, const std::string& peer,
+                   const messages::document_state& state, const held_document& held, mono_time now);
+
+    // Whether a document of this revision was wanted as a bridge.
+    bool wants_bridge(std::size_t document, std::uint64_t revision) const;
+
+    // The held state of a document has changed, or `offered` was offered without an effect.
+    void settled(std::size_t document, std::uint64_t offered, const held_document& held,
+                 mono_time now);
+
+    // The peer cannot be asked any more.
+    void disconnected(const std::string& peer);
+
+    // The requests to send now.
+    std::vector<pull> due(mono_time now);
+
+    // Whether a newer revision than the held one is known and can be asked for.
+    bool waits_for_newest() const;
+
+private:
+    struct want {
+        std::uint64_t revision = 0;        // 0 when nothing is wanted.
+        std::vector<std::string> sources;  // Peers that hold the revision; asked in turn.
+        std::size_t next_source = 0;
+        mono_time not_before = mono_time::min();  // The request sent last may be answered until.
+    };
+
+    static void add_source(want& target, std::uint64_t revision, const std::string& peer);
+    void append_due(want& target, std::size_t document, mono_time now, std::vector<pull>& result);
+
+    std::chrono::milliseconds timeout;
+    bool bridge;
+    std::array<want, document_count> newest;
+    std::array<want, document_count> bridges;
+    // A bridge that had no effect is not asked for again before this time, so that a body that is
+    // invalid here does not cross the network every second.
+    std::array<mono_time, document_count> bridge_pause;
+};
+
+}  // namespace trefoil::dissemination
+
+#endif  // TREFOIL_DISSEMINATION_DOCUMENT_PULLER_H_
--- /dev/null
+++ b/packages/dissemination/gossip_peers.cc
@@ -0,0 +1,256 @@
+// Implements the choice and the rotation of gossip peers.
+
+#include "dissemination/gossip_peers.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace trefoil::dissemination {
+
+namespace {
+
+constexpr milliseconds attempt_limit{5000};
+constexpr milliseconds shortest_retry{100};
+constexpr milliseconds longest_retry{5000};
+// A connection that its peer used this recently is left to the peer when it is released here.
+constexpr milliseconds use_limit{10000};
+// Entries of the list that one choice looks at; more would cost time at 1,400 entries.
+constexpr std::size_t sample_size = 48;
+// One choice in this many disregards the states, so that both sides of a healed partition, which
+// consider each other gone, find each other again.
+constexpr std::uint64_t any_state_period = 4;
+
+bool contains(const std::vector<std::string>& list, const std::string& value) {
+    return std::find(list.begin(), list.end(), value) != list.end();
+}
+
+}  // namespace
+
+gossip_peers::gossip_peers(const core_options& settings, random_source& source, mono_time start)
+    : options(settings), random(source) {
+    auto interval = static_cast<double>(mono_duration(settings.rotation_interval).count());
+    // The first replacement is spread, so that daemons started together do not rotate together.
+    this->rotate_at =
+        start +
+        mono_duration(static_cast<mono_duration::rep>(interval * (0.5 + this->random.uniform())));
+}
+
+void gossip_peers::connected(mono_time now, const membership::instance_record& peer,
+                             const std::string& opened_address) {
+    // Both sides may open a connection at once; an attempt here then ends with the other's.
+    auto crossed = this->attempts.find(peer.address);
+    bool opened_here =
+        !opened_address.empty() || (crossed != this->attempts.end() && crossed->second.running);
+    connection& entry = this->open[peer.id];
+    entry.record = peer;
+    entry.opened_here = entry.opened_here || opened_here;
+    entry.used_at = opened_here ? entry.used_at : now;
+    if (opened_here) {
+        this->attempts.erase(opened_address);
+        this->attempts.erase(peer.address);
+        if (!contains(this->selected, peer.id)) {
+            this->selected.push_back(peer.id);
+        }
+    }
+}
+
+void gossip_peers::disconnected(const std::string& peer) {
+    this->open.erase(peer);
+    std::erase(this->selected, peer);
+    std::erase(this->released, peer);
+}
+
+void gossip_peers::failed(mono_time now, const std::string& address) {
+    attempt& entry = this->attempts[address];
+    entry.running = false;
+    entry.failures = std::min(entry.failures + 1, 16U);
+    milliseconds limit = std::min(shortest_retry * (1U << (entry.failures - 1)), longest_retry);
+    entry.retry_at =
+        now + milliseconds(this->random.below(static_cast<std::uint64_t>(limit.count()) + 1));
+}
+
+void gossip_peers::used_by_peer(mono_time now, const std::string& peer) {
+    auto found = this->open.find(peer);
+    if (found != this->open.end()) {
+        found->second.used_at = now;
+    }
+}
+
+std::size_t gossip_peers::running_attempts() const {
+    return static_cast<std::size_t>(
+        std::count_if(this->attempts.begin(), this->attempts.end(),
+                      [](const auto& item) { return item.second.running; }));
+}
+
+gossip_peers::needs gossip_peers::missing(const membership::view& current) const {
+    std::size_t outside = 0;
+    std::size_t in_site = 0;
+    auto count = [&](const membership::instance_record& record) {
+        outside += record.failure_domain != this->options.failure_domain ? 1 : 0;
+        in_site += record.site == this->options.site ? 1 : 0;
+    };
+    for (const std::string& id : this->selected) {
+        count(this->open.at(id).record);
+    }
+    for (const auto& [address, entry] : this->attempts) {
+        const membership::member* target = entry.running ? current.find(entry.id) : nullptr;
+        if (target != nullptr) {
+            count(*target->record);
+        }
+    }
+    std::size_t half = (this->options.gossip_peers + 1) / 2;
+    return {.outside_domain = outside < half, .own_site = in_site < half};
+}
+
+bool gossip_peers::eligible(mono_time now, const membership::instance_record& record) const {
+    if (record.id == this->options.instance || record.address == this->options.address ||
+        contains(this->selected, record.id)) {
+        return false;
+    }
+    auto found = this->attempts.find(record.address);
+    return found == this->attempts.end() ||
+           (!found->second.running && now >= found->second.retry_at);
+}
+
+const membership::member* gossip_peers::pick(mono_time now, const membership::view& current) {
+    const std::vector<membership::member>& members = current.listed();
+    if (members.empty()) {
+        return nullptr;
+    }
+    needs lacking = this->missing(current);
+    bool any_state = this->random.below(any_state_period) == 0;
+    bool all = members.size() <= sample_size;
+    std::size_t offset = this->random.below(members.size());
+    const membership::member* best = nullptr;
+    int best_score = -1;
+    for (std::size_t i = 0; i < std::min(sample_size, members.size()); ++i) {
+        std::size_t index =
+            all ? (offset + i) % members.size() : this->random.below(members.size());
+        const membership::member& candidate = members[index];
+        if (!this->eligible(now, *candidate.record)) {
+            continue;
+        }
+        int score = 0;
+        score += any_state || candidate.state == membership::instance_state::live ? 4 : 0;
+        score += !lacking.outside_domain ||
+                         candidate.record->failure_domain != this->options.failure_domain
+                     ? 2
+                     : 0;
+        score += !lacking.own_site || candidate.record->site == this->options.site ? 1 : 0;
+        if (score > best_score) {
+            best = &candidate;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+void gossip_peers::start_attempt(mono_time now, const std::string& address, const std::string& id,
+                                 std::vector<action>& actions) {
+    attempt& entry = this->attempts[address];
+    entry.id = id;
+    entry.running = true;
+    entry.started_at = now;
+    actions.emplace_back(open_connection{.address = address});
+}
+
+void gossip_peers::open_seeds(mono_time now, std::vector<action>& actions) {
+    std::size_t count = this->options.seeds.size();
+    std::size_t offset = this->random.below(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        if (this->running_attempts() >= this->options.gossip_peers) {
+            return;
+        }
+        const std::string& address = this->options.seeds[(offset + i) % count];
+        auto found = this->attempts.find(address);
+        bool waiting = found != this->attempts.end() &&
+                       (found->second.running || now < found->second.retry_at);
+        if (address != this->options.address && !waiting) {
+            this->start_attempt(now, address, "", actions);
+        }
+    }
+}
+
+void gossip_peers::replace_one(const membership::view& current) {
+    if (this->selected.size() <= this->options.gossip_peers) {
+        return;
+    }
+    // The peer chosen last stays. A peer in the own domain goes first when too few are outside.
+    std::size_t candidates = this->selected.size() - 1;
+    std::size_t victim = this->random.below(candidates);
+    if (this->missing(current).outside_domain) {
+        for (std::size_t i = 0; i < candidates; ++i) {
+            if (this->open.at(this->selected[i]).record.failure_domain ==
+                this->options.failure_domain) {
+                victim = i;
+            }
+        }
+    }
+    this->released.push_back(this->selected[victim]);
+    this->selected.erase(this->selected.begin() + static_cast<std::ptrdiff_t>(victim));
+}
+
+void gossip_peers::close_released(mono_time now, std::vector<action>& actions) {
+    std::erase_if(this->released, [&](const std::string& id) {
+        const connection& entry = this->open.at(id);
+        if (contains(this->selected, id) || !entry.opened_here) {
+            return true;
+        }
+        if (entry.used_at != mono_time::min() && now - entry.used_at < use_limit) {
+            return false;
+        }
+        actions.emplace_back(close_connection{.peer = id});
+        return true;
+    });
+}
+
+void gossip_peers::expire_attempts(mono_time now) {
+    std::vector<std::string> expired;
+    for (const auto& [address, entry] : this->attempts) {
+        if (entry.running && now - entry.started_at > attempt_limit) {
+            expired.push_back(address);
+        }
+    }
+    for (const std::string& address : expired) {
+        this->failed(now, address);
+    }
+    absl::erase_if(this->attempts, [&](const auto& item) {
+        return !item.second.running && now - item.second.retry_at > 12 * longest_retry;
+    });
+}
+
+void gossip_peers::tick(mono_time now, const membership::view& current,
+                        std::vector<action>& actions) {
+    this->expire_attempts(now);
+    std::size_t target = this->options.gossip_peers;
+    if (now >= this->rotate_at) {
+        // One more is wanted until it is connected; then another is released.
+        ++target;
+        if (this->selected.size() >= target || current.listed().size() <= target) {
+            this->replace_one(current);
+            this->rotate_at = now + this->options.rotation_interval;
+            --target;
+        }
+    }
+    while (this->selected.size() + this->running_attempts() < target) {
+        const membership::member* candidate = this->pick(now, current);
+        if (candidate == nullptr) {
+            break;
+        }
+        const membership::instance_record& record = *candidate->record;
+        if (this->open.contains(record.id)) {
+            this->selected.push_back(record.id);
+        } else {
+            this->start_attempt(now, record.address, record.id, actions);
+        }
+    }
+    if (this->selected.empty() && !this->options.seeds.empty()) {
+        this->open_seeds(now, actions);
+    }
+    while (this->selected.size() > target) {
+        this->replace_one(current);
+    }
+    this->close_released(now, actions);
+}
+
+}  // namespace trefoil::dissemination
--- /dev/null
+++ b/packages/dissemination/gossip_peers.h
@@ -0,0 +1,90 @@
+// Chooses the peers with which this daemon gossips: 4, at least half of them outside its failure
+// domain and, where possible, at least half in its own site, because only those confirm the
+// overlay. One is replaced at random every 60 s.
+//
+// Example:
+//
+//     peers.connected(now, record, "127.0.0.1:7002");
+//     peers.tick(now, *view, actions);
+//     for (const std::string& peer : peers.chosen()) { ... }
+
+#ifndef TREFOIL_DISSEMINATION_GOSSIP_PEERS_H_
+#define TREFOIL_DISSEMINATION_GOSSIP_PEERS_H_
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "dissemination/action.h"
+#include "dissemination/core_options.h"
+#include "membership/view.h"
+
+namespace trefoil::dissemination {
+
+class gossip_peers {
+public:
+    gossip_peers(const core_options& settings, random_source& source, mono_time start);
+
+    // The first authenticated connection to a peer is up. `opened_address` is the address of the
+    // open_connection action that led to it; empty when the peer opened it.
+    void connected(mono_time now, const membership::instance_record& peer,
+                   const std::string& opened_address);
+    // The last connection to a peer is down.
+    void disconnected(const std::string& peer);
+    void failed(mono_time now, const std::string& address);
+    // The peer uses the connection for its own rounds.
+    void used_by_peer(mono_time now, const std::string& peer);
+
+    // Appends connections to open and close.
+    void tick(mono_time now, const membership::view& current, std::vector<action>& actions);
+
+    const std::vector<std::string>& chosen() const { return this->selected; }
+
+    struct connection {
+        membership::instance_record record;
+        bool opened_here = false;
+        mono_time used_at = mono_time::min();  // Last digest by which the peer asked for a reply.
+    };
+    const absl::flat_hash_map<std::string, connection>& connections() const { return this->open; }
+
+private:
+    struct attempt {
+        std::string id;  // Empty for a seed, whose instance is not known yet.
+        bool running = false;
+        unsigned failures = 0;
+        mono_time started_at;
+        mono_time retry_at;
+    };
+    // What the present choice lacks.
+    struct needs {
+        bool outside_domain = false;
+        bool own_site = false;
+    };
+
+    std::size_t running_attempts() const;
+    needs missing(const membership::view& current) const;
+    bool eligible(mono_time now, const membership::instance_record& record) const;
+    const membership::member* pick(mono_time now, const membership::view& current);
+    void start_attempt(mono_time now, const std::string& address, const std::string& id,
+                       std::vector<action>& actions);
+    void open_seeds(mono_time now, std::vector<action>& actions);
+    void replace_one(const membership::view& current);
+    void close_released(mono_time now, std::vector<action>& actions);
+    void expire_attempts(mono_time now);
+
+    const core_options& options;
+    random_source& random;
+    mono_time rotate_at;
+    std::vector<std::string> selected;  // Ids in `open`.
+    std::vector<std::string> released;  // Ids that are no longer selected but still connected.
+    absl::flat_hash_map<std::string, connection> open;   // By instance id.
+    absl::flat_hash_map<std::string, attempt> attempts;  // By address.
+};
+
+}  // namespace trefoil::dissemination
+
+#endif  // TREFOIL_DISSEMINATION_GOSSIP_PEERS_H_
--- /dev/null
+++ b/packages/dissemination/held_documents.cc
@@ -0,0 +1,87 @@
+// Implements access to the store and holds the instance list.
+
+#include "dissemination/held_documents.h"
+
+#include <utility>
+
+namespace trefoil::dissemination {
+
+held_documents::held_documents(document_store& configuration, const std::string& site)
+    : store(configuration), names{"base", "site/" + site, "instances"} {
+    this->refresh();
+}
+
+std::optional<std::size_t> held_documents::index_of(std::string_view name) const {
+    for (std::size_t i = 0; i < document_count; ++i) {
+        if (this->names[i] == name) {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
+void held_documents::refresh() {
+    this->states[base_index] = this->store.held(this->names[base_index]);
+    this->states[overlay_index] = this->store.held(this->names[overlay_index]);
+}
+
+std::optional<std::string> held_documents::body(std::size_t index, std::uint64_t revision) const {
+    if (index != list_index) {
+        return this->store.body(this->names[index], revision);
+    }
+    const held_document& list = this->states[list_index];
+    if (revision != 0 && revision == list.revision) {
+        return this->newest_list_body;
+    }
+    if (revision != 0 && revision == list.revision_in_force) {
+        return this->list_body_in_force;
+    }
+    return std::nullopt;
+}
+
+void held_documents::offer(std::size_t index, const messages::document& offered,
+                           std::vector<action>& actions) {
+    if (index == list_index) {
+        this->offer_list(offered, actions);
+        return;
+    }
+    this->store.offer(offered);
+    this->refresh();
+    actions.emplace_back(configuration_offered{.name = offered.name, .revision = offered.revision});
+}
+
+void held_documents::offer_list(const messages::document& offered, std::vector<action>& actions) {
+    held_document& state = this->states[list_index];
+    if (offered.revision > state.revision) {
+        state.revision = offered.revision;
+        state.checksum = offered.checksum;
+        this->newest_list_body = offered.body;
+    }
+    auto parsed = membership::parse_instance_list(offered.revision, offered.body);
+    auto* list = std::get_if<std::shared_ptr<const membership::instance_list>>(&parsed);
+    if (list == nullptr) {
+        actions.emplace_back(report_invalid_list{.revision = offered.revision,
+                                                 .detail = membership::describe(parsed)});
+        return;
+    }
+    if (offered.revision > state.revision_in_force) {
+        state.revision_in_force = offered.revision;
+        this->list_body_in_force = offered.body;
+        actions.emplace_back(adopt_list{.list = std::move(*list)});
+    }
+}
+
+std::vector<messages::document_state> held_documents::states_for_digest() const {
+    std::vector<messages::document_state> result;
+    result.reserve(document_count);
+    for (std::size_t i = 0; i < document_count; ++i) {
+        const held_document& state = this->states[i];
+        result.push_back({.name = this->names[i],
+                          .revision = state.revision,
+                          .checksum = state.checksum,
+                          .revision_in_force = state.revision_in_force});
+    }
+    return result;
+}
+
+}  // namespace trefoil::dissemination
--- /dev/null
+++ b/packages/dissemination/held_documents.h
@@ -0,0 +1,67 @@
+// The three documents that a daemon holds: `base`, its site's overlay and the instance list. The
+// first two are in the document_store, the list is held here.
+//
+// Example:
+//
+//     held_documents documents(store, "north");
+//     auto index = documents.index_of("site/north");
+
+#ifndef TREFOIL_DISSEMINATION_HELD_DOCUMENTS_H_
+#define TREFOIL_DISSEMINATION_HELD_DOCUMENTS_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dissemination/action.h"
+#include "dissemination/document_store.h"
+#include "membership/instance_list.h"
+#include "messages/messages.h"
+
+namespace trefoil::dissemination {
+
+constexpr std::size_t document_count = 3;
+constexpr std::size_t base_index = 0;
+constexpr std::size_t overlay_index = 1;
+constexpr std::size_t list_index = 2;
+
+class held_documents {
+public:
+    held_documents(document_store& configuration, const std::string& site);
+
+    const std::string& name(std::size_t index) const { return this->names[index]; }
+    std::optional<std::size_t> index_of(std::string_view name) const;
+
+    // State of one document as of the last refresh() or offer().
+    const held_document& held(std::size_t index) const { return this->states[index]; }
+
+    // Reads the states from the store again.
+    void refresh();
+
+    std::optional<std::string> body(std::size_t index, std::uint64_t revision) const;
+
+    // Hands a document to the store, or parses it when it is the list, and appends what its owner
+    // has to do. Requires a revision above the one in force.
+    void offer(std::size_t index, const messages::document& offered, std::vector<action>& actions);
+
+    // The form in which digests carry the states.
+    std::vector<messages::document_state> states_for_digest() const;
+
+private:
+    void offer_list(const messages::document& offered, std::vector<action>& actions);
+
+    document_store& store;
+    std::array<std::string, document_count> names;
+    std::array<held_document, document_count> states;
+    std::string newest_list_body;    // Of revision states[list_index].revision, valid or not.
+    std::string list_body_in_force;  // Of revision states[list_index].revision_in_force.
+};
+
+}  // namespace trefoil::dissemination
+
+#endif  // TREFOIL_DISSEMINATION_HELD_DOCUMENTS_H_
--- /dev/null
+++ b/packages/dissemination/platform_answer.h
@@ -0,0 +1,42 @@
+// What the platform answered to a read_document action.
+//
+// Example:
+//
+//     core.platform_answered(now, request, dissemination::platform_unchanged{.revision = 7});
+
+#ifndef TREFOIL_DISSEMINATION_PLATFORM_ANSWER_H_
+#define TREFOIL_DISSEMINATION_PLATFORM_ANSWER_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace trefoil::dissemination {
+
+struct platform_document {
+    std::uint64_t revision = 0;
+    std::string body;
+
+    friend bool operator==(const platform_document&, const platform_document&) = default;
+};
+
+struct platform_unchanged {
+    std::uint64_t revision = 0;
+
+    friend bool operator==(const platform_unchanged&, const platform_unchanged&) = default;
+};
+
+struct platform_absent {
+    friend bool operator==(const platform_absent&, const platform_absent&) = default;
+};
+
+struct platform_unavailable {
+    friend bool operator==(const platform_unavailable&, const platform_unavailable&) = default;
+};
+
+using platform_answer =
+    std::variant<platform_document, platform_unchanged, platform_absent, platform_unavailable>;
+
+}  // namespace trefoil::dissemination
+
+#endif  // TREFOIL_DISSEMINATION_PLATFORM_ANSWER_H_
--- /dev/null
+++ b/packages/dissemination/platform_schedule.cc
@@ -0,0 +1,132 @@
+// Implements the times of platform requests.
+
+#include "dissemination/platform_schedule.h"
+
+#include <algorithm>
+
+namespace trefoil::dissemination {
+
+namespace {
+
+// An answer that has not come this long after the wait is given up, whatever the adapter's own
+// timeouts are, so that a lost answer cannot stop the reads of a document.
+constexpr milliseconds answer_limit{10000};
+// Shortest time between two requests of a reader that gets documents, so that a platform which
+// answers without end cannot occupy it.
+constexpr milliseconds shortest_gap{200};
+
+}  // namespace
+
+platform_schedule::platform_schedule(const core_options& settings, random_source& source,
+                                     mono_time start)
+    : options(settings), random(source), started_at(start) {
+    // The list is read first: with it a daemon knows the readers and its peers. Of the other
+    // documents a daemon that is not a reader reads what peers have not brought by then.
+    for (std::size_t i = 0; i < document_count; ++i) {
+        milliseconds patience = i == list_index ? milliseconds(0) : settings.start_patience;
+        this->slots[i].next_at = start + patience + this->jitter(settings.first_read_spread);
+        this->slots[i].armed = true;
+    }
+}
+
+mono_duration platform_schedule::jitter(milliseconds limit) {
+    auto ticks = static_cast<double>(mono_duration(limit).count());
+    return mono_duration(static_cast<mono_duration::rep>(this->random.uniform() * ticks));
+}
+
+milliseconds platform_schedule::backoff(unsigned failures) const {
+    milliseconds limit = this->options.read_interval;
+    for (unsigned i = 1; i < failures && limit < this->options.longest_backoff; ++i) {
+        limit *= 2;
+    }
+    return std::min(limit, this->options.longest_backoff);
+}
+
+bool platform_schedule::wants_watch(const slot& target, mono_time now, bool reader) const {
+    if (!reader) {
+        return false;
+    }
+    // The first watch need not wait for the start's patience.
+    bool never_asked = target.sent.issued_at == mono_time();
+    return never_asked || now >= target.next_at;
+}
+
+bool platform_schedule::wants_read(slot& target, mono_time now, mono_time confirmed_at) {
+    bool old = confirmed_at == mono_time::min() || now - confirmed_at > this->options.read_after;
+    if (!old) {
+        target.armed = false;
+        return false;
+    }
+    if (!target.armed) {
+        target.armed = true;
+        target.next_at =
+            std::max(target.next_at, now + this->jitter(this->backoff(target.failures)));
+    }
+    return now >= target.next_at;
+}
+
+std::optional<read_document> platform_schedule::due(mono_time now, std::size_t document,
+                                                    const std::string& name,
+                                                    std::uint64_t held_revision, bool reader,
+                                                    mono_time confirmed_at) {
+    slot& target = this->slots[document];
+    bool given_up = now - target.sent.issued_at > target.sent.wait + answer_limit;
+    if (target.request != 0 && !given_up) {
+        return std::nullopt;
+    }
+    bool watch = this->wants_watch(target, now, reader);
+    if (!watch && !this->wants_read(target, now, confirmed_at)) {
+        return std::nullopt;
+    }
+    // A daemon that holds nothing reads at once, as does a reader after a new document: an answer
+    // without a wait confirms the new revision at once for everyone.
+    bool wait = watch && held_revision != 0 && !target.reread;
+    target.reread = false;
+    target.request = ++this->last_request;
+    target.sent = {.document = document,
+                   .after = held_revision,
+                   .wait = wait ? this->options.watch_wait : milliseconds(0),
+                   .issued_at = now};
+    return read_document{
+        .request = target.request, .name = name, .after = held_revision, .wait = target.sent.wait};
+}
+
+std::optional<platform_schedule::call> platform_schedule::finish(std::uint64_t request) {
+    for (slot& each : this->slots) {
+        if (each.request == request && request != 0) {
+            each.request = 0;
+            return each.sent;
+        }
+    }
+    return std::nullopt;
+}
+
+void platform_schedule::schedule_next(mono_time now, const call& finished, read_outcome outcome,
+                                      bool reader) {
+    slot& target = this->slots[finished.document];
+    bool good = outcome == read_outcome::newer || outcome == read_outcome::confirmed;
+    target.failures = good ? 0 : target.failures + 1;
+    target.armed = false;
+    bool paced = good || (reader && outcome == read_outcome::stale);
+    if (!paced) {
+        target.armed = true;
+        target.next_at = std::max(now + this->jitter(this->backoff(target.failures)),
+                                  finished.issued_at + this->options.read_interval);
+        return;
+    }
+    if (!reader) {
+        target.next_at = finished.issued_at + this->options.read_interval;
+        return;
+    }
+    target.reread = outcome == read_outcome::newer;
+    milliseconds gap = shortest_gap;
+    if (outcome != read_outcome::newer) {
+        // A platform that answers a watch early is not asked more often than one that waits. An
+        // absent document cannot be watched, only read.
+        bool absent = finished.after == 0;
+        gap = absent ? this->options.watch_wait : finished.wait;
+    }
+    target.next_at = std::max(now, finished.issued_at + gap);
+}
+
+}  // namespace trefoil::dissemination
--- /dev/null
+++ b/packages/dissemination/reader_choice.cc
@@ -0,0 +1,55 @@
+// Implements the choice of readers. Scores are computed once per list.
+
+#include "dissemination/reader_choice.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+
+namespace trefoil::dissemination {
+
+reader_choice::reader_choice(std::string self_id, std::string self_domain, std::size_t readers)
+    : self(std::move(self_id)), domain(std::move(self_domain)), count(readers) {}
+
+void reader_choice::rank(const membership::view& current) {
+    this->ranked = current.list();
+    this->higher.clear();
+    std::uint64_t own = rendezvous_score(this->domain, this->self);
+    std::vector<std::pair<std::uint64_t, std::size_t>> scored;
+    const auto& records = this->ranked->records();
+    for (std::size_t i = 0; i < records.size(); ++i) {
+        if (records[i].failure_domain != this->domain || records[i].id == this->self) {
+            continue;
+        }
+        std::uint64_t score = rendezvous_score(this->domain, records[i].id);
+        if (score > own || (score == own && records[i].id < this->self)) {
+            scored.emplace_back(score, i);
+        }
+    }
+    std::sort(scored.begin(), scored.end(), std::greater<>());
+    for (const auto& [score, index] : scored) {
+        this->higher.push_back(index);
+    }
+}
+
+bool reader_choice::update(const membership::view& current) {
+    if (this->ranked != current.list()) {
+        this->rank(current);
+    }
+    if (current.listed().empty()) {
+        return false;
+    }
+    std::size_t ahead = 0;
+    for (std::size_t index : this->higher) {
+        if (current.listed()[index].state == membership::instance_state::live) {
+            ++ahead;
+        }
+        if (ahead >= this->count) {
+            return false;
+        }
+    }
+    return true;
+}
+
+}  // namespace trefoil::dissemination
--- /dev/null
+++ b/packages/dissemination/reader_choice.h
@@ -0,0 +1,44 @@
+// Decides whether this daemon watches the platform. In each failure domain the live instances with
+// the highest rendezvous hash of (domain, instance) do (Thaler and Ravishankar, "Using name-based
+// mappings to increase hit rates", 1998). No agreement is needed: differing views add a reader.
+//
+// Example:
+//
+//     reader_choice readers("station-1", "d1", 2);
+//     bool watch = readers.update(*view);
+
+#ifndef TREFOIL_DISSEMINATION_READER_CHOICE_H_
+#define TREFOIL_DISSEMINATION_READER_CHOICE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "membership/view.h"
+
+namespace trefoil::dissemination {
+
+class reader_choice {
+public:
+    reader_choice(std::string self_id, std::string self_domain, std::size_t readers);
+
+    // Returns whether this daemon is one of the readers of its domain. Without a list it is not.
+    bool update(const membership::view& current);
+
+private:
+    void rank(const membership::view& current);
+
+    std::string self;
+    std::string domain;
+    std::size_t count;
+    std::shared_ptr<const membership::instance_list> ranked;  // The list that `higher` is from.
+    // Positions in the list of the domain's instances whose score is higher than this daemon's,
+    // highest first.
+    std::vector<std::size_t> higher;
+};
+
+}  // namespace trefoil::dissemination
+
+#endif  // TREFOIL_DISSEMINATION_READER_CHOICE_H_
