Add load client

Non-idempotent requests use a new connection each: libcurl sends a request again when a reused connection closes before the first byte of the response, which would break the at-most-once check.

--- /dev/null
+++ b/testing/load_client/load_client.cc
@@ -0,0 +1,284 @@
+// Load client: callers that send requests to daemons, or directly to an upstream double, check each
+// answer against the request, report both as events and print a summary in JSON.
+//
+// The key file has one line per key, "<label> <workspace> <key>"; "-" stands for no workspace (the
+// key is not valid) and for no key. Caller i uses line i modulo the number of lines. Events name
+// the label and never the key.
+
+#include <algorithm>
+#include <atomic>
+#include <boost/program_options.hpp>
+#include <chrono>
+#include <cmath>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "base/hash.h"
+#include "base/random.h"
+#include "support/event_log.h"
+#include "support/http_client.h"
+
+namespace trefoil::testing {
+
+namespace {
+
+struct key_line {
+    std::string label = "none";
+    std::string workspace = "-";
+    std::string key = "-";
+};
+
+struct load_options {
+    std::vector<std::string> targets;  // "ip:port"
+    std::vector<std::string> paths;
+    std::string method = "GET";
+    std::string key_file;
+    std::vector<std::string> headers;
+    double rate = 0;  // Requests per second of all callers; 0: each caller sends without pause.
+    int callers = 1;
+    double seconds = 5;
+    std::uint64_t seed = 1;
+    std::size_t body_bytes = 0;
+    std::int64_t timeout_ms = 5000;
+    bool idempotent = false;
+    std::string events;
+};
+
+// What all callers count together.
+class summary {
+public:
+    void add(const http_reply& reply, std::int64_t latency_us) {
+        std::string result = reply.header("trefoil-reason");
+        if (!reply.error.empty()) {
+            result = reply.error;
+        } else if (result.empty()) {
+            result = std::to_string(reply.status);
+        }
+        std::lock_guard lock(this->mutex);
+        ++this->results[result];
+        if (reply.error.empty() && reply.status == 200) {
+            this->latencies_us.push_back(latency_us);
+        }
+    }
+
+    nlohmann::json report(double seconds) {
+        std::lock_guard lock(this->mutex);
+        std::sort(this->latencies_us.begin(), this->latencies_us.end());
+        return {{"results", this->results},
+                {"answered_per_second", static_cast<double>(this->latencies_us.size()) / seconds},
+                {"p50_us", this->quantile(0.5)},
+                {"p99_us", this->quantile(0.99)}};
+    }
+
+private:
+    // Nearest-rank quantile of the sorted latencies of answered requests; 0 when there are none.
+    std::int64_t quantile(double share) const {
+        if (this->latencies_us.empty()) {
+            return 0;
+        }
+        auto rank = static_cast<std::size_t>(
+            std::ceil(share * static_cast<double>(this->latencies_us.size())));
+        return this->latencies_us[std::max<std::size_t>(rank, 1) - 1];
+    }
+
+    std::mutex mutex;  // Guards the members below.
+    std::map<std::string, std::uint64_t> results;
+    std::vector<std::int64_t> latencies_us;
+};
+
+// Whether the body is the complete answer to exactly this request. Refusals must repeat their
+// outcome in the body.
+bool is_whole(const http_reply& reply, const std::string& request, const std::string& body,
+              const std::string& path) {
+    nlohmann::json answer = nlohmann::json::parse(reply.body, nullptr, false);
+    if (!answer.is_object()) {
+        return false;
+    }
+    if (!reply.header("trefoil-reason").empty()) {
+        return answer.value("error", "") == reply.header("trefoil-reason") &&
+               answer.value("outcome", "") == reply.header("trefoil-outcome");
+    }
+    std::size_t size_field = path.find("size=");
+    std::size_t size =
+        size_field == std::string::npos ? 0 : std::stoull(path.substr(size_field + 5));
+    return answer.value("request", "") == request &&
+           answer.value("body_checksum", std::uint64_t{0}) == checksum64(body) &&
+           answer.value("padding", "").size() == size;
+}
+
+class caller {
+public:
+    caller(const load_options& chosen, int index, key_line own_key, const event_log& log,
+           summary& counts)
+        : options(chosen),
+          number(static_cast<std::size_t>(index)),
+          key(std::move(own_key)),
+          events(log),
+          totals(counts),
+          random(chosen.seed * 1000003 + static_cast<std::uint64_t>(index)) {}
+
+    void run(std::int64_t end_us) {
+        std::int64_t next_us = now_us() + this->pause_us();
+        for (std::uint64_t sequence = 1; next_us < end_us; ++sequence) {
+            std::this_thread::sleep_for(std::chrono::microseconds(next_us - now_us()));
+            this->send(std::to_string(this->options.seed) + "-" +
+                       std::to_string(entropy_seed() % 1'000'000'000) + "-" +
+                       std::to_string(this->number) + "-" + std::to_string(sequence));
+            // A slow answer delays the next request: a caller has one request at a time.
+            next_us = std::max(next_us + this->pause_us(), now_us());
+        }
+    }
+
+private:
+    // Exponentially distributed, so that requests of all callers form a Poisson process.
+    std::int64_t pause_us() {
+        if (this->options.rate <= 0) {
+            return 0;
+        }
+        double mean_us = 1e6 * this->options.callers / this->options.rate;
+        return static_cast<std::int64_t>(-mean_us * std::log(1.0 - this->random.uniform()));
+    }
+
+    void send(const std::string& request) {
+        const std::string& target =
+            this->options.targets[(this->number + this->moves) % this->options.targets.size()];
+        const std::string& path =
+            this->options.paths[this->random.below(this->options.paths.size())];
+        bool safe = this->options.method == "GET" || this->options.method == "HEAD";
+        bool idempotent = safe || this->options.idempotent;
+        http_call call{.method = this->options.method,
+                       .url = "http://" + target + path,
+                       .headers = this->options.headers,
+                       .body = safe ? "" : this->make_body(),
+                       .timeout = std::chrono::milliseconds(this->options.timeout_ms),
+                       .fresh_connection = !idempotent};
+        call.headers.push_back("Request-Id: " + request);
+        if (this->key.key != "-") {
+            call.headers.push_back("Authorization: Bearer " + this->key.key);
+        }
+        if (idempotent && !safe) {
+            call.headers.emplace_back("Trefoil-Idempotent: true");
+        }
+        std::int64_t sent_us = now_us();
+        this->events.write(sent_us, "call",
+                           {{"request", request},
+                            {"key", this->key.label},
+                            {"workspace", this->key.workspace},
+                            {"idempotent", idempotent},
+                            {"target", target},
+                            {"path", path}});
+        http_reply reply = this->client.perform(call);
+        std::int64_t received_us = now_us();
+        this->events.write(
+            received_us, "outcome",
+            {{"request", request},
+             {"status", reply.status},
+             {"reason", reply.header("trefoil-reason")},
+             {"outcome", reply.header("trefoil-outcome")},
+             {"error", reply.error},
+             {"whole", reply.error.empty() && is_whole(reply, request, call.body, path)}});
+        this->totals.add(reply, received_us - sent_us);
+        this->choose_next_target(reply);
+    }
+
+    // Moves to the next target after a failure to connect, and backs off as a real caller would.
+    void choose_next_target(const http_reply& reply) {
+        if (reply.error.empty()) {
+            return;
+        }
+        ++this->moves;
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+
+    std::string make_body() {
+        std::string body(this->options.body_bytes, ' ');
+        std::generate(body.begin(), body.end(),
+                      [this] { return static_cast<char>('a' + this->random.below(26)); });
+        return body;
+    }
+
+    const load_options& options;
+    std::size_t number;
+    key_line key;
+    const event_log& events;
+    summary& totals;
+    seeded_random random;
+    http_client client;
+    std::size_t moves = 0;
+};
+
+std::vector<key_line> read_keys(const std::string& path) {
+    std::vector<key_line> keys;
+    std::ifstream file(path);
+    for (key_line line; file >> line.label >> line.workspace >> line.key;) {
+        keys.push_back(line);
+    }
+    if (keys.empty()) {
+        keys.emplace_back();
+    }
+    return keys;
+}
+
+load_options parse_options(int argc, char** argv) {
+    namespace program = boost::program_options;
+    load_options chosen;
+    program::options_description description("load_client");
+    auto add = description.add_options();
+    add("target", program::value(&chosen.targets)->required()->composing());
+    add("path", program::value(&chosen.paths)->required()->composing());
+    add("method", program::value(&chosen.method));
+    add("key-file", program::value(&chosen.key_file));
+    add("header", program::value(&chosen.headers)->composing());
+    add("rate", program::value(&chosen.rate));
+    add("callers", program::value(&chosen.callers));
+    add("seconds", program::value(&chosen.seconds));
+    add("seed", program::value(&chosen.seed));
+    add("body-bytes", program::value(&chosen.body_bytes));
+    add("timeout-ms", program::value(&chosen.timeout_ms));
+    add("idempotent", program::bool_switch(&chosen.idempotent));
+    add("events", program::value(&chosen.events));
+    program::variables_map values;
+    program::store(program::parse_command_line(argc, argv, description), values);
+    program::notify(values);
+    return chosen;
+}
+
+int run(int argc, char** argv) {
+    load_options options = parse_options(argc, argv);
+    std::vector<key_line> keys = read_keys(options.key_file);
+    event_log events(options.events);
+    summary totals;
+    std::int64_t end_us = now_us() + static_cast<std::int64_t>(options.seconds * 1e6);
+    std::vector<std::thread> threads;
+    for (int number = 0; number < options.callers; ++number) {
+        const key_line& key = keys[static_cast<std::size_t>(number) % keys.size()];
+        threads.emplace_back([&options, number, key, &events, &totals, end_us] {
+            caller(options, number, key, events, totals).run(end_us);
+        });
+    }
+    for (std::thread& thread : threads) {
+        thread.join();
+    }
+    std::cout << totals.report(options.seconds).dump() << std::endl;
+    return 0;
+}
+
+}  // namespace
+
+}  // namespace trefoil::testing
+
+int main(int argc, char** argv) {
+    try {
+        return trefoil::testing::run(argc, argv);
+    } catch (const std::exception& failure) {
+        std::cerr << failure.what() << "\n";
+        return 2;
+    }
+}
