--- /dev/null
+++ b/testing/history_checker/history.h
@@ -0,0 +1,77 @@
+// Events of one run and the invariants of section 1 of the design page, checked on them.
+//
+// Example:
+//
+//     auto events = read_events({"run/client.jsonl", "run/station-1.jsonl"});
+//     for (const check_result& check : check_history(std::get<std::vector<event>>(events))) { ... }
+
+#ifndef TREFOIL_TESTING_HISTORY_CHECKER_HISTORY_H_
+#define TREFOIL_TESTING_HISTORY_CHECKER_HISTORY_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/result.h"
+
+namespace trefoil::testing {
+
+// One event. Which fields have a meaning depends on `kind`:
+//
+//   call       request, key, workspace ("-": none), idempotent, target    by the load client
+//   outcome    request, status, reason, outcome, error, whole             by the load client
+//   start, end request, instance, running, capacity, key_seen, status     by the upstream double
+//   shed       as start: refused before it ran                            by the upstream double
+//   cold       instance: turned cold without warning                      by the upstream double
+//   limit      workspace, rate, burst                                     by the scenario
+//   leaving, live, taken_out, put_back    instance                        by the scenario
+//   key_revoked    key                                                    by the scenario
+//   stop       instance, target: SIGTERM is about to be sent              by the scenario
+//   exited     instance, status: the exit status of a planned stop        by the scenario
+//   version    instance, base, overlay: revisions in force; 0: none       by the scenario
+//   bad_version    base, overlay: revisions that are not valid; 0: none   by the scenario
+//
+// A nested call has the identifier of its parent with ".1" appended.
+struct event {
+    std::int64_t t = 0;  // Microseconds of CLOCK_MONOTONIC.
+    std::string kind = {}, request = {}, instance = {}, key = {}, workspace = {}, target = {};
+    std::int64_t status = 0;
+    std::string reason = {}, outcome = {}, error = {};
+    bool idempotent = false, whole = false, key_seen = false;
+    std::int64_t running = 0, capacity = 0;
+    std::uint64_t base = 0, overlay = 0;
+    double rate = 0, burst = 0;
+
+    friend bool operator==(const event&, const event&) = default;
+};
+
+struct check_result {
+    std::string name;
+    std::size_t examined = 0;  // 0: the history did not exercise this check.
+    std::vector<std::string> violations;
+
+    friend bool operator==(const check_result&, const check_result&) = default;
+};
+
+// A file that cannot be read, or a line that is not an event.
+struct read_failure {
+    std::string file;
+    std::size_t line = 0;
+
+    friend bool operator==(const read_failure&, const read_failure&) = default;
+};
+
+// Reads JSON lines from all files and returns the events in the order of their times.
+result<std::vector<event>, read_failure> read_events(const std::vector<std::string>& files);
+
+// Runs every check on a complete run; `events` must be in the order of their times.
+std::vector<check_result> check_history(const std::vector<event>& events);
+
+// One line per check, followed by its first violations.
+std::string describe(const std::vector<check_result>& checks);
+
+bool all_hold(const std::vector<check_result>& checks);
+
+}  // namespace trefoil::testing
+
+#endif  // TREFOIL_TESTING_HISTORY_CHECKER_HISTORY_H_
