--- /dev/null
+++ b/packages/daemon/admin.h
@@ -0,0 +1,71 @@
+// The admin endpoint for operators: liveness, readiness, metrics, status, explanation of routing.
+//
+// Example:
+//
+//     daemon::admin admin(options, board, parts, clock);
+//     edge::http_server server({.ip = "127.0.0.1", .port = 9001, .threads = 1}, admin);
+
+#ifndef TREFOIL_DAEMON_ADMIN_H_
+#define TREFOIL_DAEMON_ADMIN_H_
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "daemon/blackboard.h"
+#include "daemon/egress.h"
+#include "daemon/ingress.h"
+#include "daemon/limit_service.h"
+#include "daemon/peer_links.h"
+#include "daemon/request_metrics.h"
+#include "edge/http_server.h"
+
+namespace trefoil::daemon {
+
+struct admin_options {
+    std::string instance;
+    std::uint64_t incarnation = 0;
+    std::string failure_domain;
+    std::string site;
+    std::string service;
+    std::chrono::milliseconds confirmation_limit{4000};
+};
+
+// What the endpoint reads besides the blackboard.
+struct admin_sources {
+    egress& local_egress;
+    ingress& local_ingress;
+    limit_service& limits;
+    peer_links& links;
+    request_metrics& metrics;
+};
+
+// Safe for concurrent use.
+class admin final : public edge::request_handler {
+public:
+    admin(admin_options options, blackboard& board, admin_sources sources,
+          const time_source& clock);
+
+    void handle(edge::http_request request, std::shared_ptr<edge::responder> responder) override;
+    edge::http_response refuse(unsigned status) override;
+
+private:
+    // Why the daemon takes no requests; empty when it does.
+    std::vector<std::string> reasons_not_ready() const;
+    bool confirmed(const control_state& control) const;
+    edge::http_response ready() const;
+    edge::http_response metrics() const;
+    edge::http_response status() const;
+    edge::http_response explain(const edge::http_request& request) const;
+
+    const admin_options options;
+    blackboard& board;
+    const admin_sources sources;
+    const time_source& clock;
+};
+
+}  // namespace trefoil::daemon
+
+#endif  // TREFOIL_DAEMON_ADMIN_H_
--- /dev/null
+++ b/packages/daemon/blackboard.h
@@ -0,0 +1,55 @@
+// The blackboard of the daemon: typed slots that its controllers publish and read. No controller
+// calls another for this data.
+//
+// Example:
+//
+//     std::shared_ptr<const config::snapshot> current = board.snapshot.read();
+
+#ifndef TREFOIL_DAEMON_BLACKBOARD_H_
+#define TREFOIL_DAEMON_BLACKBOARD_H_
+
+#include <atomic>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/board_slot.h"
+#include "base/time.h"
+#include "config/active_configuration.h"
+#include "config/snapshot.h"
+#include "membership/view.h"
+#include "routing/candidate_list.h"
+
+namespace trefoil::daemon {
+
+// What the control loop knows about the documents. Published on every change and every tick.
+struct control_state {
+    bool ready = false;
+    bool reader = false;
+    std::string waiting_for;                // Why the start rule is not met; empty when ready.
+    std::optional<mono_time> confirmed_at;  // The snapshot in force was the newest at this time.
+    std::vector<config::held_versions> versions;
+    std::optional<config::rejected_pair> rejected;
+    std::uint64_t platform_reads = 0;
+    std::uint64_t stale_answers = 0;
+    std::uint64_t documents_received = 0;
+    std::uint64_t documents_sent = 0;
+};
+
+enum class lifecycle : std::uint8_t {
+    running,
+    draining,  // SIGTERM came: no new work for the upstream, callers are asked to leave.
+};
+
+struct blackboard {
+    board_slot<config::snapshot> snapshot;             // Written by the control loop.
+    board_slot<membership::view> members;              // Written by the control loop.
+    board_slot<routing::candidate_list> candidates;    // Written by the control loop.
+    board_slot<control_state> control;                 // Written by the control loop.
+    std::atomic<lifecycle> phase{lifecycle::running};  // Written by the main thread.
+};
+
+}  // namespace trefoil::daemon
+
+#endif  // TREFOIL_DAEMON_BLACKBOARD_H_
--- /dev/null
+++ b/packages/daemon/control_loop.cc
@@ -0,0 +1,306 @@
+// Implements the control loop: the thread that ticks the core and the threads that read the
+// platform.
+
+#include "daemon/control_loop.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "base/log.h"
+#include "base/result.h"
+
+namespace trefoil::daemon {
+
+namespace {
+
+constexpr std::chrono::milliseconds tick_interval{50};
+// The three documents can be watched at once, and one thread is left for a read between watches.
+constexpr int platform_threads = 4;
+
+dissemination::platform_answer to_answer(platform::read_result result) {
+    return std::visit(
+        overloaded{[](platform::document& found) -> dissemination::platform_answer {
+                       return dissemination::platform_document{.revision = found.revision,
+                                                               .body = std::move(found.body)};
+                   },
+                   [](platform::unchanged& same) -> dissemination::platform_answer {
+                       return dissemination::platform_unchanged{.revision = same.revision};
+                   },
+                   [](platform::absent&) -> dissemination::platform_answer {
+                       return dissemination::platform_absent{};
+                   },
+                   [](platform::unavailable&) -> dissemination::platform_answer {
+                       return dissemination::platform_unavailable{};
+                   }},
+        result);
+}
+
+membership::instance_record record_of(const messages::hello& peer) {
+    return {.id = peer.instance,
+            .address = peer.address,
+            .failure_domain = peer.failure_domain,
+            .site = peer.site,
+            .service = peer.service};
+}
+
+// Whether the digest shows a configuration in force without an overlay of this site.
+bool shows_absent_overlay(const messages::digest& digest, const std::string& overlay) {
+    bool base_in_force = false;
+    bool overlay_without_revision = false;
+    for (const messages::document_state& each : digest.documents) {
+        base_in_force = base_in_force || (each.name == "base" && each.revision_in_force > 0);
+        overlay_without_revision =
+            overlay_without_revision || (each.name == overlay && each.revision == 0);
+    }
+    return base_in_force && overlay_without_revision;
+}
+
+routing::candidate_state state_of(membership::instance_state state) {
+    switch (state) {
+        case membership::instance_state::live:
+            return routing::candidate_state::live;
+        case membership::instance_state::leaving:
+            return routing::candidate_state::leaving;
+        default:
+            return routing::candidate_state::suspected;
+    }
+}
+
+// Only instances on the list are candidates: an instance that operators removed must get no work,
+// even while it is still in contact.
+// `leaving_self` names this instance when it drains.
+std::shared_ptr<const routing::candidate_list> make_candidates(const membership::view& view,
+                                                               const config::snapshot& snapshot,
+                                                               std::string_view leaving_self) {
+    routing::candidate_list::services by_service;
+    for (const membership::member& each : view.listed()) {
+        const membership::instance_record& record = *each.record;
+        by_service[record.service].push_back(
+            {.instance = record.id,
+             .address = record.address,
+             .failure_domain = record.failure_domain,
+             .state = record.id == leaving_self ? routing::candidate_state::leaving
+                                                : state_of(each.state),
+             .taken_out = snapshot.is_taken_out(record.id, record.failure_domain)});
+    }
+    return std::make_shared<const routing::candidate_list>(std::move(by_service));
+}
+
+}  // namespace
+
+control_loop::control_loop(const dissemination::core_options& given, blackboard& shared,
+                           platform::configuration_service& service, const time_source& time)
+    : options(given),
+      board(shared),
+      platform(service),
+      clock(time),
+      random(entropy_seed()),
+      store(given.site),
+      core(given, this->store, this->random, time.now()) {}
+
+control_loop::~control_loop() {
+    this->stop();
+}
+
+void control_loop::start() {
+    this->threads.emplace_back([this] { this->run(); });
+    for (int i = 0; i < platform_threads; ++i) {
+        this->threads.emplace_back([this] { this->run_platform_reads(); });
+    }
+}
+
+void control_loop::stop() {
+    {
+        absl::MutexLock lock(&this->read_mutex);
+        this->stopping = true;
+    }
+    for (std::thread& thread : this->threads) {
+        thread.join();
+    }
+    this->threads.clear();
+}
+
+template <class Input>
+void control_loop::feed(Input input) {
+    std::vector<dissemination::action> actions;
+    {
+        absl::MutexLock lock(&this->mutex);
+        mono_time now = this->clock.now();
+        input(now);
+        actions = this->core.take_actions();
+        for (const dissemination::action& each : actions) {
+            if (const auto* adopted = std::get_if<dissemination::adopt_list>(&each)) {
+                this->tracker.adopt(now, adopted->list);
+            }
+        }
+        this->publish(now);
+    }
+    this->execute(actions);
+}
+
+void control_loop::run() {
+    while (!this->stopping) {
+        this->feed([this](mono_time now) { this->core.tick(now); });
+        this->links->tick();
+        std::this_thread::sleep_for(tick_interval);
+    }
+}
+
+void control_loop::on_link_open(const messages::hello& peer, bool first) {
+    this->feed([&](mono_time now) {
+        membership::instance_record record = record_of(peer);
+        this->tracker.contact(now, record, peer.incarnation);
+        if (first) {
+            this->core.connection_opened(now, record, peer.address);
+        }
+    });
+}
+
+void control_loop::on_link_closed(const messages::hello& peer, bool last) {
+    if (last) {
+        this->feed([&](mono_time) { this->core.connection_closed(peer.instance); });
+    }
+}
+
+void control_loop::on_dial_failed(const std::string& address) {
+    this->feed([&](mono_time now) { this->core.connection_failed(now, address); });
+}
+
+void control_loop::on_message(const messages::hello& peer, const messages::peer_message& message) {
+    this->feed([&](mono_time now) {
+        this->tracker.contact(now, record_of(peer), peer.incarnation);
+        if (const auto* digest = std::get_if<messages::digest>(&message)) {
+            this->tracker.leaving(peer.instance, peer.incarnation, digest->leaving);
+            if (peer.site == this->options.site &&
+                shows_absent_overlay(*digest, config::overlay_document_name(peer.site))) {
+                this->store.offer_absent_overlay();
+            }
+            this->core.receive(now, peer.instance, *digest);
+        } else if (const auto* request = std::get_if<messages::document_request>(&message)) {
+            this->core.receive(now, peer.instance, *request);
+        } else if (const auto* document = std::get_if<messages::document>(&message)) {
+            this->core.receive(now, peer.instance, *document);
+        }
+    });
+}
+
+void control_loop::begin_leaving() {
+    this->feed([this](mono_time now) {
+        this->leaving = true;
+        this->core.set_leaving(now);
+        this->publish_candidates();
+    });
+}
+
+void control_loop::publish(mono_time now) {
+    const auto& confirmations = this->core.confirmation_state();
+    this->tracker.reported_contacts(confirmations.list_revision(), confirmations.alive_times());
+    auto view = this->tracker.refresh(now);
+    auto snapshot = this->store.configuration().in_force();
+    bool view_changed = view != this->published_view;
+    bool snapshot_changed = snapshot != this->published_snapshot;
+    if (view_changed) {
+        this->published_view = view;
+        this->core.set_view(view);
+        this->board.members.publish(view);
+    }
+    if (snapshot_changed) {
+        this->published_snapshot = snapshot;
+        this->board.snapshot.publish(snapshot);
+    }
+    if (view_changed || snapshot_changed) {
+        this->publish_candidates();
+    }
+    this->publish_control_state();
+}
+
+void control_loop::publish_candidates() {
+    if (this->published_view == nullptr || this->published_snapshot == nullptr) {
+        return;
+    }
+    this->board.candidates.publish(make_candidates(*this->published_view, *this->published_snapshot,
+                                                   this->leaving ? this->options.instance : ""));
+}
+
+void control_loop::publish_control_state() {
+    auto state = std::make_shared<control_state>();
+    state->ready = this->core.ready() && this->published_snapshot != nullptr;
+    state->reader = this->core.reader();
+    state->waiting_for = state->ready ? "" : this->core.waiting_for();
+    state->confirmed_at = this->core.confirmed_at();
+    state->versions = this->store.configuration().versions();
+    state->rejected = this->store.configuration().last_failure();
+    const dissemination::core_counts& counts = this->core.counts();
+    state->platform_reads = counts.platform_reads;
+    state->stale_answers = counts.stale_answers;
+    state->documents_received = counts.documents_received;
+    state->documents_sent = counts.documents_sent;
+    this->board.control.publish(std::move(state));
+}
+
+void control_loop::execute(const std::vector<dissemination::action>& actions) {
+    for (const dissemination::action& each : actions) {
+        this->execute_one(each);
+    }
+}
+
+void control_loop::execute_one(const dissemination::action& action) {
+    std::visit(
+        overloaded{
+            [this](const dissemination::send_message& send) {
+                this->links->send_if_open(send.peer, send.message);
+            },
+            [this](const dissemination::read_document& read) {
+                absl::MutexLock lock(&this->read_mutex);
+                this->reads.push_back(read);
+            },
+            [this](const dissemination::open_connection& open) { this->links->dial(open.address); },
+            // The idle limit closes the connection, because calls may use it too.
+            [](const dissemination::close_connection&) {},
+            [](const dissemination::configuration_offered&) {},
+            [](const dissemination::adopt_list& adopted) {
+                log(log_level::info, "instance_list_adopted",
+                    {{"revision", fmt::to_string(adopted.list->revision())},
+                     {"instances", fmt::to_string(adopted.list->records().size())}});
+            },
+            [](const dissemination::report_invalid_list& invalid) {
+                log(log_level::error, "instance_list_rejected",
+                    {{"revision", fmt::to_string(invalid.revision)}, {"detail", invalid.detail}});
+            }},
+        action);
+}
+
+void control_loop::run_platform_reads() {
+    while (true) {
+        dissemination::read_document next;
+        {
+            absl::MutexLock lock(&this->read_mutex);
+            this->read_mutex.Await(absl::Condition(this, &control_loop::has_reads_or_stops));
+            if (this->stopping) {
+                return;
+            }
+            next = std::move(this->reads.front());
+            this->reads.pop_front();
+        }
+        this->read_platform(next);
+    }
+}
+
+void control_loop::read_platform(const dissemination::read_document& read) {
+    platform::read_result result =
+        this->platform.read({.name = read.name, .after = read.after, .wait = read.wait});
+    bool no_overlay = std::holds_alternative<platform::absent>(result) &&
+                      read.name == config::overlay_document_name(this->options.site);
+    dissemination::platform_answer answer = to_answer(std::move(result));
+    this->feed([&](mono_time now) {
+        if (no_overlay) {
+            this->store.offer_absent_overlay();
+        }
+        this->core.platform_answered(now, read.request, answer);
+    });
+}
+
+}  // namespace trefoil::daemon
--- /dev/null
+++ b/packages/daemon/control_loop.h
@@ -0,0 +1,92 @@
+// Runs the dissemination core: feeds it peer messages and platform answers, executes its actions
+// and publishes the snapshot, the members and the candidates on the blackboard.
+//
+// Example:
+//
+//     daemon::control_loop control(options, board, platform, clock);
+//     control.set_links(links);
+//     control.start();
+
+#ifndef TREFOIL_DAEMON_CONTROL_LOOP_H_
+#define TREFOIL_DAEMON_CONTROL_LOOP_H_
+
+#include <atomic>
+#include <deque>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/synchronization/mutex.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "daemon/blackboard.h"
+#include "daemon/configuration_store.h"
+#include "daemon/peer_links.h"
+#include "dissemination/core.h"
+#include "membership/tracker.h"
+#include "platform/configuration_service.h"
+
+namespace trefoil::daemon {
+
+// Safe for concurrent use.
+class control_loop {
+public:
+    control_loop(const dissemination::core_options& options, blackboard& board,
+                 platform::configuration_service& platform, const time_source& clock);
+    ~control_loop();
+    control_loop(const control_loop&) = delete;
+    control_loop& operator=(const control_loop&) = delete;
+
+    // To be called once, before start().
+    void set_links(peer_links& target) { this->links = &target; }
+    void start();
+    void stop();
+
+    void on_link_open(const messages::hello& peer, bool first);
+    void on_link_closed(const messages::hello& peer, bool last);
+    void on_dial_failed(const std::string& address);
+    void on_message(const messages::hello& peer, const messages::peer_message& message);
+
+    // Tells the peers that this daemon leaves.
+    void begin_leaving();
+
+private:
+    void run();
+    void run_platform_reads();
+    void read_platform(const dissemination::read_document& read);
+    void execute(const std::vector<dissemination::action>& actions);
+    void execute_one(const dissemination::action& action);
+    // Runs `input` on the core under the lock, then executes the actions outside of it.
+    template <class Input>
+    void feed(Input input);
+    void publish(mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void publish_candidates() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void publish_control_state() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    bool has_reads_or_stops() const { return this->stopping || !this->reads.empty(); }
+
+    const dissemination::core_options options;
+    blackboard& board;
+    platform::configuration_service& platform;
+    const time_source& clock;
+    peer_links* links = nullptr;
+
+    absl::Mutex mutex;
+    // Guarded by mutex.
+    seeded_random random;
+    configuration_store store;
+    membership::tracker tracker;
+    dissemination::core core;
+    std::shared_ptr<const membership::view> published_view;
+    std::shared_ptr<const config::snapshot> published_snapshot;
+    bool leaving = false;
+
+    absl::Mutex read_mutex;
+    std::deque<dissemination::read_document> reads;  // Guarded by read_mutex.
+    std::atomic<bool> stopping{false};
+    std::vector<std::thread> threads;
+};
+
+}  // namespace trefoil::daemon
+
+#endif  // TREFOIL_DAEMON_CONTROL_LOOP_H_
--- /dev/null
+++ b/packages/daemon/daemon.cc
@@ -0,0 +1,242 @@
+// Implements the assembly of the daemon and its graceful stop.
+
+#include "daemon/daemon.h"
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <utility>
+
+#include "base/log.h"
+#include "base/random.h"
+
+namespace trefoil::daemon {
+
+namespace {
+
+constexpr std::string_view fleet_protocol = "trefoil/1";
+constexpr std::chrono::milliseconds timer_interval{5};
+// How long callers and peers may take to learn that the instance leaves, before it stops accepting.
+constexpr std::chrono::milliseconds announce_time{2000};
+constexpr std::chrono::milliseconds drain_limit{60000};
+
+// Start time in microseconds with random low bits, so that two starts in one microsecond differ and
+// a later start is greater.
+std::uint64_t make_incarnation() {
+    constexpr unsigned random_bits = 10;
+    auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count();
+    return (static_cast<std::uint64_t>(microseconds) << random_bits) |
+           (entropy_seed() & ((1U << random_bits) - 1));
+}
+
+messages::hello make_hello(const settings& options, std::uint64_t incarnation) {
+    return {.fleet_protocol = std::string(fleet_protocol),
+            .instance = options.instance,
+            .incarnation = incarnation,
+            .failure_domain = options.failure_domain,
+            .site = options.site,
+            .service = options.service,
+            .address = options.listen.peers.text()};
+}
+
+dissemination::core_options make_core_options(const settings& options) {
+    dissemination::core_options core{.instance = options.instance,
+                                     .failure_domain = options.failure_domain,
+                                     .site = options.site,
+                                     .address = options.listen.peers.text()};
+    for (const socket_address& seed : options.seeds) {
+        core.seeds.push_back(seed.text());
+    }
+    return core;
+}
+
+bool listed_as_leaving(const membership::view& view, const std::string& instance) {
+    const membership::member* own = view.find(instance);
+    return own != nullptr && own->listed && own->record->state == membership::listed_state::leaving;
+}
+
+}  // namespace
+
+daemon::daemon(const settings& given)
+    : options(given),
+      incarnation(make_incarnation()),
+      platform({.url = given.platform}),
+      limits({.incarnation = this->incarnation}, given.instance, this->board, this->clock),
+      local_egress({.upstream = given.upstream.text(), .service = given.service}, this->contexts,
+                   this->clock),
+      local_ingress({.instance = given.instance,
+                     .incarnation = this->incarnation,
+                     .failure_domain = given.failure_domain},
+                    this->board, this->limits, this->contexts, this->local_egress, this->metrics,
+                    this->clock),
+      control(make_core_options(given), this->board, this->platform, this->clock),
+      links({.endpoint = {.self = make_hello(given, this->incarnation),
+                          .fleet_secret = given.fleet_secret}},
+            *this, this->clock),
+      operators({.instance = given.instance,
+                 .incarnation = this->incarnation,
+                 .failure_domain = given.failure_domain,
+                 .site = given.site,
+                 .service = given.service},
+                this->board,
+                {.local_egress = this->local_egress,
+                 .local_ingress = this->local_ingress,
+                 .limits = this->limits,
+                 .links = this->links,
+                 .metrics = this->metrics},
+                this->clock),
+      callers_server({.ip = given.listen.callers.ip, .port = given.listen.callers.port},
+                     this->local_ingress),
+      admin_server({.ip = given.listen.admin.ip, .port = given.listen.admin.port, .threads = 1},
+                   this->operators) {
+    this->control.set_links(this->links);
+    this->limits.set_links(this->links);
+    this->local_ingress.set_links(this->links);
+}
+
+daemon::~daemon() {
+    this->drain_and_stop();
+}
+
+result<daemon_started, start_failure> daemon::start() {
+    const listen_addresses& listen = this->options.listen;
+    if (!succeeded(this->links.start(listen.peers.ip, listen.peers.port))) {
+        return start_failure{.field = "listen.peers", .address = listen.peers.text()};
+    }
+    if (!succeeded(this->admin_server.start())) {
+        return start_failure{.field = "listen.admin", .address = listen.admin.text()};
+    }
+    if (!succeeded(this->callers_server.start())) {
+        return start_failure{.field = "listen.callers", .address = listen.callers.text()};
+    }
+    this->running = true;
+    this->control.start();
+    this->timer = std::thread([this] { this->run_timer(); });
+    log(log_level::info, "daemon_started",
+        {{"instance", this->options.instance},
+         {"failure_domain", this->options.failure_domain},
+         {"site", this->options.site},
+         {"callers", listen.callers.text()},
+         {"peers", listen.peers.text()},
+         {"admin", listen.admin.text()}});
+    return daemon_started{};
+}
+
+// Callers with kept connections are asked to leave while their requests are still served by other
+// upstreams, then the listener closes, then what is held finishes.
+void daemon::drain_and_stop() {
+    if (!this->running) {
+        return;
+    }
+    this->running = false;
+    log(log_level::info, "drain_started");
+    this->board.phase = lifecycle::draining;
+    this->local_egress.drain();
+    this->control.begin_leaving();
+    this->callers_server.begin_close();
+    std::this_thread::sleep_for(announce_time);
+    this->callers_server.stop_accepting();
+    this->wait_until_idle(drain_limit);
+    this->stopping = true;
+    this->callers_server.stop();
+    this->admin_server.stop();
+    this->platform.stop();
+    this->control.stop();
+    if (this->timer.joinable()) {
+        this->timer.join();
+    }
+    this->links.stop();
+    log(log_level::info, "daemon_stopped");
+}
+
+void daemon::wait_until_idle(std::chrono::milliseconds limit) {
+    mono_time end = this->clock.now() + limit;
+    while (this->clock.now() < end) {
+        bool idle = this->callers_server.pending_requests() == 0 &&
+                    this->local_ingress.calls_in_progress() == 0 && this->local_egress.idle();
+        if (idle) {
+            return;
+        }
+        std::this_thread::sleep_for(timer_interval);
+    }
+    log(log_level::warning, "drain_limit_reached");
+}
+
+void daemon::run_timer() {
+    while (!this->stopping) {
+        this->follow_blackboard();
+        this->limits.tick();
+        this->local_egress.tick();
+        this->local_ingress.tick();
+        std::this_thread::sleep_for(timer_interval);
+    }
+}
+
+// The egress obeys the configuration and the list by itself, so that an ingress with an older view
+// does no harm.
+void daemon::follow_blackboard() {
+    auto snapshot = this->board.snapshot.read();
+    auto view = this->board.members.read();
+    if (snapshot == nullptr || (snapshot == this->applied_snapshot && view == this->applied_view)) {
+        return;
+    }
+    this->applied_snapshot = snapshot;
+    this->applied_view = view;
+    if (const config::service* own = snapshot->find_service(this->options.service)) {
+        this->local_egress.configure(own->slots, own->queue);
+    }
+    auto availability = gate::upstream_availability::available;
+    if (snapshot->is_taken_out(this->options.instance, this->options.failure_domain)) {
+        availability = gate::upstream_availability::taken_out;
+    } else if (view != nullptr && listed_as_leaving(*view, this->options.instance)) {
+        availability = gate::upstream_availability::leaving;
+    }
+    this->local_egress.set_availability(availability);
+}
+
+void daemon::on_link_open(const messages::hello& peer, bool first) {
+    this->control.on_link_open(peer, first);
+}
+
+void daemon::on_link_closed(transport::connection_id connection, const messages::hello& peer,
+                            bool last) {
+    this->local_egress.connection_lost(connection);
+    this->local_ingress.on_connection_lost(connection, peer.instance);
+    this->control.on_link_closed(peer, last);
+}
+
+void daemon::on_dial_failed(const std::string& address) {
+    this->control.on_dial_failed(address);
+}
+
+void daemon::on_call(const message_origin& origin, messages::call call, mono_time sent) {
+    gate::call_id id{.instance = origin.peer->instance,
+                     .incarnation = origin.peer->incarnation,
+                     .sequence = call.sequence};
+    mono_time deadline = sent + std::chrono::microseconds(call.budget_us);
+    transport::connection_id connection = origin.connection;
+    this->local_egress.offer(id, std::move(call), deadline, connection,
+                             [this, connection](messages::call_result result) {
+                                 this->links.send_on(connection, std::move(result));
+                             });
+}
+
+void daemon::on_message(const message_origin& origin, messages::peer_message message) {
+    if (auto* result = std::get_if<messages::call_result>(&message)) {
+        this->local_ingress.on_result(std::move(*result));
+    } else if (const auto* cancelled = std::get_if<messages::cancel>(&message)) {
+        this->local_egress.cancel({.instance = origin.peer->instance,
+                                   .incarnation = origin.peer->incarnation,
+                                   .sequence = cancelled->sequence});
+    } else if (std::holds_alternative<messages::loan_request>(message) ||
+               std::holds_alternative<messages::loan_grant>(message) ||
+               std::holds_alternative<messages::token_request>(message) ||
+               std::holds_alternative<messages::token_grant>(message)) {
+        this->limits.on_message(origin.peer->instance, message);
+    } else {
+        this->control.on_message(*origin.peer, message);
+    }
+}
+
+}  // namespace trefoil::daemon
--- /dev/null
+++ b/packages/daemon/daemon.h
@@ -0,0 +1,98 @@
+// Assembles the parts of one daemon, runs them and stops them gracefully.
+//
+// Example:
+//
+//     daemon::daemon process(settings);
+//     auto outcome = process.start();
+//     ... wait for SIGTERM ...
+//     process.drain_and_stop();
+
+#ifndef TREFOIL_DAEMON_DAEMON_H_
+#define TREFOIL_DAEMON_DAEMON_H_
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+#include <variant>
+
+#include "admission/context_table.h"
+#include "base/result.h"
+#include "base/time.h"
+#include "daemon/admin.h"
+#include "daemon/blackboard.h"
+#include "daemon/control_loop.h"
+#include "daemon/egress.h"
+#include "daemon/ingress.h"
+#include "daemon/limit_service.h"
+#include "daemon/peer_links.h"
+#include "daemon/request_metrics.h"
+#include "daemon/settings.h"
+#include "edge/http_server.h"
+#include "platform/http_configuration_service.h"
+
+namespace trefoil::daemon {
+
+// A listen address cannot be used.
+struct start_failure {
+    std::string field;  // The setting, for example "listen.peers".
+    std::string address;
+
+    friend bool operator==(const start_failure&, const start_failure&) = default;
+};
+
+struct daemon_started {
+    friend bool operator==(const daemon_started&, const daemon_started&) = default;
+};
+
+class daemon final : private link_receiver {
+public:
+    explicit daemon(const settings& given);
+    ~daemon() override;
+    daemon(const daemon&) = delete;
+    daemon& operator=(const daemon&) = delete;
+
+    result<daemon_started, start_failure> start();
+
+    // Announces leaving, takes no new work, finishes what is held and ends the threads. Returns
+    // when that is done; bounded by the longest deadline of a held request.
+    void drain_and_stop();
+
+private:
+    void on_link_open(const messages::hello& peer, bool first) override;
+    void on_link_closed(transport::connection_id connection, const messages::hello& peer,
+                        bool last) override;
+    void on_dial_failed(const std::string& address) override;
+    void on_call(const message_origin& origin, messages::call call, mono_time sent) override;
+    void on_message(const message_origin& origin, messages::peer_message message) override;
+
+    void run_timer();
+    void follow_blackboard();
+    void wait_until_idle(std::chrono::milliseconds limit);
+
+    const settings options;
+    const std::uint64_t incarnation;
+    steady_time_source clock;
+    blackboard board;
+    admission::context_table contexts;
+    request_metrics metrics;
+    platform::http_configuration_service platform;
+    limit_service limits;
+    egress local_egress;
+    ingress local_ingress;
+    control_loop control;
+    peer_links links;
+    admin operators;
+    edge::http_server callers_server;
+    edge::http_server admin_server;
+    bool running = false;  // Used by the main thread only.
+    std::thread timer;
+    std::atomic<bool> stopping{false};
+    // Used by the timer thread only.
+    std::shared_ptr<const config::snapshot> applied_snapshot;
+    std::shared_ptr<const membership::view> applied_view;
+};
+
+}  // namespace trefoil::daemon
+
+#endif  // TREFOIL_DAEMON_DAEMON_H_
--- /dev/null
+++ b/packages/daemon/egress.cc
@@ -0,0 +1,243 @@
+// Implements the egress role on top of the gate and the upstream client.
+
+#include "daemon/egress.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace trefoil::daemon {
+
+namespace {
+
+constexpr unsigned status_shed = 503;
+constexpr unsigned status_rate_limited = 429;
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_gateway_timeout = 504;
+constexpr unsigned status_server_error = 500;
+
+gate::call_result_kind kind_of_status(unsigned status) {
+    if (status == status_shed || status == status_rate_limited) {
+        return gate::call_result_kind::shed;
+    }
+    if (status == status_bad_gateway || status == status_gateway_timeout) {
+        return gate::call_result_kind::failed;
+    }
+    return status >= status_server_error ? gate::call_result_kind::application_error
+                                         : gate::call_result_kind::good;
+}
+
+gate::call_result_kind kind_of(const edge::upstream_result& result) {
+    if (const auto* response = std::get_if<edge::http_response>(&result)) {
+        return kind_of_status(response->status);
+    }
+    if (std::holds_alternative<edge::connection_refused>(result)) {
+        return gate::call_result_kind::connection_refused;
+    }
+    const auto* stopped = std::get_if<edge::interrupted>(&result);
+    return stopped != nullptr && stopped->cancelled ? gate::call_result_kind::cancelled
+                                                    : gate::call_result_kind::failed;
+}
+
+messages::call_result result_of(edge::upstream_result result) {
+    messages::call_result answer;
+    if (auto* response = std::get_if<edge::http_response>(&result)) {
+        answer.outcome = messages::call_outcome::answered;
+        answer.status = response->status;
+        answer.headers = edge::forwardable(response->headers);
+        answer.body = std::move(response->body);
+    } else if (std::holds_alternative<edge::connection_refused>(result)) {
+        answer.outcome = messages::call_outcome::not_run;
+        answer.reason = "no_upstream";
+    } else if (std::holds_alternative<edge::interrupted>(result)) {
+        answer.outcome = messages::call_outcome::unknown;
+        answer.reason = "deadline_exceeded";
+    } else {
+        answer.outcome = messages::call_outcome::unknown;
+        answer.reason = "upstream_failed";
+    }
+    return answer;
+}
+
+}  // namespace
+
+egress::egress(egress_options given, admission::context_table& handles, const time_source& time)
+    : options(std::move(given)),
+      contexts(handles),
+      clock(time),
+      gate({}),
+      client({.address = this->options.upstream}, time) {}
+
+void egress::offer(const gate::call_id& id, messages::call call, mono_time deadline,
+                   std::uint64_t connection, result_callback reply) {
+    auto held = std::make_shared<held_call>();
+    held->call = std::move(call);
+    held->deadline = deadline;
+    held->connection = connection;
+    held->reply = std::move(reply);
+    held->cancelled = std::make_shared<std::atomic<bool>>(false);
+    bool known = false;
+    // The call is stored before the gate sees it, because another thread may start it at once.
+    this->calls.update(id, [&](std::shared_ptr<held_call>& slot) {
+        known = slot != nullptr;
+        if (!known) {
+            slot = held;
+        }
+    });
+    if (known) {
+        held->reply({.sequence = id.sequence,
+                     .outcome = messages::call_outcome::unknown,
+                     .reason = "duplicate"});
+        return;
+    }
+    if (held->call.service != this->options.service) {
+        this->refuse(id, {.reason = gate::refusal_reason::no_upstream,
+                          .outcome = messages::call_outcome::not_run});
+        return;
+    }
+    gate::offer_result offered = this->gate.offer(
+        {.id = id, .workspace = held->call.workspace, .deadline = deadline}, this->clock.now());
+    if (std::holds_alternative<gate::start_now>(offered.decision)) {
+        this->start(id);
+    } else if (auto* why = std::get_if<gate::refusal>(&offered.decision)) {
+        this->refuse(id, *why);
+    }
+    this->apply(offered.changes);
+}
+
+void egress::apply(const gate::gate_changes& changes) {
+    for (const gate::call_id& id : changes.start) {
+        this->start(id);
+    }
+    for (const gate::refused_call& each : changes.refused) {
+        this->refuse(each.id, each.why);
+    }
+}
+
+edge::upstream_request egress::make_request(const held_call& call, const std::string& handle,
+                                            mono_time now) const {
+    auto left = std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - now);
+    edge::upstream_request request{.method = call.call.method,
+                                   .target = call.call.target,
+                                   .headers = edge::forwardable(call.call.headers),
+                                   .body = call.call.body,
+                                   .deadline = call.deadline,
+                                   .idempotent = call.call.idempotent,
+                                   .cancelled = call.cancelled};
+    request.headers.push_back({.name = "Trefoil-Context", .value = handle});
+    request.headers.push_back({.name = "Trefoil-Deadline-Ms",
+                               .value = std::to_string(std::max<std::int64_t>(left.count(), 1))});
+    return request;
+}
+
+void egress::start(const gate::call_id& id) {
+    auto found = this->calls.find(id);
+    if (!found.has_value()) {
+        return;
+    }
+    held_call& call = **found;
+    mono_time now = this->clock.now();
+    call.started = now;
+    call.handle = this->contexts.open(
+        {.workspace = call.call.workspace, .deadline = call.deadline, .depth = call.call.depth});
+    ++this->started;
+    this->client.start(
+        this->make_request(call, call.handle, now),
+        [this, id](edge::upstream_result result) { this->finish(id, std::move(result)); });
+}
+
+void egress::finish(const gate::call_id& id, edge::upstream_result result) {
+    auto held = this->calls.take(id);
+    if (!held.has_value()) {
+        return;
+    }
+    held_call& call = **held;
+    this->contexts.close(call.handle);
+    mono_time now = this->clock.now();
+    mono_duration latency = now - call.started;
+    this->upstream_busy_us += static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(latency).count());
+    gate::gate_changes changes = this->gate.finish(id, kind_of(result), latency, now);
+    messages::call_result answer = result_of(std::move(result));
+    answer.sequence = id.sequence;
+    answer.load = this->gate.load();
+    if (answer.outcome == messages::call_outcome::answered) {
+        ++this->answered;
+    } else {
+        ++this->unknown;
+    }
+    call.reply(std::move(answer));
+    this->apply(changes);
+}
+
+void egress::refuse(const gate::call_id& id, const gate::refusal& why) {
+    auto held = this->calls.take(id);
+    if (!held.has_value()) {
+        return;
+    }
+    ++this->refused;
+    (*held)->reply({.sequence = id.sequence,
+                    .outcome = why.outcome,
+                    .reason = std::string(gate::reason_name(why.reason)),
+                    .load = this->gate.load()});
+}
+
+void egress::cancel(const gate::call_id& id) {
+    switch (this->gate.cancel(id)) {
+        case gate::cancel_result::removed_from_queue:
+            this->calls.take(id);
+            break;
+        case gate::cancel_result::abort_running:
+            if (auto found = this->calls.find(id)) {
+                (*found)->cancelled->store(true);
+            }
+            break;
+        case gate::cancel_result::not_here:
+            break;
+    }
+}
+
+void egress::connection_lost(std::uint64_t connection) {
+    std::vector<std::pair<gate::call_id, bool>> affected;
+    this->calls.for_each([&](const gate::call_id& id, const std::shared_ptr<held_call>& each) {
+        if (each->connection == connection) {
+            affected.emplace_back(id, each->call.idempotent);
+        }
+    });
+    for (const auto& [id, idempotent] : affected) {
+        gate::cancel_result result = this->gate.cancel(id);
+        if (result == gate::cancel_result::removed_from_queue) {
+            this->calls.take(id);
+        } else if (result == gate::cancel_result::abort_running && idempotent) {
+            if (auto found = this->calls.find(id)) {
+                (*found)->cancelled->store(true);
+            }
+        }
+    }
+}
+
+void egress::tick() {
+    auto wakeup = this->gate.next_wakeup();
+    mono_time now = this->clock.now();
+    if (wakeup.has_value() && *wakeup <= now) {
+        this->apply(this->gate.expire(now));
+    }
+}
+
+void egress::set_availability(gate::upstream_availability availability) {
+    this->apply(this->gate.set_availability(availability));
+}
+
+void egress::configure(std::uint32_t slots, std::size_t queue) {
+    this->apply(this->gate.configure(slots, queue, this->clock.now()));
+}
+
+egress_totals egress::totals() const {
+    return {.started = this->started,
+            .answered = this->answered,
+            .refused = this->refused,
+            .unknown = this->unknown,
+            .upstream_busy_us = this->upstream_busy_us};
+}
+
+}  // namespace trefoil::daemon
--- /dev/null
+++ b/packages/daemon/egress.h
@@ -0,0 +1,109 @@
+// The egress role: the only path to the upstream beside the daemon. It passes calls through the
+// gate, runs them at the upstream and answers each exactly once.
+//
+// Example:
+//
+//     daemon::egress egress({.upstream = "127.0.0.1:6001"}, contexts, clock);
+//     egress.offer(id, call, deadline, [](messages::call_result result) { ... });
+
+#ifndef TREFOIL_DAEMON_EGRESS_H_
+#define TREFOIL_DAEMON_EGRESS_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "admission/context_table.h"
+#include "base/sharded_map.h"
+#include "base/time.h"
+#include "edge/upstream_client.h"
+#include "gate/upstream_gate.h"
+#include "messages/messages.h"
+
+namespace trefoil::daemon {
+
+struct egress_options {
+    std::string upstream;  // "ip:port".
+    std::string service;   // Calls for another service are refused.
+};
+
+using result_callback = std::function<void(messages::call_result)>;
+
+// Counts since the start, for metrics.
+struct egress_totals {
+    std::uint64_t started = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t upstream_busy_us = 0;
+
+    friend bool operator==(const egress_totals&, const egress_totals&) = default;
+};
+
+// Safe for concurrent use.
+class egress {
+public:
+    egress(egress_options options, admission::context_table& contexts, const time_source& clock);
+
+    // `deadline` is on the local clock. `connection` is the peer connection of the call, 0 for the
+    // local ingress. `reply` is called once, from any thread, unless the call is cancelled before
+    // it starts.
+    void offer(const gate::call_id& id, messages::call call, mono_time deadline,
+               std::uint64_t connection, result_callback reply);
+
+    // The ingresses at the other end have given up every call of this connection: queued calls are
+    // dropped and running idempotent ones aborted. Running calls that are not idempotent go on,
+    // because stopping one halfway could leave its effect incomplete.
+    void connection_lost(std::uint64_t connection);
+
+    // The ingress no longer waits for the call.
+    void cancel(const gate::call_id& id);
+
+    // Starts or refuses queued calls whose time has come. To be called every few milliseconds.
+    void tick();
+
+    // From now on new calls are refused as stopping.
+    void drain() { this->gate.drain(); }
+
+    bool idle() const { return this->gate.idle() && this->calls.size() == 0; }
+    void set_availability(gate::upstream_availability availability);
+    void configure(std::uint32_t slots, std::size_t queue);
+    messages::load_report load() const { return this->gate.load(); }
+    egress_totals totals() const;
+
+private:
+    // A call from its offer to its answer.
+    struct held_call {
+        messages::call call;
+        mono_time deadline;
+        std::uint64_t connection = 0;
+        mono_time started;
+        result_callback reply;
+        std::shared_ptr<std::atomic<bool>> cancelled;
+        std::string handle;  // Context handle while the call runs.
+    };
+
+    void apply(const gate::gate_changes& changes);
+    void start(const gate::call_id& id);
+    void finish(const gate::call_id& id, edge::upstream_result result);
+    void refuse(const gate::call_id& id, const gate::refusal& why);
+    edge::upstream_request make_request(const held_call& call, const std::string& handle,
+                                        mono_time now) const;
+
+    const egress_options options;
+    admission::context_table& contexts;
+    const time_source& clock;
+    gate::upstream_gate gate;
+    sharded_map<gate::call_id, std::shared_ptr<held_call>> calls;
+    std::atomic<std::uint64_t> started{0};
+    std::atomic<std::uint64_t> answered{0};
+    std::atomic<std::uint64_t> refused{0};
+    std::atomic<std::uint64_t> unknown{0};
+    std::atomic<std::uint64_t> upstream_busy_us{0};
+    edge::upstream_client client;  // Last, so that its threads end before the members they use.
+};
+
+}  // namespace trefoil::daemon
+
+#endif  // TREFOIL_DAEMON_EGRESS_H_
--- /dev/null
+++ b/packages/daemon/ingress.cc
@@ -0,0 +1,452 @@
+// Implements the ingress role.
+
+#include "daemon/ingress.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/random.h"
+
+namespace trefoil::daemon {
+
+namespace {
+
+constexpr std::string_view bearer_prefix = "Bearer ";
+constexpr unsigned status_too_large = 413;
+constexpr unsigned status_headers_too_large = 431;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_gateway_timeout = 504;
+
+random_source& thread_random() {
+    thread_local seeded_random random(entropy_seed());
+    return random;
+}
+
+// Responses that a gateway or an overloaded upstream sends; another upstream may answer better.
+bool suggests_retry(unsigned status) {
+    return status == status_unavailable || status == status_bad_gateway ||
+           status == status_gateway_timeout;
+}
+
+std::optional<std::string> bearer_key(const edge::http_request& request) {
+    auto header = edge::find_header(request.headers, "Authorization");
+    if (!header.has_value() || header->size() <= bearer_prefix.size() ||
+        !edge::same_header_name(header->substr(0, bearer_prefix.size()), bearer_prefix)) {
+        return std::nullopt;
+    }
+    return header->substr(bearer_prefix.size());
+}
+
+std::string_view reason_of_give_up(const routing::give_up& decision, std::string_view last) {
+    return decision.reason == routing::give_up_reason::deadline_exceeded
+               ? reasons::deadline_exceeded
+               : last;
+}
+
+}  // namespace
+
+// One request from its arrival to its response. Used by one thread at a time: each step hands it to
+// the next.
+struct ingress::entry_call {
+    std::shared_ptr<edge::responder> responder;
+    mono_time arrived;
+    bool nested = false;
+    bool admitted = false;
+    std::shared_ptr<const config::snapshot> snapshot;  // Keeps `route` valid.
+    const config::route* route = nullptr;
+    messages::call message;  // What is sent to the egress, without sequence and stamps.
+    routing::call_attempts history;
+    std::vector<std::string> tried;
+};
+
+// One attempt of a call. `connection` leaves `not_sent_yet` once: to the connection right before
+// the bytes leave, or to `abandoned` when the ingress gives up before. So "not sent" is never
+// claimed for a call whose bytes leave a moment later.
+struct ingress::attempt {
+    static constexpr transport::connection_id not_sent_yet = 0;
+    static constexpr transport::connection_id abandoned = ~transport::connection_id{0};
+
+    bool claim(transport::connection_id next) {
+        transport::connection_id expected = not_sent_yet;
+        return this->connection.compare_exchange_strong(expected, next);
+    }
+
+    call_ptr call;
+    std::string instance;
+    mono_time expires;
+    std::atomic<transport::connection_id> connection{not_sent_yet};
+};
+
+ingress::ingress(ingress_options given, blackboard& shared, limit_service& limiter,
+                 admission::context_table& handles, egress& own_egress, request_observer& watcher,
+                 const time_source& time)
+    : options(std::move(given)),
+      board(shared),
+      limits(limiter),
+      contexts(handles),
+      local(own_egress),
+      observer(watcher),
+      clock(time),
+      chooser({.failure_domain = this->options.failure_domain}),
+      policy({}),
+      budget({}) {}
+
+edge::http_response ingress::refuse(unsigned status) {
+    std::string_view reason = reasons::bad_request;
+    if (status == status_too_large) {
+        reason = reasons::payload_too_large;
+    } else if (status == status_headers_too_large) {
+        reason = reasons::headers_too_large;
+    } else if (status == status_unavailable) {
+        // The daemon ends with a request still open, which may have been sent to an upstream.
+        return make_refusal(
+            {.reason = reasons::stopping, .outcome = messages::call_outcome::unknown});
+    }
+    return make_refusal({.reason = reason});
+}
+
+void ingress::handle(edge::http_request request, std::shared_ptr<edge::responder> responder) {
+    auto call = std::make_shared<entry_call>();
+    ++this->in_progress;
+    call->responder = std::move(responder);
+    call->arrived = this->clock.now();
+    if (auto refusal = this->accept(*call, request)) {
+        this->respond_refused(call, *refusal);
+        return;
+    }
+    call->message.method = std::move(request.method);
+    call->message.target = std::move(request.path);
+    if (!request.query.empty()) {
+        call->message.target += "?" + request.query;
+    }
+    call->message.headers = edge::forwardable(request.headers);
+    call->message.body = std::move(request.body);
+    this->budget.count_call(call->arrived);
+    if (call->nested || call->message.workspace.empty()) {
+        call->admitted = true;
+        this->dispatch(call);
+        return;
+    }
+    this->limits.admit(call->message.workspace, [this, call](bool admitted) {
+        call->admitted = admitted;
+        if (admitted) {
+            this->dispatch(call);
+        } else {
+            this->respond_refused(call, {.reason = reasons::rate_limited});
+        }
+    });
+}
+
+std::optional<call_refusal> ingress::accept(entry_call& call, const edge::http_request& request) {
+    auto control = this->board.control.read();
+    call.snapshot = this->board.snapshot.read();
+    if (auto refusal = this->check_daemon(control.get())) {
+        return refusal;
+    }
+    auto found = call.snapshot->find_route(request.method, request.path);
+    if (std::holds_alternative<config::no_route>(found)) {
+        return call_refusal{.reason = reasons::no_route};
+    }
+    if (std::holds_alternative<config::method_not_allowed>(found)) {
+        return call_refusal{.reason = reasons::method_not_allowed};
+    }
+    call.route = std::get<const config::route*>(found);
+    call.message.route = call.route->name;
+    call.message.service = call.route->service;
+    call.message.base_revision = call.snapshot->base_revision();
+    if (auto refusal = this->identify(call, request)) {
+        return refusal;
+    }
+    if (auto refusal = this->check_confirmation(call, *control)) {
+        return refusal;
+    }
+    this->set_idempotence(call, request);
+    return this->set_deadline(call, request);
+}
+
+std::optional<call_refusal> ingress::check_daemon(const control_state* control) const {
+    if (control == nullptr || !control->ready || this->board.snapshot.read() == nullptr) {
+        return call_refusal{.reason = reasons::not_ready};
+    }
+    return std::nullopt;
+}
+
+// A valid context handle acts for its workspace. An invalid one counts as absent, so a caller from
+// outside gains nothing with it.
+std::optional<call_refusal> ingress::identify(entry_call& call, const edge::http_request& request) {
+    if (auto handle = edge::find_header(request.headers, "Trefoil-Context")) {
+        if (auto context = this->contexts.find(*handle, call.arrived)) {
+            call.nested = true;
+            call.message.workspace = context->workspace;
+            call.message.depth = context->depth + 1;
+            call.history.deadline = context->deadline;
+            if (call.message.depth > this->options.max_depth) {
+                return call_refusal{.reason = reasons::depth_exceeded};
+            }
+            return std::nullopt;
+        }
+    }
+    if (call.route->open) {
+        return std::nullopt;
+    }
+    auto key = bearer_key(request);
+    if (!key.has_value()) {
+        return call_refusal{.reason = reasons::key_missing};
+    }
+    const config::workspace* owner = call.snapshot->find_workspace_by_digest(sha256_hex(*key));
+    if (owner == nullptr) {
+        return call_refusal{.reason = reasons::key_unknown};
+    }
+    call.message.workspace = owner->name;
+    return std::nullopt;
+}
+
+std::optional<call_refusal> ingress::check_confirmation(const entry_call& call,
+                                                        const control_state& control) const {
+    bool confirmed = control.confirmed_at.has_value() &&
+                     call.arrived - *control.confirmed_at <= this->options.confirmation_limit;
+    if (confirmed || call.route->when_unconfirmed == config::unconfirmed_policy::serve) {
+        return std::nullopt;
+    }
+    return call_refusal{.reason = reasons::unconfirmed};
+}
+
+void ingress::set_idempotence(entry_call& call, const edge::http_request& request) const {
+    bool idempotent = call.route->idempotent_for(request.method);
+    auto marker = edge::find_header(request.headers, "Trefoil-Idempotent");
+    if (marker == "false") {
+        idempotent = false;
+    } else if (marker == "true" && call.route->idempotent.value_or(true)) {
+        idempotent = true;  // A route that says "not idempotent" is believed over its callers.
+    }
+    call.message.idempotent = idempotent;
+    call.history.idempotent = idempotent;
+}
+
+std::optional<call_refusal> ingress::set_deadline(entry_call& call,
+                                                  const edge::http_request& request) {
+    const config::service* service = call.snapshot->find_service(call.route->service);
+    std::int64_t budget_ms = service->timeout.count();
+    if (auto header = edge::find_header(request.headers, "Trefoil-Deadline-Ms")) {
+        const char* end = header->data() + header->size();
+        auto parsed = std::from_chars(header->data(), end, budget_ms);
+        if (parsed.ec != std::errc() || parsed.ptr != end || budget_ms < 1) {
+            return call_refusal{.reason = reasons::bad_request};
+        }
+        budget_ms = std::min<std::int64_t>(budget_ms, service->timeout.count());
+    }
+    mono_time deadline = call.arrived + std::chrono::milliseconds(budget_ms);
+    call.history.deadline = call.nested ? std::min(call.history.deadline, deadline) : deadline;
+    return std::nullopt;
+}
+
+void ingress::dispatch(const call_ptr& call) {
+    mono_time now = this->clock.now();
+    if (now >= call->history.deadline) {
+        this->respond_refused(call, {.reason = reasons::deadline_exceeded,
+                                     .outcome = routing::retry_policy::outcome(call->history)});
+        return;
+    }
+    auto list = this->board.candidates.read();
+    routing::pick_result choice = routing::no_upstream_available{};
+    if (list != nullptr) {
+        choice = this->chooser.pick(list->of_service(call->message.service), call->tried,
+                                    this->load, now, thread_random());
+    }
+    if (const auto* picked = std::get_if<routing::picked_upstream>(&choice)) {
+        this->send_attempt(call, picked->chosen);
+        return;
+    }
+    this->respond_refused(call, {.reason = reasons::no_upstream,
+                                 .outcome = routing::retry_policy::outcome(call->history)});
+}
+
+// An idempotent call keeps half of its time for another upstream, so that one silent peer does not
+// use up the whole deadline.
+void ingress::send_attempt(const call_ptr& call, const routing::candidate& target) {
+    mono_time now = this->clock.now();
+    std::uint64_t sequence = this->next_sequence.fetch_add(1, std::memory_order_relaxed);
+    auto started = std::make_shared<attempt>();
+    started->call = call;
+    started->instance = target.instance;
+    started->expires = call->history.deadline;
+    if (call->history.idempotent) {
+        started->expires = now + (call->history.deadline - now) / 2;
+    }
+    call->tried.push_back(target.instance);
+    this->attempts.update(sequence, [&](std::shared_ptr<attempt>& slot) { slot = started; });
+    this->load.call_sent(target.instance);
+    if (target.instance == this->options.instance) {
+        this->send_local(sequence, call);
+    } else {
+        this->send_remote(sequence, call, target);
+    }
+}
+
+void ingress::send_local(std::uint64_t sequence, const call_ptr& call) {
+    messages::call message = call->message;
+    message.sequence = sequence;
+    this->local.offer({.instance = this->options.instance,
+                       .incarnation = this->options.incarnation,
+                       .sequence = sequence},
+                      std::move(message), call->history.deadline, 0,
+                      [this](messages::call_result result) { this->on_result(std::move(result)); });
+}
+
+void ingress::send_remote(std::uint64_t sequence, const call_ptr& call,
+                          const routing::candidate& target) {
+    messages::call message = call->message;
+    message.sequence = sequence;
+    this->links->send_call(target.instance, target.address,
+                           {.call = std::move(message),
+                            .deadline = call->history.deadline,
+                            .about_to_send =
+                                [this, sequence](transport::connection_id connection) {
+                                    auto found = this->attempts.find(sequence);
+                                    return found.has_value() && (*found)->claim(connection);
+                                },
+                            .not_sent =
+                                [this, sequence] {
+                                    this->end_attempt(sequence, routing::attempt_end::not_sent,
+                                                      reasons::no_upstream);
+                                }});
+}
+
+void ingress::on_result(messages::call_result result) {
+    std::uint64_t sequence = result.sequence;
+    this->finish_attempt(sequence, std::move(result));
+}
+
+// A result whose attempt is over already came too late and is dropped: its caller has an answer.
+void ingress::finish_attempt(std::uint64_t sequence, messages::call_result result) {
+    auto found = this->attempts.take(sequence);
+    if (!found.has_value()) {
+        return;
+    }
+    mono_time now = this->clock.now();
+    const call_ptr& call = (*found)->call;
+    this->load.call_ended((*found)->instance);
+    this->load.reported((*found)->instance, result.load, now);
+    switch (result.outcome) {
+        case messages::call_outcome::answered:
+            this->deliver(call, std::move(result));
+            break;
+        case messages::call_outcome::not_run:
+            this->after_failure(call, routing::attempt_end::not_run_reply,
+                                known_reason(result.reason));
+            break;
+        case messages::call_outcome::unknown:
+            this->after_failure(call, routing::attempt_end::unknown_reply,
+                                known_reason(result.reason));
+            break;
+    }
+}
+
+void ingress::end_attempt(std::uint64_t sequence, routing::attempt_end end,
+                          std::string_view reason) {
+    auto found = this->attempts.take(sequence);
+    if (!found.has_value()) {
+        return;
+    }
+    this->load.call_ended((*found)->instance);
+    if (end == routing::attempt_end::not_sent) {
+        this->load.connection_failed((*found)->instance, this->clock.now());
+    }
+    this->after_failure((*found)->call, end, reason);
+}
+
+void ingress::after_failure(const call_ptr& call, routing::attempt_end end,
+                            std::string_view reason) {
+    auto decision = this->policy.decide(call->history, end, this->budget, this->clock.now());
+    if (std::holds_alternative<routing::retry_elsewhere>(decision)) {
+        this->dispatch(call);
+        return;
+    }
+    const auto& given_up = std::get<routing::give_up>(decision);
+    this->respond_refused(
+        call, {.reason = reason_of_give_up(given_up, reason), .outcome = given_up.outcome});
+}
+
+void ingress::deliver(const call_ptr& call, messages::call_result result) {
+    if (suggests_retry(result.status) && call->history.idempotent) {
+        routing::call_attempts history = call->history;
+        auto decision = this->policy.decide(history, routing::attempt_end::unknown_reply,
+                                            this->budget, this->clock.now());
+        if (std::holds_alternative<routing::retry_elsewhere>(decision)) {
+            call->history = history;
+            this->dispatch(call);
+            return;
+        }
+    }
+    this->respond(call,
+                  {.status = result.status,
+                   .headers = edge::forwardable(result.headers),
+                   .body = std::move(result.body)},
+                  {});
+}
+
+void ingress::respond_refused(const call_ptr& call, const call_refusal& refusal) {
+    this->respond(call, make_refusal(refusal), refusal.reason);
+}
+
+void ingress::respond(const call_ptr& call, edge::http_response response, std::string_view reason) {
+    finished_request finished{.service = call->message.service,
+                              .route = call->message.route,
+                              .workspace = call->message.workspace,
+                              .status = response.status,
+                              .reason = reason,
+                              .admitted = call->admitted,
+                              .retries = call->history.retries,
+                              .duration = this->clock.now() - call->arrived};
+    call->responder->respond(std::move(response));
+    this->observer.on_finished(finished);
+    --this->in_progress;
+}
+
+void ingress::on_connection_lost(transport::connection_id connection, const std::string& instance) {
+    std::vector<std::uint64_t> lost;
+    this->attempts.for_each([&](std::uint64_t sequence, const std::shared_ptr<attempt>& each) {
+        if (each->connection == connection) {
+            lost.push_back(sequence);
+        }
+    });
+    if (!lost.empty()) {
+        this->load.connection_failed(instance, this->clock.now());
+    }
+    for (std::uint64_t sequence : lost) {
+        this->end_attempt(sequence, routing::attempt_end::no_reply, reasons::connection_lost);
+    }
+}
+
+void ingress::tick() {
+    mono_time now = this->clock.now();
+    std::vector<std::pair<std::uint64_t, std::shared_ptr<attempt>>> expired;
+    this->attempts.for_each([&](std::uint64_t sequence, const std::shared_ptr<attempt>& each) {
+        if (each->expires <= now) {
+            expired.emplace_back(sequence, each);
+        }
+    });
+    for (const auto& [sequence, each] : expired) {
+        this->give_up_attempt(sequence, *each);
+    }
+}
+
+void ingress::give_up_attempt(std::uint64_t sequence, attempt& given_up) {
+    if (given_up.instance == this->options.instance) {
+        this->local.cancel({.instance = this->options.instance,
+                            .incarnation = this->options.incarnation,
+                            .sequence = sequence});
+    } else if (given_up.claim(attempt::abandoned)) {
+        this->end_attempt(sequence, routing::attempt_end::not_sent, reasons::deadline_exceeded);
+        return;
+    } else {
+        this->links->send_on(given_up.connection, messages::cancel{.sequence = sequence});
+    }
+    this->end_attempt(sequence, routing::attempt_end::no_reply, reasons::deadline_exceeded);
+}
+
+}  // namespace trefoil::daemon
--- /dev/null
+++ b/packages/daemon/ingress.h
@@ -0,0 +1,132 @@
+// The ingress role: takes callers' HTTP requests, identifies the workspace, charges its limit,
+// chooses upstreams, retries where that is safe, and answers each request once.
+//
+// Example:
+//
+//     daemon::ingress ingress(options, board, limits, contexts, local_egress, observer, clock);
+//     edge::http_server server({.ip = "127.0.0.1", .port = 8001}, ingress);
+
+#ifndef TREFOIL_DAEMON_INGRESS_H_
+#define TREFOIL_DAEMON_INGRESS_H_
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "admission/context_table.h"
+#include "base/sharded_map.h"
+#include "base/time.h"
+#include "config/snapshot.h"
+#include "daemon/blackboard.h"
+#include "daemon/egress.h"
+#include "daemon/limit_service.h"
+#include "daemon/peer_links.h"
+#include "daemon/refusal.h"
+#include "edge/http_server.h"
+#include "routing/load_table.h"
+#include "routing/retry_budget.h"
+#include "routing/retry_policy.h"
+#include "routing/upstream_picker.h"
+
+namespace trefoil::daemon {
+
+// One finished request, for metrics and service-level burn.
+struct finished_request {
+    std::string service;    // Empty when no route was found.
+    std::string route;      // Likewise.
+    std::string workspace;  // Empty when unknown or on open routes.
+    unsigned status = 0;
+    std::string_view reason;  // Empty when the upstream's response was delivered.
+    bool admitted = false;    // Past key check and limit.
+    std::uint32_t retries = 0;
+    mono_duration duration{};
+};
+
+// Safe for concurrent use.
+class request_observer {
+public:
+    virtual ~request_observer() = default;
+    virtual void on_finished(const finished_request& request) = 0;
+};
+
+struct ingress_options {
+    std::string instance;
+    std::uint64_t incarnation = 0;
+    std::string failure_domain;
+    std::chrono::milliseconds confirmation_limit{4000};
+    std::uint32_t max_depth = 6;
+};
+
+// Safe for concurrent use.
+class ingress final : public edge::request_handler {
+public:
+    ingress(ingress_options options, blackboard& board, limit_service& limits,
+            admission::context_table& contexts, egress& local_egress, request_observer& observer,
+            const time_source& clock);
+
+    // To be called once, before the first request.
+    void set_links(peer_links& target) { this->links = &target; }
+
+    void handle(edge::http_request request, std::shared_ptr<edge::responder> responder) override;
+    edge::http_response refuse(unsigned status) override;
+
+    void on_result(messages::call_result result);
+    // Calls whose bytes may have left over this connection get no reply any more.
+    void on_connection_lost(transport::connection_id connection, const std::string& instance);
+
+    // Ends attempts whose time is over. To be called every few milliseconds.
+    void tick();
+
+    std::size_t calls_in_progress() const { return this->in_progress.load(); }
+    const routing::load_table& loads() const { return this->load; }
+    const routing::upstream_picker& picker() const { return this->chooser; }
+
+private:
+    struct entry_call;
+    struct attempt;
+    using call_ptr = std::shared_ptr<entry_call>;
+
+    // Each step returns a refusal, or nothing when the call may go on.
+    std::optional<call_refusal> check_daemon(const control_state* control) const;
+    std::optional<call_refusal> identify(entry_call& call, const edge::http_request& request);
+    std::optional<call_refusal> check_confirmation(const entry_call& call,
+                                                   const control_state& control) const;
+    std::optional<call_refusal> accept(entry_call& call, const edge::http_request& request);
+    std::optional<call_refusal> set_deadline(entry_call& call, const edge::http_request& request);
+    void set_idempotence(entry_call& call, const edge::http_request& request) const;
+
+    void dispatch(const call_ptr& call);
+    void send_attempt(const call_ptr& call, const routing::candidate& target);
+    void send_local(std::uint64_t sequence, const call_ptr& call);
+    void send_remote(std::uint64_t sequence, const call_ptr& call,
+                     const routing::candidate& target);
+    void finish_attempt(std::uint64_t sequence, messages::call_result result);
+    void give_up_attempt(std::uint64_t sequence, attempt& given_up);
+    void end_attempt(std::uint64_t sequence, routing::attempt_end end, std::string_view reason);
+    void after_failure(const call_ptr& call, routing::attempt_end end, std::string_view reason);
+    void deliver(const call_ptr& call, messages::call_result result);
+    void respond(const call_ptr& call, edge::http_response response, std::string_view reason);
+    void respond_refused(const call_ptr& call, const call_refusal& refusal);
+
+    const ingress_options options;
+    blackboard& board;
+    limit_service& limits;
+    admission::context_table& contexts;
+    egress& local;
+    request_observer& observer;
+    const time_source& clock;
+    peer_links* links = nullptr;
+    routing::load_table load;
+    routing::upstream_picker chooser;
+    routing::retry_policy policy;
+    routing::retry_budget budget;
+    std::atomic<std::uint64_t> next_sequence{1};
+    std::atomic<std::size_t> in_progress{0};
+    sharded_map<std::uint64_t, std::shared_ptr<attempt>> attempts;  // By sequence; not yet over.
+};
+
+}  // namespace trefoil::daemon
+
+#endif  // TREFOIL_DAEMON_INGRESS_H_
--- /dev/null
+++ b/packages/daemon/limit_service.h
@@ -0,0 +1,67 @@
+// Connects the rate limiter to peers and to the requests that wait for a token.
+//
+// Example:
+//
+//     limits.admit("north", [](bool admitted) { ... });
+
+#ifndef TREFOIL_DAEMON_LIMIT_SERVICE_H_
+#define TREFOIL_DAEMON_LIMIT_SERVICE_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "admission/rate_limiter.h"
+#include "base/sharded_map.h"
+#include "base/time.h"
+#include "daemon/blackboard.h"
+#include "daemon/peer_links.h"
+
+namespace trefoil::daemon {
+
+using admission_callback = std::function<void(bool admitted)>;
+
+// Safe for concurrent use.
+class limit_service {
+public:
+    limit_service(const admission::limit_options& options, std::string self, blackboard& board,
+                  const time_source& clock);
+
+    // To be called once, before any other member.
+    void set_links(peer_links& target) { this->links = &target; }
+
+    // Calls `decided` once: at once when a token is at hand, otherwise after at most the wait bound
+    // and one tick, from any thread.
+    void admit(const std::string& workspace, admission_callback decided);
+
+    void on_message(const std::string& from, const messages::peer_message& message);
+
+    // Takes over new limits and members from the blackboard and does what is due. To be called
+    // about every 10 ms by one thread.
+    void tick();
+
+    std::optional<admission::rate_limiter::pool_state> inspect(const std::string& workspace) {
+        return this->limiter.inspect(workspace);
+    }
+
+private:
+    void execute(const admission::limiter_output& output);
+    void follow_blackboard();
+
+    const std::string self;
+    blackboard& board;
+    const time_source& clock;
+    peer_links* links = nullptr;
+    admission::rate_limiter limiter;
+    sharded_map<std::uint64_t, admission_callback> waiting;  // By call number.
+    std::atomic<std::uint64_t> next_call{1};
+    // Used by tick() only.
+    std::shared_ptr<const config::snapshot> applied_snapshot;
+    std::shared_ptr<const membership::view> applied_view;
+    bool applied_draining = false;
+};
+
+}  // namespace trefoil::daemon
+
+#endif  // TREFOIL_DAEMON_LIMIT_SERVICE_H_
--- /dev/null
+++ b/packages/daemon/peer_links.cc
@@ -0,0 +1,333 @@
+// Implements the table of peer connections: dialing with back-off, queues of messages that wait for
+// a connection, and the closing of idle connections.
+
+#include "daemon/peer_links.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+
+namespace trefoil::daemon {
+
+namespace {
+
+constexpr std::size_t queue_capacity = 64;
+constexpr std::size_t early_call_capacity = 256;
+
+}  // namespace
+
+struct peer_links::link {
+    transport::connection_id id = 0;
+    messages::hello peer;
+    bool outgoing = false;
+    std::atomic<std::int64_t> last_used_us{0};  // Last message other than a heartbeat.
+    absl::Mutex mutex;
+    routing::clock_offset offset;
+    // Calls that came before the first pong, without which their age is unknown. Guarded by mutex.
+    std::vector<std::pair<messages::call, mono_time>> early_calls;
+};
+
+peer_links::peer_links(peer_links_options given, link_receiver& target, const time_source& time)
+    : options(std::move(given)),
+      receiver(target),
+      clock(time),
+      random(entropy_seed()),
+      endpoint(this->options.endpoint, *this, time) {
+    this->dial_tokens = this->options.dials_per_second;
+    this->dial_tokens_at = time.now();
+}
+
+result<transport::started, transport::listen_failure> peer_links::start(const std::string& ip,
+                                                                        std::uint16_t port) {
+    return this->endpoint.start(ip, port);
+}
+
+bool peer_links::take_dial_token(mono_time now) {
+    double elapsed = std::chrono::duration<double>(now - this->dial_tokens_at).count();
+    this->dial_tokens_at = now;
+    this->dial_tokens = std::min(this->options.dials_per_second,
+                                 this->dial_tokens + elapsed * this->options.dials_per_second);
+    if (this->dial_tokens < 1) {
+        return false;
+    }
+    this->dial_tokens -= 1;
+    return true;
+}
+
+void peer_links::dial(const std::string& address) {
+    if (address.empty() || address == this->options.endpoint.self.address) {
+        return;
+    }
+    mono_time now = this->clock.now();
+    // The lock is held over connect(), so that the result finds the address in `dialing`.
+    absl::MutexLock lock(&this->dial_mutex);
+    dial_state& state = this->dials[address];
+    if (state.dialing || now < state.next_allowed || !this->take_dial_token(now)) {
+        return;
+    }
+    state.dialing = true;
+    this->dialing[this->endpoint.connect(address)] = address;
+}
+
+void peer_links::finish_dial(transport::connection_id id, bool opened) {
+    std::string address;
+    {
+        absl::MutexLock lock(&this->dial_mutex);
+        auto found = this->dialing.find(id);
+        if (found == this->dialing.end()) {
+            return;
+        }
+        address = found->second;
+        this->dialing.erase(found);
+        dial_state& state = this->dials[address];
+        state.dialing = false;
+        if (opened) {
+            state.failures = 0;
+            return;
+        }
+        // Full jitter: a uniformly random wait up to the bound spreads the return of many daemons.
+        auto bound = std::min<std::chrono::nanoseconds>(
+            this->options.longest_backoff,
+            this->options.shortest_backoff * (1U << std::min(state.failures, 10U)));
+        ++state.failures;
+        state.next_allowed = this->clock.now() + std::chrono::duration_cast<mono_duration>(
+                                                     bound * this->random.uniform());
+    }
+    this->receiver.on_dial_failed(address);
+}
+
+std::optional<transport::connection_id> peer_links::open_connection(
+    const std::string& instance) const {
+    auto state = this->by_instance.find(instance);
+    if (!state.has_value() || state->links.empty()) {
+        return std::nullopt;
+    }
+    const auto& used = state->links.back();
+    used->last_used_us = to_microseconds(this->clock.now());
+    return used->id;
+}
+
+bool peer_links::is_open(const std::string& instance) const {
+    auto state = this->by_instance.find(instance);
+    return state.has_value() && !state->links.empty();
+}
+
+bool peer_links::send_if_open(const std::string& instance, const messages::peer_message& message) {
+    auto id = this->open_connection(instance);
+    return id.has_value() && this->endpoint.send(*id, message);
+}
+
+void peer_links::send(const std::string& instance, const std::string& address,
+                      const messages::peer_message& message) {
+    if (!this->send_if_open(instance, message)) {
+        this->enqueue(
+            instance, address,
+            {.content = message, .expires = this->clock.now() + this->options.queue_limit});
+    }
+}
+
+void peer_links::send_call(const std::string& instance, const std::string& address,
+                           outgoing_call call) {
+    auto id = this->open_connection(instance);
+    if (id.has_value()) {
+        this->transmit_call(*id, std::move(call));
+        return;
+    }
+    mono_time expires =
+        std::min(call.deadline, this->clock.now() + mono_duration(this->options.queue_limit));
+    this->enqueue(instance, address, {.content = std::move(call), .expires = expires});
+}
+
+void peer_links::enqueue(const std::string& instance, const std::string& address,
+                         queued_message message) {
+    std::optional<queued_message> rejected;
+    std::optional<transport::connection_id> opened;
+    this->by_instance.update(instance, [&](peer_state& state) {
+        if (!state.links.empty()) {
+            opened = state.links.back()->id;
+        } else if (state.waiting.size() < queue_capacity) {
+            state.waiting.push_back(std::move(message));
+        } else {
+            rejected = std::move(message);
+        }
+    });
+    if (opened.has_value()) {
+        this->transmit(*opened, std::move(message));
+        return;
+    }
+    if (rejected.has_value()) {
+        if (auto* call = std::get_if<outgoing_call>(&rejected->content)) {
+            call->not_sent();
+        }
+        return;
+    }
+    this->dial(address);
+}
+
+void peer_links::transmit(transport::connection_id id, queued_message message) {
+    if (auto* call = std::get_if<outgoing_call>(&message.content)) {
+        this->transmit_call(id, std::move(*call));
+    } else {
+        this->endpoint.send(id, std::get<messages::peer_message>(message.content));
+    }
+}
+
+// Stamps the call at the last moment, so that the time in a queue counts against its budget.
+void peer_links::transmit_call(transport::connection_id id, outgoing_call call) {
+    if (!call.about_to_send(id)) {
+        return;
+    }
+    mono_time now = this->clock.now();
+    call.call.sent_us = to_microseconds(now);
+    call.call.budget_us =
+        std::chrono::duration_cast<std::chrono::microseconds>(call.deadline - now).count();
+    if (!this->endpoint.send(id, std::move(call.call))) {
+        call.not_sent();
+    }
+}
+
+void peer_links::on_open(transport::connection_id id, const messages::hello& peer, bool outgoing) {
+    this->finish_dial(id, true);
+    if (peer.instance == this->options.endpoint.self.instance) {
+        this->endpoint.close(id);
+        return;
+    }
+    auto opened = std::make_shared<link>();
+    opened->id = id;
+    opened->peer = peer;
+    opened->outgoing = outgoing;
+    opened->last_used_us = to_microseconds(this->clock.now());
+    this->by_connection.update(id, [&](std::shared_ptr<link>& slot) { slot = opened; });
+    std::deque<queued_message> waiting;
+    bool first = false;
+    this->by_instance.update(peer.instance, [&](peer_state& state) {
+        first = state.links.empty();
+        state.links.push_back(opened);
+        waiting.swap(state.waiting);
+    });
+    this->receiver.on_link_open(peer, first);
+    for (queued_message& each : waiting) {
+        this->transmit(id, std::move(each));
+    }
+}
+
+void peer_links::on_close(transport::connection_id id, const messages::hello* peer) {
+    this->finish_dial(id, false);
+    auto closed = this->by_connection.take(id);
+    if (peer == nullptr || !closed.has_value()) {
+        return;
+    }
+    bool last = false;
+    this->by_instance.update(peer->instance, [&](peer_state& state) {
+        std::erase_if(state.links, [id](const auto& each) { return each->id == id; });
+        last = state.links.empty();
+    });
+    this->receiver.on_link_closed(id, *peer, last);
+}
+
+void peer_links::on_message(transport::connection_id id, const messages::hello& peer,
+                            messages::peer_message message, mono_time received) {
+    auto found = this->by_connection.find(id);
+    if (!found.has_value()) {
+        return;
+    }
+    link& from = **found;
+    if (auto* pong = std::get_if<messages::pong>(&message)) {
+        this->on_pong(from, *pong, received);
+        return;
+    }
+    from.last_used_us = to_microseconds(received);
+    if (auto* call = std::get_if<messages::call>(&message)) {
+        this->on_call_message(from, std::move(*call), received);
+        return;
+    }
+    this->receiver.on_message({.connection = id, .peer = &peer, .received = received},
+                              std::move(message));
+}
+
+void peer_links::on_pong(link& from, const messages::pong& pong, mono_time received) {
+    std::vector<std::pair<messages::call, mono_time>> released;
+    {
+        absl::MutexLock lock(&from.mutex);
+        from.offset.on_pong(pong, received);
+        released.swap(from.early_calls);
+    }
+    for (auto& [call, arrived] : released) {
+        this->on_call_message(from, std::move(call), arrived);
+    }
+}
+
+void peer_links::on_call_message(link& from, messages::call call, mono_time received) {
+    mono_time sent;
+    {
+        absl::MutexLock lock(&from.mutex);
+        auto estimate = from.offset.earliest_send(call.sent_us, received);
+        if (const auto* time = std::get_if<mono_time>(&estimate)) {
+            sent = *time;
+        } else {
+            if (from.early_calls.size() < early_call_capacity) {
+                from.early_calls.emplace_back(std::move(call), received);
+            }
+            return;
+        }
+    }
+    this->receiver.on_call({.connection = from.id, .peer = &from.peer, .received = received},
+                           std::move(call), sent);
+}
+
+void peer_links::set_kept(std::vector<std::string> instances) {
+    absl::MutexLock lock(&this->dial_mutex);
+    this->kept = std::move(instances);
+}
+
+void peer_links::tick() {
+    mono_time now = this->clock.now();
+    this->drop_expired(now);
+    this->close_idle(now);
+}
+
+void peer_links::drop_expired(mono_time now) {
+    std::vector<queued_message> expired;
+    this->by_instance.for_each([&](const std::string&, peer_state& state) {
+        for (std::size_t i = 0; i < state.waiting.size();) {
+            if (state.waiting[i].expires <= now) {
+                expired.push_back(std::move(state.waiting[i]));
+                state.waiting.erase(state.waiting.begin() + static_cast<std::ptrdiff_t>(i));
+            } else {
+                ++i;
+            }
+        }
+    });
+    this->by_instance.erase_if([](const std::string&, const peer_state& state) {
+        return state.links.empty() && state.waiting.empty();
+    });
+    for (queued_message& each : expired) {
+        if (auto* call = std::get_if<outgoing_call>(&each.content)) {
+            call->not_sent();
+        }
+    }
+}
+
+// Only the side that opened a connection closes it when idle, so that the two sides do not disagree
+// about which of two parallel connections to keep.
+void peer_links::close_idle(mono_time now) {
+    std::vector<std::string> spared;
+    {
+        absl::MutexLock lock(&this->dial_mutex);
+        spared = this->kept;
+    }
+    std::int64_t oldest = to_microseconds(now - mono_duration(this->options.idle_limit));
+    std::vector<transport::connection_id> idle;
+    this->by_connection.for_each([&](transport::connection_id id, const auto& each) {
+        bool is_kept = std::find(spared.begin(), spared.end(), each->peer.instance) != spared.end();
+        if (each->outgoing && !is_kept && each->last_used_us < oldest) {
+            idle.push_back(id);
+        }
+    });
+    for (transport::connection_id id : idle) {
+        this->endpoint.close(id);
+    }
+}
+
+}  // namespace trefoil::daemon
--- /dev/null
+++ b/packages/daemon/peer_links.h
@@ -0,0 +1,160 @@
+// The daemon's connections to its peers, by instance. One connection between two daemons carries
+// calls, gossip and limits alike, in both directions.
+//
+// Example:
+//
+//     daemon::peer_links links(options, receiver, clock);
+//     links.send("station-2", "127.0.0.1:7002", messages::loan_request{...});
+
+#ifndef TREFOIL_DAEMON_PEER_LINKS_H_
+#define TREFOIL_DAEMON_PEER_LINKS_H_
+
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/synchronization/mutex.h"
+#include "base/random.h"
+#include "base/sharded_map.h"
+#include "base/time.h"
+#include "messages/messages.h"
+#include "routing/clock_offset.h"
+#include "transport/peer_endpoint.h"
+
+namespace trefoil::daemon {
+
+// Who sent a message, and over which connection.
+struct message_origin {
+    transport::connection_id connection = 0;
+    const messages::hello* peer = nullptr;  // Valid during the call only.
+    mono_time received;
+};
+
+// Receives what arrives from peers. Called from several threads; must not block.
+class link_receiver {
+public:
+    virtual ~link_receiver() = default;
+    virtual void on_link_open(const messages::hello& peer, bool first) = 0;
+    virtual void on_link_closed(transport::connection_id connection, const messages::hello& peer,
+                                bool last) = 0;
+    virtual void on_dial_failed(const std::string& address) = 0;
+    // `sent` is the earliest local time at which the peer can have sent the call.
+    virtual void on_call(const message_origin& origin, messages::call call, mono_time sent) = 0;
+    virtual void on_message(const message_origin& origin, messages::peer_message message) = 0;
+};
+
+// A call on its way out. `about_to_send` is asked right before the bytes leave and may decline;
+// `not_sent` reports that they never left. Exactly one of "sent", "declined" and `not_sent`
+// happens.
+struct outgoing_call {
+    messages::call call;
+    mono_time deadline;
+    std::function<bool(transport::connection_id)> about_to_send;
+    std::function<void()> not_sent;
+};
+
+struct peer_links_options {
+    transport::peer_endpoint_options endpoint;
+    std::chrono::milliseconds idle_limit{60000};
+    std::chrono::milliseconds queue_limit{1000};  // How long a message waits for a connection.
+    std::chrono::milliseconds shortest_backoff{100};
+    std::chrono::milliseconds longest_backoff{5000};
+    double dials_per_second = 20;
+};
+
+// All members are safe for concurrent use.
+class peer_links final : private transport::peer_events {
+public:
+    peer_links(peer_links_options options, link_receiver& receiver, const time_source& clock);
+
+    result<transport::started, transport::listen_failure> start(const std::string& ip,
+                                                                std::uint16_t port);
+    void stop() { this->endpoint.stop(); }
+
+    // Opens a connection unless one is being opened or the back-off of the address forbids it.
+    void dial(const std::string& address);
+
+    bool is_open(const std::string& instance) const;
+
+    // Sends over an open connection; without one, returns false.
+    bool send_if_open(const std::string& instance, const messages::peer_message& message);
+
+    // Sends over an open connection, or opens one and sends when it is open. Dropped when that
+    // takes longer than the queue limit.
+    void send(const std::string& instance, const std::string& address,
+              const messages::peer_message& message);
+    void send_call(const std::string& instance, const std::string& address, outgoing_call call);
+
+    // Sends a response over the connection on which its request came.
+    bool send_on(transport::connection_id connection, const messages::peer_message& message) {
+        return this->endpoint.send(connection, message);
+    }
+
+    // Keeps connections to these instances although they are idle.
+    void set_kept(std::vector<std::string> instances);
+
+    // Drops expired queued messages and closes idle connections. To be called about every 50 ms.
+    void tick();
+
+    std::size_t open_count() const { return this->by_connection.size(); }
+    transport::traffic_totals totals() const { return this->endpoint.totals(); }
+
+private:
+    struct link;
+    struct queued_message {
+        std::variant<messages::peer_message, outgoing_call> content;
+        mono_time expires;
+    };
+    // Links and waiting messages of one instance.
+    struct peer_state {
+        std::vector<std::shared_ptr<link>> links;  // Open; the one used is the last.
+        std::deque<queued_message> waiting;        // Empty while a link is open.
+    };
+    struct dial_state {
+        bool dialing = false;
+        unsigned failures = 0;
+        mono_time next_allowed;
+    };
+
+    void on_open(transport::connection_id id, const messages::hello& peer, bool outgoing) override;
+    void on_message(transport::connection_id id, const messages::hello& peer,
+                    messages::peer_message message, mono_time received) override;
+    void on_close(transport::connection_id id, const messages::hello* peer) override;
+
+    void on_pong(link& from, const messages::pong& pong, mono_time received);
+    void on_call_message(link& from, messages::call call, mono_time received);
+    std::optional<transport::connection_id> open_connection(const std::string& instance) const;
+    void enqueue(const std::string& instance, const std::string& address, queued_message message);
+    void transmit(transport::connection_id id, queued_message message);
+    void transmit_call(transport::connection_id id, outgoing_call call);
+    void finish_dial(transport::connection_id id, bool opened);
+    bool take_dial_token(mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(dial_mutex);
+    void close_idle(mono_time now);
+    void drop_expired(mono_time now);
+
+    const peer_links_options options;
+    link_receiver& receiver;
+    const time_source& clock;
+    sharded_map<transport::connection_id, std::shared_ptr<link>> by_connection;
+    sharded_map<std::string, peer_state> by_instance;
+
+    mutable absl::Mutex dial_mutex;
+    // The members below, up to the endpoint, are guarded by dial_mutex.
+    std::map<std::string, dial_state> dials;                  // By address.
+    std::map<transport::connection_id, std::string> dialing;  // Address of each opening one.
+    std::vector<std::string> kept;
+    double dial_tokens = 0;
+    mono_time dial_tokens_at;
+    seeded_random random;
+
+    transport::peer_endpoint endpoint;
+};
+
+}  // namespace trefoil::daemon
+
+#endif  // TREFOIL_DAEMON_PEER_LINKS_H_
--- /dev/null
+++ b/packages/daemon/refusal.cc
@@ -0,0 +1,71 @@
+// Implements the table of refusals.
+
+#include "daemon/refusal.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+namespace trefoil::daemon {
+
+namespace {
+
+struct reason_status {
+    std::string_view reason;
+    unsigned status;
+};
+
+constexpr std::array<reason_status, 18> table = {{
+    {reasons::bad_request, 400},
+    {reasons::payload_too_large, 413},
+    {reasons::headers_too_large, 431},
+    {reasons::no_route, 404},
+    {reasons::method_not_allowed, 405},
+    {reasons::key_missing, 401},
+    {reasons::key_unknown, 401},
+    {reasons::rate_limited, 429},
+    {reasons::not_ready, 503},
+    {reasons::unconfirmed, 503},
+    {reasons::stopping, 503},
+    {reasons::no_upstream, 503},
+    {reasons::overloaded, 503},
+    {reasons::depth_exceeded, 508},
+    {reasons::deadline_exceeded, 504},
+    {reasons::upstream_failed, 502},
+    {reasons::connection_lost, 502},
+    {reasons::duplicate, 502},
+}};
+
+const reason_status* find_reason(std::string_view text) {
+    const auto* found = std::find_if(table.begin(), table.end(), [text](const reason_status& each) {
+        return each.reason == text;
+    });
+    return found == table.end() ? nullptr : found;
+}
+
+}  // namespace
+
+unsigned status_of(std::string_view reason) {
+    constexpr unsigned status_bad_gateway = 502;
+    const reason_status* found = find_reason(reason);
+    return found == nullptr ? status_bad_gateway : found->status;
+}
+
+std::string_view known_reason(std::string_view text) {
+    const reason_status* found = find_reason(text);
+    return found == nullptr ? reasons::upstream_failed : found->reason;
+}
+
+edge::http_response make_refusal(const call_refusal& refusal) {
+    std::string outcome =
+        refusal.outcome == messages::call_outcome::not_run ? "not_run" : "unknown";
+    return {.status = status_of(refusal.reason),
+            .headers = {{.name = "Content-Type", .value = "application/json"},
+                        {.name = "Trefoil-Reason", .value = std::string(refusal.reason)},
+                        {.name = "Trefoil-Outcome", .value = outcome}},
+            .body = fmt::format("{{\"error\": \"{}\", \"outcome\": \"{}\"}}\n", refusal.reason,
+                                outcome)};
+}
+
+}  // namespace trefoil::daemon
--- /dev/null
+++ b/packages/daemon/refusal.h
@@ -0,0 +1,56 @@
+// Refusals to callers: the typed reason, its HTTP status and the truthful outcome.
+//
+// Example:
+//
+//     responder->respond(daemon::make_refusal({.reason = daemon::reasons::no_route}));
+
+#ifndef TREFOIL_DAEMON_REFUSAL_H_
+#define TREFOIL_DAEMON_REFUSAL_H_
+
+#include <string>
+#include <string_view>
+
+#include "edge/http_types.h"
+#include "messages/messages.h"
+
+namespace trefoil::daemon {
+
+// The reasons of section 7 of the design page, as they stand in responses and messages.
+namespace reasons {
+inline constexpr std::string_view bad_request = "bad_request";
+inline constexpr std::string_view payload_too_large = "payload_too_large";
+inline constexpr std::string_view headers_too_large = "headers_too_large";
+inline constexpr std::string_view no_route = "no_route";
+inline constexpr std::string_view method_not_allowed = "method_not_allowed";
+inline constexpr std::string_view key_missing = "key_missing";
+inline constexpr std::string_view key_unknown = "key_unknown";
+inline constexpr std::string_view rate_limited = "rate_limited";
+inline constexpr std::string_view not_ready = "not_ready";
+inline constexpr std::string_view unconfirmed = "unconfirmed";
+inline constexpr std::string_view stopping = "stopping";
+inline constexpr std::string_view no_upstream = "no_upstream";
+inline constexpr std::string_view overloaded = "overloaded";
+inline constexpr std::string_view depth_exceeded = "depth_exceeded";
+inline constexpr std::string_view deadline_exceeded = "deadline_exceeded";
+inline constexpr std::string_view upstream_failed = "upstream_failed";
+inline constexpr std::string_view connection_lost = "connection_lost";
+inline constexpr std::string_view duplicate = "duplicate";
+}  // namespace reasons
+
+struct call_refusal {
+    std::string_view reason = reasons::bad_request;
+    messages::call_outcome outcome = messages::call_outcome::not_run;
+
+    friend bool operator==(const call_refusal&, const call_refusal&) = default;
+};
+
+unsigned status_of(std::string_view reason);
+
+// Returns the known reason with this text, or `upstream_failed` for a text of another version.
+std::string_view known_reason(std::string_view text);
+
+edge::http_response make_refusal(const call_refusal& refusal);
+
+}  // namespace trefoil::daemon
+
+#endif  // TREFOIL_DAEMON_REFUSAL_H_
