Escape control characters in validation failures

A quoted YAML value can contain line ends. Shown as they are, they would break the promise of one line for each failure and could fake further lines in a log.

--- a/packages/config/validation_failure.cc
+++ b/packages/config/validation_failure.cc
@@ -10,9 +10,27 @@
 
 namespace {
 
+// Long values are cut, so that a failure stays readable in one line.
+constexpr std::size_t shown_bytes_max = 120;
+
+// Replaces control characters, which could fake further lines or change a terminal's state.
+std::string without_control_characters(std::string_view text) {
+    std::string clean;
+    for (char c : text) {
+        bool control = static_cast<unsigned char>(c) < ' ' || c == 0x7f;
+        if (control) {
+            clean += fmt::format("\\x{:02x}", static_cast<unsigned char>(c));
+        } else {
+            clean.push_back(c);
+        }
+    }
+    return clean;
+}
+
 std::string with_found(std::string_view expected, std::string_view found) {
     return found.empty() ? fmt::format("expected {}", expected)
-                         : fmt::format("expected {}, found \"{}\"", expected, found);
+                         : fmt::format("expected {}, found \"{}\"", expected,
+                                       found.substr(0, shown_bytes_max));
 }
 
 std::string text_of(const validation_failure& failure) {
@@ -48,7 +66,8 @@
 std::string describe(const validation_failure& failure) {
     const location& place = where(failure);
     std::string path = place.path.empty() ? "" : place.path + ": ";
-    return fmt::format("{}:{}: {}{}", place.document, place.line, path, text_of(failure));
+    return without_control_characters(
+        fmt::format("{}:{}: {}{}", place.document, place.line, path, text_of(failure)));
 }
 
 }  // namespace trefoil::config
