Read and check the daemon's settings

Each failure is one line with file, line, field, value and what is allowed; the fleet secret is never shown. Addresses are IP addresses with a port, as the platform's instance list has them. The peers' address must not be unspecified, because it is announced to peers. A relative secret file is looked up beside the settings file, so that a daemon can be started from any directory.

--- /dev/null
+++ b/packages/daemon/settings.cc
@@ -0,0 +1,242 @@
+// Implements reading and checking of settings with the YAML readers of the config package.
+
+#include "daemon/settings.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+#include "config/document.h"
+#include "config/field_reader.h"
+#include "config/yaml_node.h"
+
+namespace trefoil::daemon {
+
+namespace {
+
+constexpr std::size_t secret_characters_min = 16;
+constexpr std::string_view expected_address =
+    "an IP address with a port, such as 127.0.0.1:6001 or [::1]:6001";
+constexpr std::string_view expected_secret = "a secret of at least 16 characters";
+
+result<std::string, unreadable_file> read_file(const std::string& path, std::string_view field) {
+    errno = 0;
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream content;
+    // An empty file inserts nothing, which sets the failure bit of `content` without an error.
+    bool readable = file.is_open() && !std::filesystem::is_directory(path);
+    if (readable) {
+        content << file.rdbuf();
+    }
+    if (!readable || file.bad()) {
+        const char* detail = errno == 0 ? "not a readable file" : std::strerror(errno);
+        return unreadable_file{path, std::string(field), detail};
+    }
+    return content.str();
+}
+
+class settings_reader {
+public:
+    settings_reader(std::string settings_path, const config::yaml_node& root)
+        : path(std::move(settings_path)), fields(config::root_field(root), this->invalid) {}
+
+    result<settings, settings_failures> read() {
+        this->parsed.instance = this->read_name("instance");
+        this->parsed.failure_domain = this->read_name("failure_domain");
+        this->parsed.site = this->read_name("site");
+        this->parsed.service = this->read_name("service");
+        this->read_listen();
+        this->parsed.upstream =
+            this->read_address(this->fields.required("upstream", expected_address));
+        this->read_platform();
+        this->read_seeds();
+        this->read_secret();
+        this->read_log_level();
+        this->fields.reject_unknown();
+        return this->finish();
+    }
+
+private:
+    std::string read_name(std::string_view name) {
+        config::yaml_field field = this->fields.required(name, "a name");
+        return config::read_name(field, "a name", this->invalid).value_or("");
+    }
+
+    socket_address read_address(const config::yaml_field& field) {
+        auto text = config::read_text(field, expected_address, this->invalid);
+        if (!text) {
+            return {};
+        }
+        std::optional<socket_address> address = parse_socket_address(*text);
+        if (!address) {
+            config::reject_value(field, expected_address, this->invalid);
+        }
+        return address.value_or(socket_address{});
+    }
+
+    void read_listen() {
+        config::map_reader map(this->fields.required("listen", "callers, peers and admin"),
+                               this->invalid);
+        config::yaml_field callers = map.required("callers", expected_address);
+        config::yaml_field peers = map.required("peers", expected_address);
+        config::yaml_field admin = map.required("admin", expected_address);
+        listen_addresses& listen = this->parsed.listen;
+        listen.callers = this->read_address(callers);
+        listen.peers = this->read_address(peers);
+        listen.admin = this->read_address(admin);
+        map.reject_unknown();
+        if (peers.value != nullptr && listen.peers.is_unspecified()) {
+            config::reject_value(peers, "an address that peers can connect to", this->invalid);
+        }
+        this->reject_repeated(peers, listen.peers, {listen.callers});
+        this->reject_repeated(admin, listen.admin, {listen.callers, listen.peers});
+    }
+
+    void reject_repeated(const config::yaml_field& field, const socket_address& address,
+                         const std::vector<socket_address>& others) {
+        bool known = address.port != 0;
+        bool repeated = std::find(others.begin(), others.end(), address) != others.end();
+        if (known && repeated) {
+            config::reject_value(field, "an address that no other listener uses", this->invalid);
+        }
+    }
+
+    void read_platform() {
+        constexpr std::string_view expected =
+            "a URL that starts with http:// or https://, without query";
+        config::yaml_field field = this->fields.required("platform", expected);
+        std::optional<std::string> text = config::read_text(field, expected, this->invalid);
+        if (!text) {
+            return;
+        }
+        while (text->ends_with('/')) {
+            text->pop_back();
+        }
+        bool has_scheme = text->starts_with("http://") || text->starts_with("https://");
+        std::size_t host = text->find("://") + 3;
+        bool has_host = has_scheme && host < text->size() && (*text)[host] != ':';
+        bool plain = std::all_of(text->begin(), text->end(), [](char c) {
+            return c > ' ' && c != 0x7f && c != '?' && c != '#' && c != '@';
+        });
+        if (!has_host || !plain) {
+            config::reject_value(field, expected, this->invalid);
+        }
+        this->parsed.platform = std::move(*text);
+    }
+
+    void read_seeds() {
+        config::yaml_field field = this->fields.optional("seeds");
+        for (const auto& element : config::read_list(field, "a list of addresses", this->invalid)) {
+            this->parsed.seeds.push_back(this->read_address(element));
+        }
+    }
+
+    void read_secret() {
+        if (!this->fields.is_map()) {
+            return;
+        }
+        config::yaml_field text = this->fields.secret("fleet_secret");
+        config::yaml_field file = this->fields.optional("fleet_secret_file");
+        bool has_text = text.value != nullptr;
+        bool has_file = file.value != nullptr;
+        if (has_text == has_file) {
+            config::location where{this->path, has_file ? file.value->line : 1, "fleet_secret"};
+            this->invalid.emplace_back(config::missing_field{
+                std::move(where), "either fleet_secret or fleet_secret_file"});
+        } else if (has_text) {
+            this->take_secret(text,
+                              config::read_text(text, expected_secret, this->invalid).value_or(""));
+        } else if (auto name = config::read_text(file, "the path of a file", this->invalid)) {
+            this->read_secret_file(file, *name);
+        }
+    }
+
+    void read_secret_file(const config::yaml_field& field, const std::string& name) {
+        std::filesystem::path location = std::filesystem::path(this->path).parent_path() / name;
+        auto outcome = read_file(location.string(), "fleet_secret_file");
+        if (auto* failure = std::get_if<unreadable_file>(&outcome)) {
+            this->unreadable.push_back(std::move(*failure));
+            return;
+        }
+        std::string secret = std::get<std::string>(std::move(outcome));
+        // Editors end a file with a line end that is not part of the secret.
+        while (secret.ends_with('\n') || secret.ends_with('\r')) {
+            secret.pop_back();
+        }
+        this->take_secret(field, std::move(secret));
+    }
+
+    void take_secret(const config::yaml_field& field, std::string secret) {
+        bool is_scalar = field.value->kind == config::yaml_kind::scalar;
+        if (is_scalar && secret.size() < secret_characters_min) {
+            config::reject_value(field, expected_secret, this->invalid);
+        }
+        this->parsed.fleet_secret = std::move(secret);
+    }
+
+    void read_log_level() {
+        constexpr std::string_view expected = "debug, info, warning, error or off";
+        config::yaml_field field = this->fields.optional("log_level");
+        auto text = config::read_text(field, expected, this->invalid);
+        std::optional<trefoil::log_level> level = parse_log_level(text.value_or("info"));
+        if (!level) {
+            config::reject_value(field, expected, this->invalid);
+        }
+        this->parsed.log_level = level.value_or(trefoil::log_level::info);
+    }
+
+    result<settings, settings_failures> finish() {
+        settings_failures failures(this->invalid.begin(), this->invalid.end());
+        failures.insert(failures.end(), this->unreadable.begin(), this->unreadable.end());
+        if (!failures.empty()) {
+            return failures;
+        }
+        return std::move(this->parsed);
+    }
+
+    std::string path;
+    config::validation_failures invalid;
+    std::vector<unreadable_file> unreadable;
+    config::map_reader fields;  // Refers to `invalid`.
+    settings parsed;
+};
+
+}  // namespace
+
+result<settings, settings_failures> parse_settings(const std::string& path, std::string body) {
+    config::document source = config::make_document(path, 0, std::move(body));
+    auto tree = config::read_yaml(source, {});
+    if (auto* failures = std::get_if<config::validation_failures>(&tree)) {
+        return settings_failures(failures->begin(), failures->end());
+    }
+    return settings_reader(path, std::get<config::yaml_node>(tree)).read();
+}
+
+result<settings, settings_failures> load_settings(const std::string& path) {
+    auto body = read_file(path, "");
+    if (auto* failure = std::get_if<unreadable_file>(&body)) {
+        return settings_failures{std::move(*failure)};
+    }
+    return parse_settings(path, std::get<std::string>(std::move(body)));
+}
+
+std::string describe(const settings_failure& failure) {
+    return std::visit(overloaded{
+                          [](const unreadable_file& f) {
+                              std::string field = f.field.empty() ? "" : f.field + ": ";
+                              return fmt::format("{}expected a readable file, found \"{}\" ({})",
+                                                 field, f.path, f.detail);
+                          },
+                          [](const config::validation_failure& f) { return config::describe(f); },
+                      },
+                      failure);
+}
+
+}  // namespace trefoil::daemon
--- /dev/null
+++ b/packages/daemon/settings.h
@@ -0,0 +1,76 @@
+// The settings of one daemon, read from a YAML file and checked at start.
+//
+// Example:
+//
+//     auto outcome = daemon::load_settings("/etc/trefoil/station-1.yaml");
+//     if (auto* failures = std::get_if<daemon::settings_failures>(&outcome)) {
+//         for (const auto& each : *failures) { std::cerr << daemon::describe(each) << '\n'; }
+//         return 2;
+//     }
+//
+// prints for example `station-1.yaml:5: upstream: expected an IP address with a port, such as
+// 127.0.0.1:6001, found "localhost"`, in one line.
+
+#ifndef TREFOIL_DAEMON_SETTINGS_H_
+#define TREFOIL_DAEMON_SETTINGS_H_
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "base/log.h"
+#include "base/result.h"
+#include "config/validation_failure.h"
+#include "daemon/socket_address.h"
+
+namespace trefoil::daemon {
+
+struct listen_addresses {
+    socket_address callers{};
+    socket_address peers{};  // Also announced to peers, so never unspecified.
+    socket_address admin{};
+
+    friend bool operator==(const listen_addresses&, const listen_addresses&) = default;
+};
+
+struct settings {
+    std::string instance{};
+    std::string failure_domain{};
+    std::string site{};
+    std::string service{};
+    listen_addresses listen{};  // Three different addresses.
+    socket_address upstream{};
+    std::string platform{};  // URL without a trailing slash.
+    std::vector<socket_address> seeds{};
+    std::string fleet_secret{};  // At least 16 characters; never logged.
+    trefoil::log_level log_level = trefoil::log_level::info;
+
+    friend bool operator==(const settings&, const settings&) = default;
+};
+
+// The settings file or the secret file cannot be read.
+struct unreadable_file {
+    std::string path{};
+    std::string field{};   // The setting that names the file; empty for the settings file itself.
+    std::string detail{};  // Text of the system error.
+
+    friend bool operator==(const unreadable_file&, const unreadable_file&) = default;
+};
+
+using settings_failure = std::variant<unreadable_file, config::validation_failure>;
+using settings_failures = std::vector<settings_failure>;
+
+// Reads the settings file and, when it names one, the secret file. A relative secret file is looked
+// up in the directory of the settings file. Never returns an empty list of failures.
+result<settings, settings_failures> load_settings(const std::string& path);
+
+// Checks the text of a settings file; `path` is used in failures and to look up the secret file.
+result<settings, settings_failures> parse_settings(const std::string& path, std::string body);
+
+// Returns one line that names the field, the value and what is allowed. The secret is never shown.
+std::string describe(const settings_failure& failure);
+
+}  // namespace trefoil::daemon
+
+#endif  // TREFOIL_DAEMON_SETTINGS_H_
--- /dev/null
+++ b/packages/daemon/testing/settings_test.cc
@@ -0,0 +1,151 @@
+// Tests of the daemon's settings.
+
+#define BOOST_TEST_MODULE daemon_settings
+#include "daemon/settings.h"
+
+#include <boost/test/unit_test.hpp>
+#include <filesystem>
+#include <fstream>
+
+namespace trefoil::daemon {
+
+namespace {
+
+const std::string complete = R"(instance: station-1
+failure_domain: d1
+site: north
+service: station
+listen: {callers: "0.0.0.0:8001", peers: "127.0.0.1:7001", admin: "[::1]:9001"}
+upstream: "127.0.0.1:6001"
+platform: "http://127.0.0.1:5000/"
+seeds: ["127.0.0.1:7002"]
+fleet_secret: "0123456789abcdef"
+log_level: debug
+)";
+
+std::string failures_of(const std::string& body) {
+    auto outcome = parse_settings("t.yaml", body);
+    std::string texts;
+    if (auto* failures = std::get_if<settings_failures>(&outcome)) {
+        for (const settings_failure& each : *failures) {
+            texts += describe(each) + "\n";
+        }
+    }
+    return texts;
+}
+
+void expect_failure(const std::string& from, const std::string& to, const std::string& expected) {
+    std::string body = complete;
+    std::size_t position = body.find(from);
+    BOOST_TEST_REQUIRE(position != std::string::npos);
+    BOOST_TEST(failures_of(body.replace(position, from.size(), to)) == expected + "\n");
+}
+
+// A directory that is removed at the end of the test.
+class temporary_directory {
+public:
+    temporary_directory() {
+        std::string pattern = (std::filesystem::temp_directory_path() / "settings-XXXXXX").string();
+        BOOST_TEST_REQUIRE(mkdtemp(pattern.data()) != nullptr);
+        this->path = pattern;
+    }
+    ~temporary_directory() { std::filesystem::remove_all(this->path); }
+    temporary_directory(const temporary_directory&) = delete;
+    temporary_directory& operator=(const temporary_directory&) = delete;
+
+    std::string write(const std::string& name, const std::string& content) const {
+        std::ofstream(this->path / name) << content;
+        return (this->path / name).string();
+    }
+
+    std::filesystem::path path;
+};
+
+}  // namespace
+
+// Guards against a setting that is read into the wrong field.
+BOOST_AUTO_TEST_CASE(complete_settings_are_read) {
+    BOOST_TEST_REQUIRE(failures_of(complete) == "");
+    settings read = std::get<settings>(parse_settings("t.yaml", complete));
+    BOOST_TEST(read.instance == "station-1");
+    BOOST_TEST(read.failure_domain == "d1");
+    BOOST_TEST(read.site == "north");
+    BOOST_TEST(read.service == "station");
+    BOOST_TEST(read.listen.callers.text() == "0.0.0.0:8001");
+    BOOST_TEST(read.listen.peers.port == 7001);
+    BOOST_TEST(read.listen.admin.text() == "[::1]:9001");
+    BOOST_TEST(read.upstream.text() == "127.0.0.1:6001");
+    BOOST_TEST(read.platform == "http://127.0.0.1:5000");
+    BOOST_TEST(read.seeds.at(0).text() == "127.0.0.1:7002");
+    BOOST_TEST(read.fleet_secret == "0123456789abcdef");
+    BOOST_TEST((read.log_level == log_level::debug));
+}
+
+// Guards against a daemon that starts with a wrong setting or with an error that does not help.
+BOOST_AUTO_TEST_CASE(wrong_settings_are_reported_in_one_line) {
+    const std::string address =
+        "expected an IP address with a port, such as 127.0.0.1:6001 or "
+        "[::1]:6001, found ";
+    expect_failure("127.0.0.1:6001", "localhost:6001",
+                   "t.yaml:6: upstream: " + address + "\"localhost:6001\"");
+    expect_failure("127.0.0.1:6001", "127.0.0.1:0",
+                   "t.yaml:6: upstream: " + address + "\"127.0.0.1:0\"");
+    expect_failure("127.0.0.1:7002", "::1:70000",
+                   "t.yaml:8: seeds[0]: " + address + "\"::1:70000\"");
+    expect_failure("peers: \"127.0.0.1:7001\"", "peers: \"0.0.0.0:7001\"",
+                   "t.yaml:5: listen.peers: expected an address that peers can connect to, found "
+                   "\"0.0.0.0:7001\"");
+    expect_failure("[::1]:9001", "127.0.0.1:7001",
+                   "t.yaml:5: listen.admin: expected an address that no other listener uses, found "
+                   "\"127.0.0.1:7001\"");
+    expect_failure("http://127.0.0.1:5000/", "127.0.0.1:5000",
+                   "t.yaml:7: platform: expected a URL that starts with http:// or https://, "
+                   "without query, found \"127.0.0.1:5000\"");
+    expect_failure("log_level: debug", "log_level: verbose",
+                   "t.yaml:10: log_level: expected debug, info, warning, error or off, found "
+                   "\"verbose\"");
+    expect_failure("site: north\n", "", "t.yaml:1: site: missing field, expected a name");
+    expect_failure("site: north", "site: a/b",
+                   "t.yaml:3: site: expected a name of 1 to 64 letters, digits, dots, hyphens and "
+                   "underscores that starts with a letter or digit, found \"a/b\"");
+    expect_failure("seeds:", "seed:",
+                   "t.yaml:8: seed: unknown field, expected one of instance, failure_domain, site, "
+                   "service, listen, upstream, platform, seeds, fleet_secret, fleet_secret_file, "
+                   "log_level");
+    expect_failure("log_level: debug", R"(log_level: "a\nb")",
+                   R"(t.yaml:10: log_level: expected debug, info, warning, error or off, found )"
+                   R"("a\x0ab")");
+    BOOST_TEST(failures_of("- a\n") == "t.yaml:1: expected a map, found a list\n");
+}
+
+// Guards against a secret that is too short or that an error message shows.
+BOOST_AUTO_TEST_CASE(short_secret_is_refused_and_never_shown) {
+    expect_failure("0123456789abcdef", "short",
+                   "t.yaml:9: fleet_secret: expected a secret of at least 16 characters");
+    expect_failure("fleet_secret: \"0123456789abcdef\"\n", "",
+                   "t.yaml:1: fleet_secret: missing field, expected either fleet_secret or "
+                   "fleet_secret_file");
+    expect_failure("log_level: debug", "fleet_secret_file: x",
+                   "t.yaml:10: fleet_secret: missing field, expected either fleet_secret or "
+                   "fleet_secret_file");
+}
+
+// Guards against a secret file that is looked up in the wrong directory, or whose line end becomes
+// part of the secret on one daemon only.
+BOOST_AUTO_TEST_CASE(secret_file_is_read_beside_the_settings) {
+    temporary_directory directory;
+    std::string body = complete;
+    body.replace(body.find("fleet_secret: \"0123456789abcdef\""), 32,
+                 "fleet_secret_file: fleet.secret");
+    std::string path = directory.write("t.yaml", body);
+    auto missing = load_settings(path);
+    auto& failure = std::get<unreadable_file>(std::get<settings_failures>(missing).at(0));
+    BOOST_TEST(failure.field == "fleet_secret_file");
+    BOOST_TEST(failure.detail == "No such file or directory");
+    directory.write("fleet.secret", "fedcba9876543210\n");
+    BOOST_TEST(std::get<settings>(load_settings(path)).fleet_secret == "fedcba9876543210");
+    BOOST_TEST(!succeeded(load_settings(directory.path.string())));
+    BOOST_TEST(!succeeded(load_settings((directory.path / "absent.yaml").string())));
+}
+
+}  // namespace trefoil::daemon
