Add tests of the limits under failures and of each rule

Change: limiter_fleet joins limiters by a queue with delay, loss, duplication, reordering, partition, pause, restart, member views and clock rates; largest_excess() runs a bucket over the merged admissions. The holder now checks expiry in one place for every batch; before, the switch reached only the first batch.

--- /dev/null
+++ b/packages/admission/testing/rate_limiter_test.cc
@@ -0,0 +1,226 @@
+// Tests of the fleet-wide limits in a fleet: no interval has too many admissions whatever fails,
+// and a healthy fleet gives its workspaces what they are promised.
+
+#define BOOST_TEST_MODULE rate_limiter
+#include "admission/rate_limiter.h"
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+
+#include "admission/testing/limiter_fleet.h"
+
+namespace trefoil::admission {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr double tolerance = 1e-6;  // Calls; the check adds up rounded rates.
+
+const std::vector<workspace_limit> test_limits = {
+    {.workspace = "large", .rate = 200, .burst = 100},
+    {.workspace = "middle", .rate = 50, .burst = 20},
+    {.workspace = "small", .rate = 5, .burst = 3},
+    {.workspace = "bursty", .rate = 20, .burst = 60},
+};
+
+void run(limiter_fleet& fleet, mono_duration duration, const std::function<void()>& each_step) {
+    mono_time end = fleet.now() + duration;
+    while (fleet.now() < end) {
+        fleet.step();
+        each_step();
+    }
+}
+
+// Drives a fleet with random traffic and random failures.
+class rough_run {
+public:
+    // Failures happen at `failure_rate` of their full frequency.
+    rough_run(const fleet_options& options, std::uint64_t seed, double failure_rate)
+        : instances(options.instances), failure_part(failure_rate), random(seed), fleet(options) {}
+
+    double largest_excess_after(mono_duration duration) {
+        run(this->fleet, duration, [this] {
+            this->traffic();
+            this->failures();
+        });
+        double largest = 0;
+        for (const workspace_limit& limit : test_limits) {
+            largest = std::max(largest, this->fleet.excess(limit.workspace));
+            this->admitted += this->fleet.admissions(limit.workspace).size();
+        }
+        return largest;
+    }
+
+    std::size_t admitted = 0;
+
+private:
+    int any_instance() { return static_cast<int>(this->random.below(this->instances)); }
+
+    // Alternates between quiet phases, in which buckets fill, and phases with up to 4 times the
+    // rate, with bursts at single instances.
+    void traffic() {
+        if (this->fleet.now() >= this->phase_end) {
+            this->load = this->random.uniform() < 0.4 ? 0.1 : 4 * this->random.uniform();
+            this->phase_end = this->fleet.now() + milliseconds(50 + this->random.below(1500));
+            this->focus = this->any_instance();
+        }
+        for (const workspace_limit& limit : test_limits) {
+            if (this->random.uniform() < this->load * limit.rate / 1000) {
+                bool focused = this->random.uniform() < 0.5;
+                this->call(focused ? this->focus : this->any_instance(), limit.workspace);
+            }
+            if (this->random.uniform() < 0.0005) {
+                this->burst(limit);
+            }
+            if (this->random.uniform() < 0.0001) {
+                this->storm(limit);
+            }
+        }
+    }
+
+    void burst(const workspace_limit& limit) {
+        bool spread = this->random.uniform() < 0.5;
+        int instance = this->any_instance();
+        for (int i = 0; i < limit.burst; ++i) {
+            this->call(spread ? this->any_instance() : instance, limit.workspace);
+        }
+    }
+
+    // Spends every token in the fleet at once, which shows when there are too many.
+    void storm(const workspace_limit& limit) {
+        for (int instance = 0; instance < this->instances; ++instance) {
+            for (int i = 0; i < limit.burst; ++i) {
+                this->call(instance, limit.workspace);
+            }
+        }
+    }
+
+    void call(int instance, const std::string& workspace) {
+        if (!this->fleet.paused(instance)) {
+            this->fleet.call(instance, workspace);
+        }
+    }
+
+    void failures() {
+        if (this->random.uniform() >= this->failure_part) {
+            return;
+        }
+        if (this->random.uniform() < 0.0005) {
+            mono_duration length = milliseconds(this->random.below(6000));
+            this->fleet.pause(this->any_instance(), this->fleet.now() + length,
+                              this->random.uniform() < 0.5);
+        }
+        if (this->random.uniform() < 0.0003) {
+            this->fleet.restart(this->any_instance());
+        }
+        if (this->random.uniform() < 0.0005) {
+            this->fleet.set_view(this->any_instance(), this->random_view());
+        }
+        if (this->random.uniform() < 0.0005) {
+            this->fleet.set_group(this->any_instance(), this->random.uniform() < 0.3 ? 1 : 0);
+        }
+    }
+
+    std::vector<std::string> random_view() {
+        std::vector<std::string> view = this->fleet.names();
+        if (this->random.uniform() < 0.5) {
+            return view;
+        }
+        std::erase_if(view, [this](const std::string&) { return this->random.uniform() < 0.4; });
+        return view;
+    }
+
+    int instances;
+    double failure_part;
+    seeded_random random;
+    limiter_fleet fleet;
+    mono_time phase_end;
+    double load = 0;
+    int focus = 0;
+};
+
+// Rare failures let loans and batches work, frequent ones reach rare states.
+double failure_rate(std::uint64_t seed) {
+    return seed % 2 == 0 ? 1 : 0.15;
+}
+
+fleet_options rough_options(std::uint64_t seed) {
+    return {.instances = 5,
+            .max_instances = 5,
+            .limits = test_limits,
+            .seed = seed,
+            .faults = {},
+            .delay = milliseconds(2),
+            .jitter = milliseconds(20),
+            .loss = 0.05,
+            .duplication = 0.05,
+            .late = 0.02,
+            .clock_error = 0.01};
+}
+
+double rough_excess(std::uint64_t seed, const limit_faults& faults, mono_duration duration) {
+    fleet_options options = rough_options(seed);
+    options.faults = faults;
+    rough_run trial(options, seed + 1000, failure_rate(seed));
+    return trial.largest_excess_after(duration);
+}
+
+// Whether some seed shows an excess when a mechanism is off.
+bool fault_is_found(const limit_faults& faults) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        double excess = rough_excess(seed, faults, seconds(40));
+        if (excess > tolerance) {
+            BOOST_TEST_MESSAGE("seed " << seed << ": excess of " << excess << " calls");
+            return true;
+        }
+    }
+    return false;
+}
+
+}  // namespace
+
+// Guards against a check that accepts too many admissions or rejects exactly the limit.
+BOOST_AUTO_TEST_CASE(excess_check_knows_the_limit) {
+    std::vector<mono_time> times(10, mono_time(seconds(5)));
+    BOOST_TEST(largest_excess(times, 10, 10) <= tolerance);
+    BOOST_TEST(largest_excess(times, 10, 9) >= 1 - tolerance);
+    times.push_back(mono_time(milliseconds(5100)));
+    BOOST_TEST(largest_excess(times, 10, 10) <= tolerance);
+    times.push_back(mono_time(milliseconds(5150)));
+    BOOST_TEST(largest_excess(times, 10, 10) >= 0.4);
+}
+
+// Guards against admissions above the limit under loss, duplication, reordering, long delays,
+// pauses, restarts, partitions, differing member views and clock rates.
+BOOST_AUTO_TEST_CASE(no_interval_exceeds_the_limit_under_failures) {
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        rough_run trial(rough_options(seed), seed + 1000, failure_rate(seed));
+        double excess = trial.largest_excess_after(seconds(60));
+        BOOST_TEST(excess <= tolerance, "seed " << seed << ": excess of " << excess << " calls");
+        BOOST_TEST(trial.admitted > 1000U, "seed " << seed << " admitted " << trial.admitted);
+    }
+}
+
+// Guards against a share that is used by lender and borrower at once.
+BOOST_AUTO_TEST_CASE(copied_loans_are_found) {
+    BOOST_TEST(fault_is_found({.copy_loans = true}));
+}
+
+// Guards against accrual in the room of tokens that are out in batches.
+BOOST_AUTO_TEST_CASE(uncounted_batches_are_found) {
+    BOOST_TEST(fault_is_found({.ignore_outstanding = true}));
+}
+
+// Guards against a borrower that uses a loan after its end.
+BOOST_AUTO_TEST_CASE(endless_loans_are_found) {
+    BOOST_TEST(fault_is_found({.keep_ended_loans = true}));
+}
+
+// Guards against a replacement that uses its share while a loan of its predecessor is in use.
+BOOST_AUTO_TEST_CASE(shares_active_at_the_start_are_found) {
+    BOOST_TEST(fault_is_found({.start_active = true}));
+}
+
+}  // namespace trefoil::admission
--- a/packages/admission/token_holder.cc
+++ b/packages/admission/token_holder.cc
@@ -32,38 +32,31 @@
     this->burst = new_burst;
 }
 
+bool token_holder::usable(const batch& item, mono_time now) const {
+    return now < item.usable_until || this->options.faults.ignore_batch_expiry;
+}
+
 bool token_holder::take(mono_time now) {
-    while (!this->batches.empty()) {
-        batch& first = this->batches.front();
-        bool usable = now < first.usable_until || this->options.faults.ignore_batch_expiry;
-        if (usable && first.left >= 1) {
-            first.left -= 1;
-            first.spent += 1;
-            this->held -= 1;
-            this->unreported += 1;
-            return true;
-        }
-        if (!usable) {
-            this->held -= first.left;
-            this->unreported -= first.spent - first.reported;
-            this->batches.pop_front();
-            continue;
-        }
-        break;
-    }
-    // The oldest batch is used up but not yet settled; newer ones may have tokens.
+    this->drop_expired(now);
+    // A batch that is used up stays until it is settled, so the first one may be empty.
     for (batch& each : this->batches) {
-        if (each.left >= 1 && now < each.usable_until) {
+        if (each.left >= 1) {
             each.left -= 1;
             each.spent += 1;
             this->held -= 1;
-            this->unreported += 1;
             return true;
         }
     }
     return false;
 }
 
+void token_holder::drop_expired(mono_time now) {
+    while (!this->batches.empty() && !this->usable(this->batches.front(), now)) {
+        this->held -= this->batches.front().left;
+        this->batches.pop_front();
+    }
+}
+
 void token_holder::add_waiting(std::uint64_t call, mono_time now) {
     this->waiting.push_back({.call = call, .deadline = now + this->options.wait_bound});
 }
@@ -102,8 +95,8 @@
         milliseconds(std::max<std::int64_t>(0, std::min<std::int64_t>(grant.life_ms, 60000))),
         this->options.batch_life);
     mono_time usable_until = request.asked + safe_part(this->options, life);
-    bool usable = now < usable_until || this->options.faults.ignore_batch_expiry;
-    if (granted >= 1 && grant.batch != 0 && usable) {
+    bool in_time = now < usable_until || this->options.faults.ignore_batch_expiry;
+    if (granted >= 1 && grant.batch != 0 && in_time) {
         auto return_after = std::chrono::duration_cast<mono_duration>(life * return_after_part);
         batch item{.id = grant.batch,
                    .home = from,
@@ -141,7 +134,6 @@
         if (each.home == from && now < each.usable_until) {
             double returned = each.left;
             this->return_unspent(each);
-            this->unreported -= each.spent - each.reported;
             each.reported = each.spent;
             report.settlements.push_back(
                 {.batch = each.id, .spent = each.spent, .returned = returned});
@@ -177,12 +169,7 @@
 }
 
 void token_holder::drop_old(mono_time now) {
-    while (!this->batches.empty() && this->batches.front().usable_until <= now &&
-           !this->options.faults.ignore_batch_expiry) {
-        this->held -= this->batches.front().left;
-        this->unreported -= this->batches.front().spent - this->batches.front().reported;
-        this->batches.pop_front();
-    }
+    this->drop_expired(now);
     for (open_request& each : this->open) {
         if (!each.overdue && now - each.asked >= this->options.wait_bound) {
             each.overdue = true;
@@ -236,7 +223,6 @@
         if (old) {
             this->return_unspent(each);
         }
-        this->unreported -= each.spent - each.reported;
         each.reported = each.spent;
         reports.push_back({.batch = each.id, .spent = each.spent, .returned = returned});
     }
--- a/packages/admission/token_holder.h
+++ b/packages/admission/token_holder.h
@@ -91,6 +91,8 @@
         mono_time deadline;
     };
 
+    bool usable(const batch& item, mono_time now) const;
+    void drop_expired(mono_time now);
     void drop_old(mono_time now);
     void refuse_waiting(double count, limiter_output& out);
     bool settlement_due(const std::string& home, mono_time now) const;
@@ -112,7 +114,6 @@
     double low_water = 0;              // Ask for more below this.
     double target = 0;                 // Tokens to hold.
     double demand = 0;                 // Calls per second, smoothed.
-    double unreported = 0;             // Tokens spent and not reported, of all batches.
     std::uint64_t calls = 0;           // Since `measured`.
     mono_time measured;
     mono_time exhausted_until;
