--- a/packages/admission/testing/limiter_fleet.cc
+++ b/packages/admission/testing/limiter_fleet.cc
@@ -142,7 +142,9 @@
         }
         ++this->total.messages;
         if (this->options.measure_bytes) {
-            this->total.bytes += messages::encode(each.message).size();
+            std::uint64_t size = messages::encode(each.message).size();
+            this->nodes[from].bytes += size;
+            this->nodes[target->second].bytes += size;
         }
         this->post(from, target->second, each.message);
         if (this->random.uniform() < this->options.duplication) {
--- a/packages/admission/testing/limiter_fleet.h
+++ b/packages/admission/testing/limiter_fleet.h
@@ -42,8 +42,8 @@
     double duplication = 0;
     double late = 0;  // Probability that a message is delayed by up to `late_by`.
     mono_duration late_by = std::chrono::seconds(6);
-    double clock_error = 0;  // Clock rates are drawn from [1 - error, 1 + error].
-    bool measure_bytes = false;
+    double clock_error = 0;      // Clock rates are drawn from [1 - error, 1 + error].
+    bool measure_bytes = false;  // Encodes every message.
 };
 
 // One thread only. Time moves in steps of 1 ms of true time; limiters see their own clocks.
@@ -79,9 +79,11 @@
         std::uint64_t waited = 0;
         std::uint64_t refused = 0;
         std::uint64_t messages = 0;
-        std::uint64_t bytes = 0;
     };
     const totals& counts() const { return this->total; }
+
+    // Bytes sent and received by an instance.
+    std::uint64_t traffic_bytes(int instance) const { return this->nodes.at(instance).bytes; }
     std::uint64_t last_call() const { return this->next_call - 1; }
 
 private:
@@ -96,6 +98,7 @@
         std::vector<std::string> view;
         std::vector<workspace_limit> limits;
         int max_instances = 0;
+        std::uint64_t bytes = 0;
     };
     struct delivery {
         mono_time time;
