--- /dev/null
+++ b/packages/routing/testing/upstream_picker_test.cc
@@ -0,0 +1,141 @@
+// Tests of the choice of an upstream and of the load table behind it.
+
+#define BOOST_TEST_MODULE routing_upstream_picker
+#include "routing/upstream_picker.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+namespace trefoil::routing {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr mono_time start{std::chrono::hours(1)};
+
+candidate live(const std::string& instance, const std::string& domain) {
+    return {.instance = instance, .address = "127.0.0.1:7001", .failure_domain = domain};
+}
+
+std::map<std::string, int> count_picks(const upstream_picker& picker,
+                                       const std::vector<candidate>& candidates,
+                                       const load_table& loads, mono_time now) {
+    seeded_random random(11);
+    std::map<std::string, int> picks;
+    for (int call = 0; call < 1000; ++call) {
+        pick_result result = picker.pick(candidates, {}, loads, now, random);
+        ++picks[std::get<picked_upstream>(result).chosen.instance];
+    }
+    return picks;
+}
+
+}  // namespace
+
+// Guards against new work for an instance that leaves, is suspected, is taken out, was tried or
+// just failed, whatever the loads are.
+BOOST_AUTO_TEST_CASE(never_picks_an_unusable_instance) {
+    seeded_random random(3);
+    upstream_picker picker({.failure_domain = "d1"});
+    for (int round = 0; round < 5000; ++round) {
+        load_table loads;
+        std::vector<candidate> candidates;
+        std::vector<std::string> tried;
+        for (std::uint64_t index = 0; index < 6; ++index) {
+            candidate each =
+                live("i" + std::to_string(index), "d" + std::to_string(random.below(3)));
+            each.state = static_cast<candidate_state>(random.below(3));
+            each.taken_out = random.below(4) == 0;
+            if (random.below(4) == 0) {
+                tried.push_back(each.instance);
+            }
+            if (random.below(4) == 0) {
+                loads.connection_failed(each.instance, start);
+            }
+            for (std::uint64_t calls = random.below(4); calls > 0; --calls) {
+                loads.call_sent(each.instance);
+            }
+            candidates.push_back(each);
+        }
+        pick_result result =
+            picker.pick(candidates, tried, loads, start + milliseconds(999), random);
+        const auto* picked = std::get_if<picked_upstream>(&result);
+        if (picked == nullptr) {
+            continue;
+        }
+        const candidate& chosen = picked->chosen;
+        BOOST_TEST((chosen.state == candidate_state::live));
+        BOOST_TEST(!chosen.taken_out);
+        BOOST_TEST((std::find(tried.begin(), tried.end(), chosen.instance) == tried.end()));
+        BOOST_TEST(!loads.find(chosen.instance).connection_failed_at.has_value());
+    }
+}
+
+// Guards against cross-domain traffic without need, and against queueing at home while another
+// domain is free.
+BOOST_AUTO_TEST_CASE(own_domain_first_until_it_is_full) {
+    upstream_picker picker({.failure_domain = "d1"});
+    std::vector<candidate> candidates = {live("a", "d1"), live("b", "d1"), live("c", "d2")};
+    load_table loads;
+    for (const candidate& each : candidates) {
+        loads.reported(each.instance, {.running = 0, .queued = 0, .limit = 2}, start);
+    }
+    loads.call_sent("a");
+    loads.call_sent("b");
+    BOOST_TEST(count_picks(picker, candidates, loads, start).count("c") == 0U);
+    loads.call_sent("a");
+    loads.call_sent("b");
+    BOOST_TEST(count_picks(picker, candidates, loads, start)["c"] == 1000);
+}
+
+// Guards against a report that outlives the load it counted: the instance would get no calls, so
+// that no new report could arrive.
+BOOST_AUTO_TEST_CASE(old_report_loses_its_weight) {
+    upstream_picker picker({.failure_domain = "d1"});
+    std::vector<candidate> candidates = {live("a", "d1"), live("b", "d1")};
+    load_table loads;
+    loads.reported("a", {.running = 12, .queued = 20, .limit = 12}, start);
+    loads.reported("b", {.running = 1, .queued = 0, .limit = 12}, start);
+    BOOST_TEST(count_picks(picker, candidates, loads, start).count("a") == 0U);
+    BOOST_TEST(picker.score(loads.find("a"), start + milliseconds(5000)) < 0.01);
+}
+
+// Guards against a permanent exclusion after one failed connection.
+BOOST_AUTO_TEST_CASE(failed_instance_returns_after_a_second) {
+    upstream_picker picker({.failure_domain = "d1"});
+    std::vector<candidate> candidates = {live("a", "d1")};
+    load_table loads;
+    loads.connection_failed("a", start);
+    seeded_random random(1);
+    BOOST_TEST(std::holds_alternative<no_upstream_available>(
+        picker.pick(candidates, {}, loads, start + milliseconds(999), random)));
+    BOOST_TEST(count_picks(picker, candidates, loads, start + milliseconds(1000))["a"] == 1000);
+}
+
+// Guards against an answer that does not tell "all tried" from "none there".
+BOOST_AUTO_TEST_CASE(reason_for_no_choice) {
+    upstream_picker picker({.failure_domain = "d1"});
+    load_table loads;
+    seeded_random random(1);
+    candidate_list list({{"station", {live("a", "d1")}}});
+    BOOST_TEST(std::holds_alternative<every_upstream_tried>(
+        picker.pick(list.of_service("station"), {"a"}, loads, start, random)));
+    BOOST_TEST(std::holds_alternative<no_upstream_available>(
+        picker.pick(list.of_service("dosing"), {}, loads, start, random)));
+}
+
+// Guards against a table that grows with every instance that ever existed, or forgets calls in
+// flight.
+BOOST_AUTO_TEST_CASE(load_table_forgets_replaced_instances) {
+    load_table loads;
+    loads.call_sent("busy");
+    loads.call_sent("gone");
+    loads.call_ended("gone");
+    loads.call_ended("gone");
+    loads.forget_unless([](const std::string&) { return false; });
+    BOOST_TEST(loads.size() == 1U);
+    BOOST_TEST(loads.find("busy").in_flight == 1U);
+    BOOST_TEST(loads.find("gone").in_flight == 0U);
+}
+
+}  // namespace trefoil::routing
