Do not start an upstream request past its deadline

Cause: the gate checks the deadline when it starts a call, but the worker thread sends the request later. A process paused in between would send it after its ingress had given up. The worker now checks deadline and cancellation right before sending and reports that the request did not run.

--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -34,6 +34,9 @@
     if (std::holds_alternative<edge::connection_refused>(result)) {
         return gate::call_result_kind::connection_refused;
     }
+    if (std::holds_alternative<edge::not_started>(result)) {
+        return gate::call_result_kind::cancelled;
+    }
     const auto* stopped = std::get_if<edge::interrupted>(&result);
     return stopped != nullptr && stopped->cancelled ? gate::call_result_kind::cancelled
                                                     : gate::call_result_kind::failed;
@@ -49,6 +52,9 @@
     } else if (std::holds_alternative<edge::connection_refused>(result)) {
         answer.outcome = messages::call_outcome::not_run;
         answer.reason = "no_upstream";
+    } else if (std::holds_alternative<edge::not_started>(result)) {
+        answer.outcome = messages::call_outcome::not_run;
+        answer.reason = "deadline_exceeded";
     } else if (std::holds_alternative<edge::interrupted>(result)) {
         answer.outcome = messages::call_outcome::unknown;
         answer.reason = "deadline_exceeded";
--- a/packages/edge/testing/edge_http_test.cc
+++ b/packages/edge/testing/edge_http_test.cc
@@ -91,6 +91,13 @@
     BOOST_TEST(std::holds_alternative<interrupted>(result));
 }
 
+// Guards against a paused process that starts a request after its deadline when it resumes.
+BOOST_FIXTURE_TEST_CASE(request_past_its_deadline_is_not_started, fixture) {
+    auto result = this->run({.method = "GET", .target = "/", .deadline = this->soon(-1)});
+    BOOST_TEST(std::holds_alternative<not_started>(result));
+    BOOST_TEST(this->handler.handled == 0);
+}
+
 // Guards against "may have run" for a request that never left the process.
 BOOST_FIXTURE_TEST_CASE(refused_connection_is_reported_as_such, fixture) {
     upstream_client other({.address = "127.0.0.1:1"}, this->clock);
--- a/packages/edge/upstream_client.cc
+++ b/packages/edge/upstream_client.cc
@@ -174,6 +174,11 @@
     }
 }
 
+bool upstream_client::may_start(const upstream_request& request) const {
+    bool cancelled = request.cancelled != nullptr && request.cancelled->load();
+    return !cancelled && this->clock.now() < request.deadline;
+}
+
 void upstream_client::work() {
     CURL* handle = curl_easy_init();
     while (true) {
@@ -189,6 +194,10 @@
             current = std::move(this->jobs.front());
             this->jobs.pop_front();
         }
+        if (!this->may_start(current.request)) {
+            current.done(not_started{});
+            continue;
+        }
         auto left = std::chrono::duration_cast<std::chrono::milliseconds>(current.request.deadline -
                                                                           this->clock.now());
         long timeout_ms = std::max<long>(static_cast<long>(left.count()), 1);
--- a/packages/edge/upstream_client.h
+++ b/packages/edge/upstream_client.h
@@ -35,6 +35,10 @@
     std::shared_ptr<std::atomic<bool>> cancelled;
 };
 
+// The deadline had passed or the request was cancelled before a byte was sent, so it did not run.
+struct not_started {
+    friend bool operator==(const not_started&, const not_started&) = default;
+};
 // The upstream refused the connection, so the request did not run.
 struct connection_refused {
     friend bool operator==(const connection_refused&, const connection_refused&) = default;
@@ -50,7 +54,7 @@
     friend bool operator==(const response_lost&, const response_lost&) = default;
 };
 
-using upstream_result = std::variant<http_response, connection_refused, interrupted, response_lost>;
+using upstream_result = std::variant<http_response, not_started, connection_refused, interrupted, response_lost>;
 using upstream_callback = std::function<void(upstream_result)>;
 
 struct upstream_client_options {
@@ -75,6 +79,8 @@
     };
 
     void work();
+    // A process that was paused must not start a request that its caller has given up.
+    bool may_start(const upstream_request& request) const;
     bool has_work_or_stops() const { return this->stopping || !this->jobs.empty(); }
 
     const upstream_client_options options;
