--- /dev/null
+++ b/packages/ctl/command_line.h
@@ -0,0 +1,23 @@
+// Chooses and runs the command that the arguments name.
+
+#ifndef TREFOIL_CTL_COMMAND_LINE_H_
+#define TREFOIL_CTL_COMMAND_LINE_H_
+
+#include <string>
+#include <vector>
+
+#include "ctl/admin_client.h"
+#include "ctl/command.h"
+
+namespace trefoil::ctl {
+
+// Returns all commands. `client` must outlive them.
+command_list make_commands(admin_client& client);
+
+// Runs the command that the first argument names. `arguments` excludes the program's name.
+exit_code run(const command_list& commands, const std::vector<std::string>& arguments,
+              terminal output);
+
+}  // namespace trefoil::ctl
+
+#endif  // TREFOIL_CTL_COMMAND_LINE_H_
--- /dev/null
+++ b/packages/ctl/explain_command.cc
@@ -0,0 +1,88 @@
+// Implements the command `explain`.
+
+#include "ctl/explain_command.h"
+
+#include <fmt/format.h>
+
+#include "ctl/text_table.h"
+
+namespace trefoil::ctl {
+
+namespace {
+
+using json = nlohmann::json;
+
+// Percent-encodes everything but the unreserved characters of RFC 3986, section 2.3.
+std::string query_encoded(const std::string& text) {
+    constexpr std::string_view unreserved = "-._~";
+    std::string encoded;
+    for (char c : text) {
+        bool plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
+                     unreserved.find(c) != std::string_view::npos;
+        if (plain) {
+            encoded.push_back(c);
+        } else {
+            encoded += fmt::format("%{:02X}", static_cast<unsigned char>(c));
+        }
+    }
+    return encoded;
+}
+
+std::string option(const boost::program_options::variables_map& values, const char* name) {
+    return values[name].as<std::string>();
+}
+
+}  // namespace
+
+std::string explain_command::name() const {
+    return "explain";
+}
+
+std::string explain_command::summary() const {
+    return "Show what daemons would do with a request, and the upstreams by failure domain.";
+}
+
+void explain_command::add_options(boost::program_options::options_description& shown,
+                                  boost::program_options::options_description& hidden) const {
+    using boost::program_options::value;
+    fleet_command::add_options(shown, hidden);
+    auto add = shown.add_options();
+    add("method", value<std::string>()->default_value("GET"), "method of the request");
+    add("path", value<std::string>()->required(), "path of the request");
+    add("workspace", value<std::string>()->default_value(""), "workspace by name; empty for none");
+}
+
+std::string explain_command::target(const boost::program_options::variables_map& values) const {
+    return fmt::format(
+        "/explain?method={}&path={}&workspace={}", query_encoded(option(values, "method")),
+        query_encoded(option(values, "path")), query_encoded(option(values, "workspace")));
+}
+
+bool explain_command::print(const std::vector<admin_report>& reports, std::ostream* out) const {
+    if (out == nullptr) {
+        return true;
+    }
+    text_table decisions({"FAILURE DOMAIN", "INSTANCE", "DECISION", "REASON", "ROUTE", "SERVICE"});
+    text_table upstreams({"FAILURE DOMAIN", "UPSTREAM", "USABLE", "REASON", "SCORE", "SEEN BY"});
+    for (const admin_report& report : reports) {
+        const json& answer = report.answer;
+        std::string instance = text_field(answer, "instance");
+        decisions.add({text_field(answer, "failure_domain"), instance,
+                       text_field(answer, "decision"), text_field(answer, "reason"),
+                       text_field(answer, "route"), text_field(answer, "service")});
+        for (const json& each : list_field(answer, "candidates")) {
+            upstreams.add({text_field(each, "failure_domain"), text_field(each, "instance"),
+                           text_field(each, "usable"), text_field(each, "reason"),
+                           text_field(each, "score"), instance});
+        }
+    }
+    decisions.sort();
+    upstreams.sort();
+    *out << decisions.text();
+    if (!upstreams.empty()) {
+        *out << '\n' << upstreams.text();
+    }
+    return true;
+}
+
+}  // namespace trefoil::ctl
--- /dev/null
+++ b/packages/ctl/render_command.h
@@ -0,0 +1,26 @@
+// The command `render`: prints the merged configuration of one site with all defaults.
+
+#ifndef TREFOIL_CTL_RENDER_COMMAND_H_
+#define TREFOIL_CTL_RENDER_COMMAND_H_
+
+#include <string>
+
+#include "ctl/command.h"
+
+namespace trefoil::ctl {
+
+class render_command final : public command {
+public:
+    std::string name() const override;
+    std::string arguments() const override;
+    std::string summary() const override;
+    void add_options(boost::program_options::options_description& shown,
+                     boost::program_options::options_description& hidden) const override;
+    void add_positions(
+        boost::program_options::positional_options_description& positions) const override;
+    exit_code run(const boost::program_options::variables_map& values, terminal output) override;
+};
+
+}  // namespace trefoil::ctl
+
+#endif  // TREFOIL_CTL_RENDER_COMMAND_H_
--- /dev/null
+++ b/packages/ctl/status_command.h
@@ -0,0 +1,31 @@
+// The command `status`: versions in force, readiness, confirmation and members by failure domain.
+//
+// Fields read from /status: instance, failure_domain, site, service, ready, confirmed,
+// confirmation_age_ms, documents (name, newest, in_force) and members (instance, state). All is
+// well when each daemon is ready and confirmed and has its newest documents in force.
+
+#ifndef TREFOIL_CTL_STATUS_COMMAND_H_
+#define TREFOIL_CTL_STATUS_COMMAND_H_
+
+#include <string>
+#include <vector>
+
+#include "ctl/fleet_command.h"
+
+namespace trefoil::ctl {
+
+class status_command final : public fleet_command {
+public:
+    using fleet_command::fleet_command;
+
+    std::string name() const override;
+    std::string summary() const override;
+
+protected:
+    std::string target(const boost::program_options::variables_map& values) const override;
+    bool print(const std::vector<admin_report>& reports, std::ostream* out) const override;
+};
+
+}  // namespace trefoil::ctl
+
+#endif  // TREFOIL_CTL_STATUS_COMMAND_H_
