--- /dev/null
+++ b/packages/dissemination/testing/fleet.h
@@ -0,0 +1,123 @@
+// Runs cores with simulated time over a message queue with seeded delay, loss, partition, pause and
+// restart, against a fake platform.
+
+#ifndef TREFOIL_DISSEMINATION_TESTING_FLEET_H_
+#define TREFOIL_DISSEMINATION_TESTING_FLEET_H_
+
+#include <functional>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "dissemination/core.h"
+#include "dissemination/testing/fake_document_store.h"
+#include "dissemination/testing/fake_platform.h"
+#include "membership/tracker.h"
+
+namespace trefoil::dissemination {
+
+struct fleet_options {
+    std::size_t count = 40;
+    std::size_t domains = 4;
+    std::size_t sites = 1;  // Domain d belongs to site d % sites.
+    std::uint64_t seed = 1;
+    double loss = 0;
+    milliseconds longest_delay{5};
+    core_options core = {};    // Identity and seeds are filled in.
+    bool measure_cpu = false;  // Notes the processor time of ticks and of received digests.
+};
+
+class fleet {
+public:
+    explicit fleet(fleet_options settings);
+
+    void run(milliseconds duration);
+    mono_time now() const { return this->time; }
+
+    std::size_t size() const { return this->nodes.size(); }
+    core& at(std::size_t index) { return *this->nodes[index]->decision; }
+    const core& at(std::size_t index) const { return *this->nodes[index]->decision; }
+    const std::string& site_of(std::size_t index) { return this->nodes[index]->record.site; }
+
+    void publish(const std::string& name, std::uint64_t revision, const std::string& body);
+    void publish_list(std::uint64_t revision);
+
+    void pause(std::size_t index) { this->nodes[index]->paused = true; }
+    // Handles what arrived during the pause at the present time.
+    void resume(std::size_t index);
+    void restart(std::size_t index);
+    // Nodes of different groups cannot exchange messages; only group 0 reaches the platform.
+    void set_group(std::size_t index, int group);
+
+    std::uint64_t held(std::size_t index, const std::string& name) const;
+    std::uint64_t in_force(std::size_t index, const std::string& name) const;
+    bool confirmed(std::size_t index) const { return this->at(index).confirmed(this->time); }
+    // Whether `condition` holds for every node.
+    bool all(const std::function<bool(std::size_t)>& condition) const;
+    // Runs until `condition` holds for all; returns the time it took or `limit`.
+    milliseconds run_until_all(const std::function<bool(std::size_t)>& condition,
+                               milliseconds limit);
+
+    fake_platform platform;
+    std::uint64_t bytes_sent = 0;  // Encoded messages of all nodes.
+    std::uint64_t regressions =
+        0;  // Times that a revision held or in force went back in a process.
+    std::vector<double> tick_us;
+    std::vector<double> digest_us;
+
+private:
+    struct node {
+        membership::instance_record record;
+        std::uint64_t incarnation = 0;
+        std::unique_ptr<seeded_random> random;
+        std::unique_ptr<fake_document_store> store;
+        std::unique_ptr<core> decision;
+        std::unique_ptr<membership::tracker> tracker;
+        bool paused = false;
+        int group = 0;
+        std::set<std::size_t> connections;
+        std::vector<std::function<void()>> waiting;  // Inputs that arrived during a pause.
+        std::uint64_t highest[document_count][2] = {};
+        unsigned ticks = 0;
+    };
+    struct event {
+        mono_time at;
+        std::uint64_t order;
+        std::function<void()> run;
+        bool operator<(const event& other) const {
+            return this->at != other.at ? this->at > other.at : this->order > other.order;
+        }
+    };
+
+    void schedule(mono_duration delay, std::function<void()> run);
+    // Runs an input of one incarnation of a node, after its pause.
+    void deliver(std::size_t index, std::uint64_t incarnation, std::function<void(node&)> input);
+    mono_duration delay();
+    bool reachable(std::size_t a, std::size_t b) const;
+    void start(std::size_t index);
+    void tick(std::size_t index, std::uint64_t incarnation);
+    void refresh_members(std::size_t index);
+    void execute(std::size_t index);
+    void execute_one(std::size_t index, const action& each);
+    void send(std::size_t from, const send_message& message);
+    void receive(std::size_t from, std::size_t to, const messages::peer_message& message);
+    void read(std::size_t index, const read_document& request);
+    void open(std::size_t from, const std::string& address);
+    void close(std::size_t a, std::size_t b);
+    void check_regressions(node& target);
+    std::size_t index_of(const std::string& text) const;
+
+    fleet_options options;
+    seeded_random random;
+    mono_time time = mono_time(std::chrono::hours(1));
+    std::uint64_t events = 0;
+    std::priority_queue<event> queue;
+    std::vector<std::unique_ptr<node>> nodes;
+};
+
+}  // namespace trefoil::dissemination
+
+#endif  // TREFOIL_DISSEMINATION_TESTING_FLEET_H_
