Suspect instances that are known from reports only after 10 s

Reports of contact travel by gossip and are several seconds old in a fleet of 40 or more. With the limit of 3 s most instances without a direct connection were suspected, so nearly every daemon counted itself as a reader: 1,794 platform reads a second at 1,400 daemons.

Direct contact keeps the limit of 3 s; a report keeps an instance live for 10 s. The start-up rule (ii) counts its own 3 s.

--- a/packages/dissemination/start_rule.cc
+++ b/packages/dissemination/start_rule.cc
@@ -37,11 +37,11 @@
 }
 
 bool start_rule::enough_peers(mono_time now, const membership::view& current) const {
-    if (!this->responders.empty() && now - this->started_at > partial_reach_after) {
+    mono_duration waited = now - this->started_at;
+    if (waited > (this->responders.empty() ? this->limit : partial_reach_after)) {
         return true;
     }
-    // Instances that are neither suspected nor gone exist. Without contact that is so for the first
-    // 3 s, which is the patience of rule (ii).
+    // Instances that are neither suspected nor gone exist.
     std::size_t existing = 0;
     absl::flat_hash_set<std::string> domains;
     for (const membership::member& each : current.listed()) {
@@ -56,8 +56,7 @@
             break;
         }
     }
-    if (current.listed().empty() && this->responders.empty() &&
-        now - this->started_at < this->limit) {
+    if (current.listed().empty() && this->responders.empty()) {
         return false;
     }
     return this->responders.size() >= std::min(existing, wanted_peers) &&
--- a/packages/membership/tracker.cc
+++ b/packages/membership/tracker.cc
@@ -76,7 +76,7 @@
     if (!slot->listed && *slot->record != record) {
         slot->record = std::make_shared<const instance_record>(record);
     }
-    slot->last_contact = std::max(slot->last_contact.value_or(at), at);
+    slot->direct_contact = std::max(slot->direct_contact.value_or(at), at);
     return true;
 }
 
@@ -94,20 +94,26 @@
     for (std::size_t i = 0; i < times.size(); ++i) {
         entry& target = *this->in_list_order[i];
         if (times[i] != mono_time::min() &&
-            (!target.last_contact.has_value() || times[i] > *target.last_contact)) {
-            target.last_contact = times[i];
+            (!target.reported_contact.has_value() || times[i] > *target.reported_contact)) {
+            target.reported_contact = times[i];
         }
     }
 }
 
 instance_state tracker::state_of(const entry& source, mono_time now) const {
-    mono_duration silence = now - std::max(source.last_contact.value_or(source.known_since),
-                                           source.listed ? source.known_since : mono_time::min());
-    if (silence > this->options.gone_after ||
-        (!source.listed && silence > this->options.suspect_after)) {
+    // Before the first contact, the time since an entry is on the list counts as reported.
+    mono_time direct = source.direct_contact.value_or(mono_time::min());
+    mono_time reported = source.reported_contact.value_or(mono_time::min());
+    if (source.listed) {
+        reported = std::max(reported, source.known_since);
+    }
+    bool heard = direct >= now - this->options.suspect_after ||
+                 (source.listed && reported >= now - this->options.suspect_reported_after);
+    bool gone = std::max(direct, reported) < now - this->options.gone_after;
+    if (gone || (!source.listed && !heard)) {
         return instance_state::gone;
     }
-    if (silence > this->options.suspect_after) {
+    if (!heard) {
         return instance_state::suspected;
     }
     // The record of an unlisted entry may be what the list said last, which is still a reason to
@@ -116,18 +122,25 @@
     return leaving ? instance_state::leaving : instance_state::live;
 }
 
+std::optional<mono_time> tracker::last_contact(const entry& source) {
+    if (!source.direct_contact.has_value() || !source.reported_contact.has_value()) {
+        return source.direct_contact.has_value() ? source.direct_contact : source.reported_contact;
+    }
+    return std::max(*source.direct_contact, *source.reported_contact);
+}
+
 member tracker::make_member(const entry& source, mono_time now) const {
     return member{.record = source.record,
                   .state = this->state_of(source, now),
                   .listed = source.listed,
                   .incarnation = source.incarnation,
-                  .last_contact = source.last_contact};
+                  .last_contact = last_contact(source)};
 }
 
 void tracker::forget_gone(mono_time now) {
     absl::erase_if(this->entries, [&](const auto& item) {
         const entry& each = *item.second;
-        mono_time last = each.last_contact.value_or(each.known_since);
+        mono_time last = last_contact(each).value_or(each.known_since);
         return !each.listed && now - last > this->options.forget_after;
     });
 }
--- a/packages/membership/tracker.h
+++ b/packages/membership/tracker.h
@@ -30,6 +30,9 @@
 
 struct tracker_options {
     std::chrono::milliseconds suspect_after{3000};
+    // The same for contact that peers report. Reports travel by gossip and are several seconds old
+    // in a large fleet, so that 3 s would suspect most instances without a connection from here.
+    std::chrono::milliseconds suspect_reported_after{10000};
     std::chrono::milliseconds gone_after{30000};
     // How long an instance that is off the list and gone stays in the view, for operators.
     std::chrono::milliseconds forget_after{60000};
@@ -40,7 +43,7 @@
     explicit tracker(tracker_options limits = {});
 
     // Replaces the list. A list that is not newer than the one held is ignored. An entry that is
-    // new on the list counts as contacted now, so that it is not suspected before a first contact
+    // new on the list counts as reported now, so that it is not suspected before a first contact
     // was possible.
     void adopt(mono_time now, std::shared_ptr<const instance_list> list);
 
@@ -67,12 +70,14 @@
         bool listed = false;
         std::uint64_t incarnation = 0;  // Never decreases.
         bool leaving = false;           // Flag of the incarnation above.
-        std::optional<mono_time> last_contact;
-        mono_time known_since;  // Stands in for a contact before the first one.
+        std::optional<mono_time> direct_contact;
+        std::optional<mono_time> reported_contact;
+        mono_time known_since;  // Stands in for a reported contact before the first one.
     };
 
     member make_member(const entry& source, mono_time now) const;
     instance_state state_of(const entry& source, mono_time now) const;
+    static std::optional<mono_time> last_contact(const entry& source);
     void forget_gone(mono_time now);
     bool states_differ(const std::vector<member>& listed,
                        const std::vector<member>& unlisted) const;
