Send one request for calls that arrive together and count tokens under recall

Cause: 15 calls at once sent 15 requests for one token each, and the first of them that found no token took all tokens under recall out of the home's estimate, so that the next ones were refused.

Change: while requests are open the next one waits until it doubles them; tokens that a holder was asked to return count as expected until they are settled or expire.

--- a/packages/admission/batch_ledger.cc
+++ b/packages/admission/batch_ledger.cc
@@ -80,11 +80,10 @@
 std::vector<std::string> batch_ledger::recall(const std::string& except) {
     std::vector<std::string> holders;
     for (auto& [id, batch] : this->batches) {
-        if (batch.ahead <= 0 || batch.holder == except) {
+        if (batch.ahead <= 0 || batch.recalled || batch.holder == except) {
             continue;
         }
-        this->ahead_left -= batch.ahead;
-        batch.ahead = 0;
+        batch.recalled = true;
         holders.push_back(batch.holder);
     }
     std::sort(holders.begin(), holders.end());
--- a/packages/admission/batch_ledger.h
+++ b/packages/admission/batch_ledger.h
@@ -25,6 +25,7 @@
     std::uint64_t round = 0;  // Request that the batch answers.
     double left = 0;          // Tokens neither reported as spent nor returned.
     double ahead = 0;         // Part of `left` that no call waited for.
+    bool recalled = false;    // The holder was asked to return what is unspent.
     double spent = 0;         // Highest reports so far.
     double returned = 0;
 };
@@ -57,7 +58,7 @@
     // Removes the batches that are expired at `now` and returns their unreported tokens.
     double expire(mono_time now);
 
-    // Tokens that recall() could bring back.
+    // Tokens that recall() could bring back or is bringing back.
     double recallable() const { return this->ahead_left; }
 
     // Holders, sorted, with tokens ahead of demand that they were not yet asked to return.
@@ -76,7 +77,7 @@
     absl::flat_hash_map<std::uint64_t, issued_batch> batches;
     absl::flat_hash_set<std::pair<std::string, std::uint64_t>> rounds;  // Of `batches`.
     std::deque<expiry> expiries;  // In order of time, one for each of `batches`.
-    double ahead_left = 0;        // Sum of `ahead` over batches not recalled.
+    double ahead_left = 0;        // Sum of `ahead`.
 };
 
 }  // namespace trefoil::admission
--- a/packages/admission/token_holder.cc
+++ b/packages/admission/token_holder.cc
@@ -189,7 +189,10 @@
     if (this->exhausted(now)) {
         return 0;
     }
-    return std::max(0.0, static_cast<double>(this->waiting.size()) - asked);
+    // While requests are open, the next one waits until it would double them, so that calls that
+    // arrive together do not send a message each.
+    double unmet = static_cast<double>(this->waiting.size()) - asked;
+    return unmet >= std::max(1.0, asked) ? unmet : 0;
 }
 
 double token_holder::wanted_ahead(mono_time now) const {
