Bound the calls that wait while the home is short of tokens

Change: after an answer with fewer tokens than wanted, at most as many calls wait for 100 ms as half the fleet's accrual in the wait bound.

--- a/packages/admission/token_holder.cc
+++ b/packages/admission/token_holder.cc
@@ -22,6 +22,8 @@
 constexpr double return_after_part = 0.8;
 constexpr mono_duration ahead_backoff = milliseconds(50);
 constexpr mono_duration settle_interval = milliseconds(10);
+constexpr mono_duration short_memory = milliseconds(100);
+constexpr double short_wait_part = 0.5;
 constexpr mono_duration longest_exhausted = milliseconds(50);
 constexpr mono_duration shortest_exhausted = milliseconds(5);
 
@@ -61,6 +63,19 @@
     this->waiting.push_back({.call = call, .deadline = now + this->options.wait_bound});
 }
 
+bool token_holder::hopeful(mono_time now) const {
+    if (now < this->exhausted_until) {
+        return false;
+    }
+    if (now >= this->short_until) {
+        return true;
+    }
+    // More calls than the fleet accrues tokens in the wait bound would mostly wait in vain.
+    double seconds = std::chrono::duration<double>(this->options.wait_bound).count();
+    double most = std::max(1.0, this->rate * seconds * short_wait_part);
+    return static_cast<double>(this->waiting.size()) < most;
+}
+
 void token_holder::refuse_late(mono_time now, limiter_output& out) {
     while (!this->waiting.empty() && this->waiting.front().deadline <= now) {
         this->refuse_waiting(1, out);
@@ -112,6 +127,9 @@
     if (granted < request.now_count + request.ahead_count) {
         this->ahead_not_before = now + ahead_backoff;
     }
+    if (granted < request.now_count) {
+        this->short_until = now + short_memory;
+    }
     if (granted < 1 && request.now_count >= 1 && !request.overdue) {
         this->refuse_waiting(request.now_count, out);
         auto one_token = std::chrono::duration_cast<mono_duration>(
@@ -186,7 +204,7 @@
     for (const open_request& each : this->open) {
         asked += each.overdue ? 0 : each.now_count;
     }
-    if (this->exhausted(now)) {
+    if (now < this->exhausted_until) {
         return 0;
     }
     // While requests are open, the next one waits until it would double them, so that calls that
--- a/packages/admission/workspace_limiter.cc
+++ b/packages/admission/workspace_limiter.cc
@@ -64,7 +64,7 @@
     }
     std::size_t waiting = this->holder.waiting_count();
     bool hopeful = this->remote_home.empty() ? this->pool.worth_waiting(waiting)
-                                             : !this->holder.exhausted(now);
+                                             : this->holder.hopeful(now);
     if (!hopeful || waiting >= most_waiting_calls) {
         return admit_result::refused;
     }
