Report spent tokens at an interval that follows burst and rate

Cause: a spent token was reported after 10 ms in a message of its own.

Change: reports wait for the time in which the whole rate spends an eighth of the burst, at most 200 ms.

--- a/packages/admission/token_holder.cc
+++ b/packages/admission/token_holder.cc
@@ -25,7 +25,11 @@
 // Part of a batch's life after which unspent tokens go back.
 constexpr double return_after_part = 0.8;
 constexpr mono_duration ahead_backoff = milliseconds(50);
-constexpr mono_duration settle_interval = milliseconds(10);
+// Until the home knows that a token was spent, it does not accrue another one in its place. All
+// daemons together leave at most this part of the burst unreported.
+constexpr double unreported_part_of_burst = 0.125;
+constexpr double shortest_settle_seconds = 0.01;
+constexpr double longest_settle_seconds = 0.2;
 constexpr mono_duration short_memory = milliseconds(100);
 constexpr double short_wait_part = 0.5;
 constexpr mono_duration longest_exhausted = milliseconds(50);
@@ -284,6 +288,15 @@
     }
 }
 
+mono_duration token_holder::settle_interval() const {
+    double seconds = longest_settle_seconds;
+    if (this->rate > 0) {
+        seconds = std::min(seconds, unreported_part_of_burst * this->burst / this->rate);
+    }
+    return std::chrono::duration_cast<mono_duration>(
+        std::chrono::duration<double>(std::max(seconds, shortest_settle_seconds)));
+}
+
 void token_holder::request(const std::string& home, mono_time now, round_source& rounds,
                            limiter_output& out) {
     this->drop_old(now);
@@ -318,7 +331,7 @@
                               .now_count = need_now,
                               .ahead_count = need_ahead});
     }
-    this->settle_not_before = now + settle_interval;
+    this->settle_not_before = now + this->settle_interval();
     out.messages.push_back({home, std::move(message)});
 }
 
