--- a/packages/admission/token_holder.cc
+++ b/packages/admission/token_holder.cc
@@ -16,20 +16,31 @@
 constexpr double ahead_part_of_burst = 0.25;
 // Below this demand a token held ahead would mostly expire unused.
 constexpr double least_demand_ahead = 0.5;
-constexpr double demand_smoothing = 0.3;
+constexpr double rising_smoothing = 0.3;
+constexpr double falling_smoothing_plenty = 0.05;
+constexpr double falling_smoothing_scarce = 0.3;
+// With at least this much burst per daemon, one token held ahead at each daemon leaves enough.
+constexpr double plenty_burst_per_share = 1.5;
 constexpr mono_duration measure_interval = milliseconds(100);
 // Part of a batch's life after which unspent tokens go back.
 constexpr double return_after_part = 0.8;
 constexpr mono_duration ahead_backoff = milliseconds(50);
-constexpr mono_duration settle_interval = milliseconds(10);
+// Until the home knows that a token was spent, it does not accrue another one in its place. All
+// daemons together leave at most this part of the burst unreported.
+constexpr double unreported_part_of_burst = 0.125;
+constexpr double shortest_settle_seconds = 0.01;
+constexpr double longest_settle_seconds = 0.2;
+constexpr mono_duration short_memory = milliseconds(100);
+constexpr double short_wait_part = 0.5;
 constexpr mono_duration longest_exhausted = milliseconds(50);
 constexpr mono_duration shortest_exhausted = milliseconds(5);
 
 }  // namespace
 
-void token_holder::set_limit(double new_rate, double new_burst) {
+void token_holder::set_limit(double new_rate, double new_burst, int new_shares) {
     this->rate = new_rate;
     this->burst = new_burst;
+    this->shares = new_shares;
 }
 
 bool token_holder::usable(const batch& item, mono_time now) const {
@@ -61,6 +72,19 @@
     this->waiting.push_back({.call = call, .deadline = now + this->options.wait_bound});
 }
 
+bool token_holder::hopeful(mono_time now) const {
+    if (now < this->exhausted_until) {
+        return false;
+    }
+    if (now >= this->short_until) {
+        return true;
+    }
+    // More calls than the fleet accrues tokens in the wait bound would mostly wait in vain.
+    double seconds = std::chrono::duration<double>(this->options.wait_bound).count();
+    double most = std::max(1.0, this->rate * seconds * short_wait_part);
+    return static_cast<double>(this->waiting.size()) < most;
+}
+
 void token_holder::refuse_late(mono_time now, limiter_output& out) {
     while (!this->waiting.empty() && this->waiting.front().deadline <= now) {
         this->refuse_waiting(1, out);
@@ -112,6 +136,9 @@
     if (granted < request.now_count + request.ahead_count) {
         this->ahead_not_before = now + ahead_backoff;
     }
+    if (granted < request.now_count) {
+        this->short_until = now + short_memory;
+    }
     if (granted < 1 && request.now_count >= 1 && !request.overdue) {
         this->refuse_waiting(request.now_count, out);
         auto one_token = std::chrono::duration_cast<mono_duration>(
@@ -148,6 +175,13 @@
     std::erase_if(this->batches, [](const batch& each) { return each.left < 1; });
 }
 
+// Demand that falls slowly keeps a token at daemons with rare calls. It goes back unused more often,
+// but fewer calls wait for the home.
+double token_holder::falling_smoothing() const {
+    bool plenty = this->burst >= plenty_burst_per_share * this->shares;
+    return plenty ? falling_smoothing_plenty : falling_smoothing_scarce;
+}
+
 void token_holder::measure(mono_time now) {
     mono_duration passed = now - this->measured;
     if (passed < measure_interval) {
@@ -155,7 +189,8 @@
     }
     double seconds = std::chrono::duration<double>(passed).count();
     double recent = static_cast<double>(this->calls) / seconds;
-    this->demand += demand_smoothing * (recent - this->demand);
+    double smoothing = recent > this->demand ? rising_smoothing : this->falling_smoothing();
+    this->demand += smoothing * (recent - this->demand);
     this->calls = 0;
     this->measured = now;
     double horizon = longest_ahead_seconds;
@@ -186,10 +221,13 @@
     for (const open_request& each : this->open) {
         asked += each.overdue ? 0 : each.now_count;
     }
-    if (this->exhausted(now)) {
+    if (now < this->exhausted_until) {
         return 0;
     }
-    return std::max(0.0, static_cast<double>(this->waiting.size()) - asked);
+    // While requests are open, the next one waits until it would double them, so that calls that
+    // arrive together do not send a message each.
+    double unmet = static_cast<double>(this->waiting.size()) - asked;
+    return unmet >= std::max(1.0, asked) ? unmet : 0;
 }
 
 double token_holder::wanted_ahead(mono_time now) const {
@@ -250,6 +288,15 @@
     }
 }
 
+mono_duration token_holder::settle_interval() const {
+    double seconds = longest_settle_seconds;
+    if (this->rate > 0) {
+        seconds = std::min(seconds, unreported_part_of_burst * this->burst / this->rate);
+    }
+    return std::chrono::duration_cast<mono_duration>(
+        std::chrono::duration<double>(std::max(seconds, shortest_settle_seconds)));
+}
+
 void token_holder::request(const std::string& home, mono_time now, round_source& rounds,
                            limiter_output& out) {
     this->drop_old(now);
@@ -284,7 +331,7 @@
                               .now_count = need_now,
                               .ahead_count = need_ahead});
     }
-    this->settle_not_before = now + settle_interval;
+    this->settle_not_before = now + this->settle_interval();
     out.messages.push_back({home, std::move(message)});
 }
 
--- a/packages/admission/workspace_limiter.cc
+++ b/packages/admission/workspace_limiter.cc
@@ -24,7 +24,7 @@
 void workspace_limiter::set_limit(const workspace_limit& limit, int shares, mono_time now) {
     this->advance(now);
     this->pool.set_share(limit.rate / shares, limit.burst / shares);
-    this->holder.set_limit(limit.rate, limit.burst);
+    this->holder.set_limit(limit.rate, limit.burst, shares);
 }
 
 void workspace_limiter::set_home(const std::string& self, const std::string& home,
@@ -64,7 +64,7 @@
     }
     std::size_t waiting = this->holder.waiting_count();
     bool hopeful = this->remote_home.empty() ? this->pool.worth_waiting(waiting)
-                                             : !this->holder.exhausted(now);
+                                             : this->holder.hopeful(now);
     if (!hopeful || waiting >= most_waiting_calls) {
         return admit_result::refused;
     }
