Choose test ports below the range that the system gives to clients

Cause: edge_http_test could not listen. Its ports lay in the ephemeral range, and connections of load clients on the same machine held them. Ruled out: a leaked server of an earlier run (none was alive).

--- a/packages/edge/testing/edge_http_test.cc
+++ b/packages/edge/testing/edge_http_test.cc
@@ -37,28 +37,38 @@
     std::vector<std::shared_ptr<responder>> held;
 };
 
+// A server on the first free port that is found below the range that the system gives to clients.
 struct fixture {
-    fixture() { BOOST_REQUIRE(succeeded(this->server.start())); }
-
-    static std::uint16_t next_port() {
-        static int count = 0;
-        return static_cast<std::uint16_t>(40000 + (getpid() * 8 + count++) % 20000);
+    fixture() {
+        constexpr int attempts = 50;
+        for (int i = 0; i < attempts && this->server == nullptr; ++i) {
+            this->port = static_cast<std::uint16_t>(10000 + (getpid() * 50 + i * 7) % 20000);
+            auto candidate = std::make_unique<http_server>(
+                http_server_options{.ip = "127.0.0.1", .port = this->port}, this->handler);
+            if (succeeded(candidate->start())) {
+                this->server = std::move(candidate);
+            }
+        }
+        BOOST_REQUIRE(this->server != nullptr);
+        this->client = std::make_unique<upstream_client>(
+            upstream_client_options{.address = "127.0.0.1:" + std::to_string(this->port)},
+            this->clock);
     }
 
     upstream_result run(upstream_request request) {
         std::promise<upstream_result> promise;
-        this->client.start(std::move(request),
-                           [&promise](upstream_result r) { promise.set_value(std::move(r)); });
+        this->client->start(std::move(request),
+                            [&promise](upstream_result r) { promise.set_value(std::move(r)); });
         return promise.get_future().get();
     }
 
     mono_time soon(int ms) const { return this->clock.now() + std::chrono::milliseconds(ms); }
 
-    std::uint16_t port = next_port();
+    std::uint16_t port = 0;
     steady_time_source clock;
     echo_handler handler;
-    http_server server{{.ip = "127.0.0.1", .port = port}, handler};
-    upstream_client client{{.address = "127.0.0.1:" + std::to_string(port)}, clock};
+    std::unique_ptr<http_server> server;
+    std::unique_ptr<upstream_client> client;
 };
 
 }  // namespace
--- a/packages/transport/frame_socket.cc
+++ b/packages/transport/frame_socket.cc
@@ -33,8 +33,11 @@
 
     std::string start(const frame_socket_options& options) {
         try {
-            this->prepare(this->server);
-            this->prepare(this->client);
+            if (!this->prepared) {
+                this->prepare(this->server);
+                this->prepare(this->client);
+                this->prepared = true;
+            }
             this->server.set_reuse_addr(true);
             this->server.listen(boost::asio::ip::tcp::endpoint(
                 boost::asio::ip::make_address(options.ip), options.port));
@@ -201,6 +204,7 @@
     server_endpoint server;
     client_endpoint client;
     std::vector<std::thread> threads;
+    bool prepared = false;  // Used by start() only, which may be tried again with another port.
     std::atomic<bool> stopping{false};
     std::atomic<connection_id> next_id{1};
     std::mutex mutex;
--- a/packages/transport/testing/peer_endpoint_test.cc
+++ b/packages/transport/testing/peer_endpoint_test.cc
@@ -48,17 +48,24 @@
     int closed = 0;
 };
 
-std::uint16_t free_port(int offset) {
-    return static_cast<std::uint16_t>(20000 + (getpid() * 8 + offset) % 20000);
+// A port below the range that the system gives to clients.
+std::uint16_t port_number(int offset) {
+    return static_cast<std::uint16_t>(10000 + (getpid() * 50 + offset * 7) % 20000);
 }
 
 struct node {
-    node(const std::string& name, const std::string& secret, std::uint16_t port_number)
-        : port(port_number),
+    node(const std::string& name, const std::string& secret, int offset)
+        : port(port_number(offset)),
           endpoint({.self = {.fleet_protocol = "trefoil/1", .instance = name, .incarnation = 1},
                     .fleet_secret = secret},
                    events, clock) {
-        BOOST_REQUIRE(succeeded(this->endpoint.start("127.0.0.1", this->port)));
+        constexpr int attempts = 50;
+        bool listening = false;
+        for (int i = 0; i < attempts && !listening; ++i) {
+            this->port = static_cast<std::uint16_t>(this->port + (i == 0 ? 0 : 13));
+            listening = succeeded(this->endpoint.start("127.0.0.1", this->port));
+        }
+        BOOST_REQUIRE(listening);
     }
     std::string address() const { return "127.0.0.1:" + std::to_string(this->port); }
 
@@ -72,8 +79,8 @@
 
 // Guards against messages that are lost, reordered or accepted before both sides are authenticated.
 BOOST_AUTO_TEST_CASE(authenticated_peers_exchange_messages_in_order) {
-    node left("left", "a-shared-fleet-secret", free_port(0));
-    node right("right", "a-shared-fleet-secret", free_port(1));
+    node left("left", "a-shared-fleet-secret", 0);
+    node right("right", "a-shared-fleet-secret", 1);
     connection_id id = left.endpoint.connect(right.address());
     BOOST_REQUIRE(left.events.wait([&] { return left.events.opened.size() == 1; }));
     BOOST_TEST(left.events.opened[0] == "right");
@@ -88,8 +95,8 @@
 
 // Guards against a sender that does not know the fleet secret and is believed.
 BOOST_AUTO_TEST_CASE(peer_with_another_secret_is_rejected) {
-    node left("left", "a-shared-fleet-secret", free_port(2));
-    node right("right", "some-other-fleet-secret", free_port(3));
+    node left("left", "a-shared-fleet-secret", 2);
+    node right("right", "some-other-fleet-secret", 3);
     left.endpoint.connect(right.address());
     BOOST_REQUIRE(left.events.wait([&] { return left.events.closed == 1; }));
     BOOST_TEST(left.events.opened.empty());
@@ -98,8 +105,8 @@
 
 // Guards against a foreign sender on the peer port that disturbs other connections.
 BOOST_AUTO_TEST_CASE(garbage_on_the_peer_port_leaves_other_connections_open) {
-    node left("left", "a-shared-fleet-secret", free_port(4));
-    node right("right", "a-shared-fleet-secret", free_port(5));
+    node left("left", "a-shared-fleet-secret", 4);
+    node right("right", "a-shared-fleet-secret", 5);
     connection_id id = left.endpoint.connect(right.address());
     BOOST_REQUIRE(left.events.wait([&] { return left.events.opened.size() == 1; }));
 
@@ -116,7 +123,7 @@
     } foreign_events;
     frame_socket foreign(foreign_events);
     foreign_events.socket = &foreign;
-    BOOST_REQUIRE(foreign.start({.ip = "127.0.0.1", .port = free_port(6)}).empty());
+    BOOST_REQUIRE(foreign.start({.ip = "127.0.0.1", .port = port_number(6)}).empty());
     foreign.connect("127.0.0.1", right.port);
     BOOST_TEST(right.events.wait([&] { return foreign_events.dropped.load(); }));
     BOOST_TEST(left.endpoint.send(id, messages::cancel{.sequence = 1}));
