--- a/packages/admission/testing/rate_limiter_test.cc
+++ b/packages/admission/testing/rate_limiter_test.cc
@@ -223,4 +223,47 @@
     BOOST_TEST(fault_is_found({.start_active = true}));
 }
 
+// Counts refusals of `calls` paced calls of the middle workspace, one every 40 ms (half its rate),
+// at random instances.
+std::uint64_t refusals_of_paced_calls(limiter_fleet& fleet, int instances, int calls) {
+    seeded_random random(5);
+    std::uint64_t before = fleet.counts().refused;
+    for (int call = 0; call < calls; ++call) {
+        run(fleet, milliseconds(40), [] {});
+        fleet.call(static_cast<int>(random.below(instances)), "middle");
+    }
+    run(fleet, milliseconds(100), [] {});
+    return fleet.counts().refused - before;
+}
+
+fleet_options healthy_options() {
+    return {.instances = 5, .max_instances = 5, .limits = test_limits, .seed = 9, .faults = {}};
+}
+
+// Guards against refusals within the limit while everything works.
+BOOST_AUTO_TEST_CASE(healthy_fleet_refuses_nothing_within_the_limit) {
+    limiter_fleet fleet(healthy_options());
+    run(fleet, seconds(12), [] {});
+    BOOST_TEST(refusals_of_paced_calls(fleet, 5, 500) == 0U);
+    BOOST_TEST(fleet.excess("middle") <= tolerance);
+}
+
+// Guards against a home that leaves in an orderly way and keeps the shares until loans end.
+BOOST_AUTO_TEST_CASE(leaving_home_hands_over_without_refusals) {
+    limiter_fleet fleet(healthy_options());
+    run(fleet, seconds(12), [] {});
+    int home = 0;
+    while (!fleet.limiter(home).inspect("middle")->is_home) {
+        ++home;
+    }
+    std::vector<std::string> live = fleet.names();
+    live.erase(live.begin() + home);
+    for (int i = 0; i < 5; ++i) {
+        fleet.set_view(i, live);
+    }
+    BOOST_TEST(refusals_of_paced_calls(fleet, 5, 100) == 0U);
+    BOOST_TEST(fleet.limiter(home).inspect("middle")->shares <= 1);
+    BOOST_TEST(fleet.excess("middle") <= tolerance);
+}
+
 }  // namespace trefoil::admission
