Add context handles and the reading of workspace keys

Cause: nested calls act for the workspace of the request that caused them.

Change: context_table gives out handles of 128 random bits and derives the context of nested calls; bearer_key_digest() turns an Authorization header into the digest that the configuration knows.

--- /dev/null
+++ b/packages/admission/context_table.h
@@ -0,0 +1,75 @@
+// Context handles: an upstream that handles a request may send calls of its own, which act for the
+// same workspace, within the remaining deadline.
+//
+// Example:
+//
+//     admission::context_table contexts;
+//     std::string handle = contexts.add({.workspace = "north", .deadline = deadline, .depth = 0});
+//     auto nested = contexts.nested(handle, clock.now());
+//     if (auto* context = std::get_if<admission::call_context>(&nested)) { ... }
+//     contexts.remove(handle);
+
+#ifndef TREFOIL_ADMISSION_CONTEXT_TABLE_H_
+#define TREFOIL_ADMISSION_CONTEXT_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "base/result.h"
+#include "base/sharded_map.h"
+#include "base/time.h"
+
+namespace trefoil::admission {
+
+// For whom and until when a request runs.
+struct call_context {
+    std::string workspace;  // Empty on open routes.
+    mono_time deadline;
+    std::uint32_t depth = 0;  // 0 for a call from outside, 1 for the first nested call.
+
+    friend bool operator==(const call_context&, const call_context&) = default;
+};
+
+// The handle was never given out here, or its request has finished. Such a handle counts as absent.
+struct unknown_handle {
+    friend bool operator==(const unknown_handle&, const unknown_handle&) = default;
+};
+
+// The nested call would be deeper than `deepest_call`.
+struct depth_exceeded {
+    friend bool operator==(const depth_exceeded&, const depth_exceeded&) = default;
+};
+
+// No time is left for a nested call.
+struct deadline_passed {
+    friend bool operator==(const deadline_passed&, const deadline_passed&) = default;
+};
+
+constexpr std::uint32_t deepest_call = 6;
+
+// Safe for concurrent use. The number of handles is that of the running requests, which the gate
+// bounds.
+class context_table {
+public:
+    // Returns a handle of 32 hex digits with 128 random bits, valid until remove().
+    std::string add(const call_context& context);
+
+    // Ends the validity of a handle; unknown handles are ignored.
+    void remove(std::string_view handle);
+
+    // The context of a call that an upstream sends with `handle` at `now`: the same workspace and
+    // deadline, one level deeper.
+    result<call_context, unknown_handle, depth_exceeded, deadline_passed> nested(
+        std::string_view handle, mono_time now) const;
+
+    std::size_t size() const { return this->contexts.size(); }
+
+private:
+    sharded_map<std::string, call_context> contexts;  // By handle.
+};
+
+}  // namespace trefoil::admission
+
+#endif  // TREFOIL_ADMISSION_CONTEXT_TABLE_H_
--- /dev/null
+++ b/packages/admission/testing/context_table_test.cc
@@ -0,0 +1,63 @@
+// Tests of context handles and of reading keys.
+
+#define BOOST_TEST_MODULE context_table
+#include "admission/context_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "admission/key_check.h"
+#include "base/hash.h"
+
+namespace trefoil::admission {
+
+namespace {
+
+using std::chrono::seconds;
+
+constexpr mono_time now = mono_time(seconds(100));
+
+}  // namespace
+
+// Guards against a nested call for another workspace, with more time or without its depth.
+BOOST_AUTO_TEST_CASE(nested_call_inherits_its_context) {
+    context_table table;
+    std::string first = table.add({.workspace = "north", .deadline = now + seconds(2), .depth = 1});
+    std::string second = table.add({.workspace = "south", .deadline = now + seconds(3)});
+    call_context expected = {.workspace = "north", .deadline = now + seconds(2), .depth = 2};
+    BOOST_TEST((std::get<call_context>(table.nested(first, now)) == expected));
+    BOOST_TEST((std::get<call_context>(table.nested(second, now)).workspace == "south"));
+}
+
+// Guards against a handle that works after its request, and against foreign text as a handle.
+BOOST_AUTO_TEST_CASE(handles_end_with_their_request) {
+    context_table table;
+    std::string handle = table.add({.workspace = "north", .deadline = now + seconds(2)});
+    table.remove(handle);
+    table.remove("never given out");
+    for (const std::string& text : {handle, std::string(), std::string(32, 'a'), handle + "0"}) {
+        BOOST_TEST(std::holds_alternative<unknown_handle>(table.nested(text, now)));
+    }
+    BOOST_TEST(table.size() == 0U);
+}
+
+// Guards against endless nesting and against nested calls after the deadline.
+BOOST_AUTO_TEST_CASE(nesting_and_time_are_bounded) {
+    context_table table;
+    std::string last = table.add({.workspace = "n", .deadline = now + seconds(2), .depth = 5});
+    BOOST_TEST(std::get<call_context>(table.nested(last, now)).depth == 6U);
+    std::string deep = table.add({.workspace = "n", .deadline = now + seconds(2), .depth = 6});
+    BOOST_TEST(std::holds_alternative<depth_exceeded>(table.nested(deep, now)));
+    std::string late = table.add({.workspace = "n", .deadline = now});
+    BOOST_TEST(std::holds_alternative<deadline_passed>(table.nested(late, now)));
+}
+
+// Guards against a digest of the header instead of the key, and against other schemes.
+BOOST_AUTO_TEST_CASE(key_is_read_from_a_bearer_header) {
+    BOOST_TEST(bearer_key_digest("Bearer secret").value() == sha256_hex("secret"));
+    BOOST_TEST(bearer_key_digest(" bearer  secret ").value() == sha256_hex("secret"));
+    for (std::string_view value : {"", "Bearer", "Bearer ", "Basic secret", "secret"}) {
+        BOOST_TEST(!bearer_key_digest(value).has_value());
+    }
+}
+
+}  // namespace trefoil::admission
--- a/packages/admission/token_holder.cc
+++ b/packages/admission/token_holder.cc
@@ -175,8 +175,8 @@
     std::erase_if(this->batches, [](const batch& each) { return each.left < 1; });
 }
 
-// Demand that falls slowly keeps a token at daemons with rare calls. It goes back unused more often,
-// but fewer calls wait for the home.
+// Demand that falls slowly keeps a token at daemons with rare calls. It goes back unused more
+// often, but fewer calls wait for the home.
 double token_holder::falling_smoothing() const {
     bool plenty = this->burst >= plenty_burst_per_share * this->shares;
     return plenty ? falling_smoothing_plenty : falling_smoothing_scarce;
--- a/packages/admission/token_holder.h
+++ b/packages/admission/token_holder.h
@@ -36,8 +36,8 @@
     // Takes a token from a batch that is still usable.
     bool take(mono_time now);
 
-    // Whether one more waiting call may get a token within the wait bound, judged by the home's last
-    // answers.
+    // Whether one more waiting call may get a token within the wait bound, judged by the home's
+    // last answers.
     bool hopeful(mono_time now) const;
 
     void add_waiting(std::uint64_t call, mono_time now);
@@ -120,8 +120,8 @@
     double demand = 0;                 // Calls per second, smoothed.
     std::uint64_t calls = 0;           // Since `measured`.
     mono_time measured;
-    mono_time exhausted_until;        // The home had no token and expected none.
-    mono_time short_until;            // The home had fewer tokens than calls waited.
+    mono_time exhausted_until;   // The home had no token and expected none.
+    mono_time short_until;       // The home had fewer tokens than calls waited.
     mono_time ahead_not_before;  // The home had none to spare.
     mono_time settle_not_before;
 };
--- a/packages/admission/workspace_limiter.cc
+++ b/packages/admission/workspace_limiter.cc
@@ -63,8 +63,8 @@
         return admit_result::admitted;
     }
     std::size_t waiting = this->holder.waiting_count();
-    bool hopeful = this->remote_home.empty() ? this->pool.worth_waiting(waiting)
-                                             : this->holder.hopeful(now);
+    bool hopeful =
+        this->remote_home.empty() ? this->pool.worth_waiting(waiting) : this->holder.hopeful(now);
     if (!hopeful || waiting >= most_waiting_calls) {
         return admit_result::refused;
     }
