--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -144,7 +144,7 @@
     held_call& call = **found;
     mono_time now = this->clock.now();
     call.started = now;
-    call.handle = this->contexts.open(
+    call.handle = this->contexts.add(
         {.workspace = call.call.workspace, .deadline = call.deadline, .depth = call.call.depth});
     ++this->started;
     this->client.start(
@@ -158,7 +158,7 @@
         return;
     }
     held_call& call = **held;
-    this->contexts.close(call.handle);
+    this->contexts.remove(call.handle);
     mono_time now = this->clock.now();
     mono_duration latency = now - call.started;
     this->upstream_busy_us += static_cast<std::uint64_t>(
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -56,7 +56,6 @@
     std::uint64_t incarnation = 0;
     std::string failure_domain;
     std::chrono::milliseconds confirmation_limit{4000};
-    std::uint32_t max_depth = 6;
 };
 
 // Safe for concurrent use.
