--- a/packages/gate/concurrency_limit.cc
+++ b/packages/gate/concurrency_limit.cc
@@ -4,7 +4,6 @@
 #include "gate/concurrency_limit.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace trefoil::gate {
 
@@ -34,22 +33,23 @@
 void concurrency_limit::on_result(call_result_kind kind, mono_duration latency, std::size_t running,
                                   mono_time now) {
     upstream_use use = this->use_of(running);
+    mono_time started = now - latency;
     switch (kind) {
         case call_result_kind::good:
             if (this->latencies.observe(latency, use, now)) {
-                this->on_bad(now);
+                this->on_bad(started, now);
             } else {
-                this->on_good(running, now);
+                this->on_good(started, running, now);
             }
             break;
         case call_result_kind::application_error:
             if (!this->tolerate_error()) {
-                this->on_bad(now);
+                this->on_bad(started, now);
             }
             break;
         case call_result_kind::shed:
         case call_result_kind::failed:
-            this->on_bad(now);
+            this->on_bad(started, now);
             break;
         case call_result_kind::connection_refused:
             this->reduce_to(1, now);
@@ -57,14 +57,21 @@
             break;
         case call_result_kind::cancelled:
             if (this->latencies.observe_unfinished(latency, use, now)) {
-                this->on_bad(now);
+                this->on_bad(started, now);
             }
             break;
     }
 }
 
-void concurrency_limit::on_good(std::size_t running, mono_time now) {
-    this->bad_results = 0;
+bool concurrency_limit::after_reduction(mono_time started) const {
+    return !this->reduced_at.has_value() || started >= *this->reduced_at;
+}
+
+void concurrency_limit::on_good(mono_time started, std::size_t running, mono_time now) {
+    // A call that started earlier says nothing about the upstream since the reduction.
+    if (this->after_reduction(started)) {
+        this->bad_results = 0;
+    }
     this->pause_length = mono_duration::zero();
     this->pause_end = mono_time::min();
     this->error_allowance = std::min(highest_error_allowance,
@@ -74,30 +81,37 @@
         return;
     }
     ++this->good_responses;
-    if (!this->next_growth.has_value()) {
-        this->next_growth = now + this->options.doubling_time;
+    if (this->reached_at.empty()) {
+        this->reached_at.assign(this->current, now);
     }
-    bool enough = this->good_responses >= this->current && now >= *this->next_growth;
+    bool enough = this->good_responses >= this->current && now >= this->next_growth();
     if (enough && this->current < this->options.slots) {
         this->grow(now);
     }
 }
 
+mono_time concurrency_limit::next_growth() const {
+    // The next limit may be at most twice the limit of one doubling time ago, which is at least
+    // `half` from the time on at which `half` was reached.
+    std::size_t half = (this->current + 2) / 2;
+    mono_time doubled = this->reached_at[half - 1] + this->options.doubling_time;
+    std::uint32_t steps = std::max<std::uint32_t>(1, this->options.slots - 1);
+    mono_duration step = mono_duration(this->options.shortest_warm_up) / steps;
+    return std::max(doubled, this->reached_at.back() + step);
+}
+
 void concurrency_limit::grow(mono_time now) {
     ++this->current;
+    this->reached_at.push_back(now);
     this->good_responses = 0;
     this->latencies.restart_window();
-    std::chrono::duration<double> doubling = this->options.doubling_time;
-    std::chrono::duration<double> warm_up = this->options.shortest_warm_up;
-    double steps = std::max(1.0, static_cast<double>(this->options.slots) - 1.0);
-    double growth = (static_cast<double>(this->current) + 1.0) / static_cast<double>(this->current);
-    auto wait = std::max(doubling * std::log2(growth), warm_up / steps);
-    this->next_growth = now + std::chrono::duration_cast<mono_duration>(wait);
 }
 
-void concurrency_limit::on_bad(mono_time now) {
-    ++this->bad_results;
+void concurrency_limit::on_bad(mono_time started, mono_time now) {
     this->error_allowance = 0;
+    if (this->after_reduction(started)) {
+        ++this->bad_results;
+    }
     if (this->bad_results >= this->options.bad_streak) {
         this->reduce_to(1, now);
     }
@@ -114,7 +128,7 @@
     this->current = std::max<std::uint32_t>(1, next);
     this->good_responses = 0;
     this->reduced_at = now;
-    this->next_growth = now + this->options.doubling_time;
+    this->reached_at.assign(this->current, now);
     this->latencies.restart_window();
 }
 
@@ -140,6 +154,9 @@
 void concurrency_limit::set_slots(std::uint32_t slots) {
     this->options.slots = std::max<std::uint32_t>(1, slots);
     this->current = std::min(this->current, this->options.slots);
+    if (this->reached_at.size() > this->current) {
+        this->reached_at.resize(this->current);
+    }
 }
 
 }  // namespace trefoil::gate
--- /dev/null
+++ b/packages/gate/start_limit.h
@@ -0,0 +1,44 @@
+// Interface of the rule that decides how many calls may run at one upstream.
+//
+// Example:
+//
+//     std::unique_ptr<gate::start_limit> limit =
+//         std::make_unique<gate::concurrency_limit>(gate::concurrency_limit_options{.slots = 12});
+//     bool free = limit->may_start(running, now);
+
+#ifndef TREFOIL_GATE_START_LIMIT_H_
+#define TREFOIL_GATE_START_LIMIT_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "base/time.h"
+#include "gate/gate_types.h"
+
+namespace trefoil::gate {
+
+// Implementations are not synchronised; the owner holds a lock.
+class start_limit {
+public:
+    virtual ~start_limit() = default;
+
+    // Concurrent calls allowed now; at least 1.
+    virtual std::uint32_t limit() const = 0;
+
+    // Whether another call may start while `running` calls run.
+    virtual bool may_start(std::size_t running, mono_time now) const = 0;
+
+    // The time before which nothing starts, whatever the limit.
+    virtual mono_time paused_until() const = 0;
+
+    // Reports the end of a call. `running` includes the call that ended.
+    virtual void on_result(call_result_kind kind, mono_duration latency, std::size_t running,
+                           mono_time now) = 0;
+
+    // Changes the upper bound, for example after a change of configuration.
+    virtual void set_slots(std::uint32_t slots) = 0;
+};
+
+}  // namespace trefoil::gate
+
+#endif  // TREFOIL_GATE_START_LIMIT_H_
--- a/packages/gate/upstream_gate.cc
+++ b/packages/gate/upstream_gate.cc
@@ -23,8 +23,11 @@
 }  // namespace
 
 upstream_gate::upstream_gate(upstream_gate_options initial)
+    : upstream_gate(initial, std::make_unique<concurrency_limit>(initial.limit)) {}
+
+upstream_gate::upstream_gate(upstream_gate_options initial, std::unique_ptr<start_limit> rule)
     : longest_wait(initial.longest_wait),
-      limit(initial.limit),
+      limit(std::move(rule)),
       waiting(initial.queue),
       duplicates(initial.duplicates) {}
 
@@ -62,14 +65,14 @@
 std::variant<start_now, queued, refusal> upstream_gate::place(const offered_call& call,
                                                               mono_time now,
                                                               gate_changes& changes) {
-    if (this->waiting.empty() && this->limit.may_start(this->running.size(), now)) {
+    if (this->waiting.empty() && this->limit->may_start(this->running.size(), now)) {
         this->running.insert(call.id);
         return start_now{};
     }
     mono_time expires = std::min(call.deadline, now + this->longest_wait);
     // While the upstream fails, waiting for a start that cannot come only delays the retry
     // elsewhere.
-    if (expires <= this->limit.paused_until()) {
+    if (expires <= this->limit->paused_until()) {
         return not_run(refusal_reason::overloaded);
     }
     auto pushed = this->waiting.push({.call = call, .expires = expires});
@@ -92,7 +95,7 @@
     if (this->running.erase(id) == 0) {
         return changes;
     }
-    this->limit.on_result(kind, latency, running_before, now);
+    this->limit->on_result(kind, latency, running_before, now);
     this->refuse_expired(now, changes);
     this->start_waiting(now, changes);
     return changes;
@@ -122,11 +125,11 @@
 std::optional<mono_time> upstream_gate::next_wakeup() const {
     absl::MutexLock lock(&this->mutex);
     std::optional<mono_time> expiry = this->waiting.next_expiry();
-    if (!expiry.has_value() || this->running.size() >= this->limit.limit()) {
+    if (!expiry.has_value() || this->running.size() >= this->limit->limit()) {
         return expiry;
     }
     // Calls wait beside a free slot only during a pause.
-    return std::min(*expiry, this->limit.paused_until());
+    return std::min(*expiry, this->limit->paused_until());
 }
 
 void upstream_gate::drain() {
@@ -156,7 +159,7 @@
 gate_changes upstream_gate::configure(std::uint32_t slots, std::size_t queue, mono_time now) {
     absl::MutexLock lock(&this->mutex);
     gate_changes changes;
-    this->limit.set_slots(slots);
+    this->limit->set_slots(slots);
     this->waiting.set_capacity(queue);
     this->refuse_expired(now, changes);
     this->start_waiting(now, changes);
@@ -167,7 +170,7 @@
     absl::MutexLock lock(&this->mutex);
     return {.running = static_cast<std::uint32_t>(this->running.size()),
             .queued = static_cast<std::uint32_t>(this->waiting.size()),
-            .limit = this->limit.limit()};
+            .limit = this->limit->limit()};
 }
 
 void upstream_gate::refuse_expired(mono_time now, gate_changes& changes) {
@@ -178,7 +181,7 @@
 }
 
 void upstream_gate::start_waiting(mono_time now, gate_changes& changes) {
-    while (!this->waiting.empty() && this->limit.may_start(this->running.size(), now)) {
+    while (!this->waiting.empty() && this->limit->may_start(this->running.size(), now)) {
         call_id next = std::move(this->waiting.pop()->call.id);
         this->running.insert(next);
         changes.start.push_back(std::move(next));
--- a/packages/gate/upstream_gate.h
+++ b/packages/gate/upstream_gate.h
@@ -19,6 +19,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -30,6 +31,7 @@
 #include "gate/duplicate_filter.h"
 #include "gate/fair_queue.h"
 #include "gate/gate_types.h"
+#include "gate/start_limit.h"
 #include "messages/messages.h"
 
 namespace trefoil::gate {
@@ -79,6 +81,9 @@
 public:
     explicit upstream_gate(upstream_gate_options initial);
 
+    // Uses another rule than concurrency_limit; `initial.limit` is ignored.
+    upstream_gate(upstream_gate_options initial, std::unique_ptr<start_limit> rule);
+
     offer_result offer(const offered_call& call, mono_time now);
 
     // Reports the end of a started call after `latency`. A call that is not running is ignored.
@@ -121,7 +126,7 @@
     // All members below are guarded by mutex. A call is in at most one of `waiting` and `running`,
     // and `duplicates` holds it before it enters either.
     std::chrono::milliseconds longest_wait;
-    concurrency_limit limit;
+    std::unique_ptr<start_limit> limit;  // Never null.
     fair_queue waiting;
     duplicate_filter duplicates;
     absl::flat_hash_set<call_id> running;
