--- a/packages/ctl/diff_command.cc
+++ b/packages/ctl/diff_command.cc
@@ -45,9 +45,14 @@
     return site_of(overlays.after == no_file ? overlays.before : overlays.after);
 }
 
-// Removes the lines that all sites have in common and returns them.
+// Removes the lines that all sites have in common and returns them. Nothing is in common when only
+// one site was given.
 std::vector<std::string> take_common_lines(std::vector<site_changes>& sites) {
     std::vector<std::string> common;
+    bool one_site = sites.size() == 1 && sites.front().site != no_file;
+    if (one_site) {
+        return common;
+    }
     for (const std::string& line : sites.front().lines) {
         bool everywhere = std::all_of(sites.begin(), sites.end(), [&line](const auto& each) {
             return std::find(each.lines.begin(), each.lines.end(), line) != each.lines.end();
--- a/packages/ctl/testing/document_commands_test.cc
+++ b/packages/ctl/testing/document_commands_test.cc
@@ -138,6 +138,8 @@
                "  key north-1: digest changed\n"
                "site north:\n"
                "  failure domain d1: out false -> true\n");
+    BOOST_TEST(this->run({"diff", "base.yaml", "base.yaml", "--overlay", "north.yaml", "-"}) == 1);
+    BOOST_TEST(this->out == "site north:\n  failure domain d1: out true -> false\n");
     BOOST_TEST(this->run({"diff", "base.yaml", "new.yaml", "--overlay", "bad.yaml", "-"}) == 1);
     BOOST_TEST(this->error.find("bad.yaml:1: services.station.slots") == 0U);
 }
