Ask peers more often while the confirmation grows old

Only replies confirm, so with one question a second the age of the newest confirmation that n daemons share grows to about ln(n) seconds, close to the limit of 4 s at 40 daemons and beyond it at 120.

A daemon whose confirmation is older than 1.5 s, or that starts, asks every 250 ms. Replies carry the age vector once a second, and always when the platform seems lost.

--- a/packages/dissemination/core.cc
+++ b/packages/dissemination/core.cc
@@ -12,11 +12,6 @@
 
 namespace {
 
-// A reply that comes later than this confirms nothing that is still useful.
-constexpr milliseconds round_lifetime{5000};
-// Shortest time between two unasked digests to one peer. Without it, two daemons that each hold one
-// newer document would answer each other's digests until both documents have crossed.
-constexpr milliseconds correction_interval{200};
 // An ingress may have hundreds of connections; the other peers learn of a revision by gossip.
 constexpr std::size_t announcement_limit = 16;
 
@@ -25,20 +20,19 @@
 core::core(core_options settings, document_store& configuration, random_source& source,
            mono_time start_time)
     : options(std::move(settings)),
-      random(source),
       held(configuration, this->options.site),
       confirmations(this->options.instance, this->options.site),
       puller(this->options.request_timeout, this->options.bridge_invalid),
       schedule(this->options, source, start_time),
       peers(this->options, source, start_time),
+      rounds(this->options, source, start_time),
       readers(this->options.instance, this->options.failure_domain,
               this->options.readers_per_domain),
       start(this->options.instance, start_time, this->options.start_patience),
       view(std::make_shared<const membership::view>(
           std::make_shared<const membership::instance_list>(
               0, std::vector<membership::instance_record>()),
-          std::vector<membership::member>(), std::vector<membership::member>())),
-      next_round_at(start_time) {}
+          std::vector<membership::member>(), std::vector<membership::member>())) {}
 
 std::vector<action> core::take_actions() {
     return std::exchange(this->actions, {});
@@ -57,16 +51,24 @@
     return this->options.check_pauses ? asked_at : now;
 }
 
-messages::digest core::make_digest(bool wants_reply, std::uint64_t round) const {
+messages::digest core::make_digest() const {
     messages::digest result;
-    result.wants_reply = wants_reply;
-    result.round = round;
     result.leaving = this->leaving;
     result.documents = this->held.states_for_digest();
     result.list_revision = this->confirmations.list_revision();
     return result;
 }
 
+void core::ask(const gossip_rounds::question& question) {
+    messages::digest message = this->make_digest();
+    message.wants_reply = true;
+    message.round = question.round;
+    // A reply carries the age vector only when both sides name the same list, so that naming none
+    // asks for a short reply.
+    message.list_revision = question.wants_ages ? message.list_revision : 0;
+    this->send(question.peer, std::move(message));
+}
+
 // Inputs.
 
 void core::tick(mono_time now) {
@@ -84,22 +86,11 @@
     comparison result = this->compare(now, peer, message);
     if (message.wants_reply) {
         this->peers.used_by_peer(now, peer);
-        messages::digest reply = this->make_digest(false, message.round);
-        auto at = this->confirmations.platform_confirmed_at();
-        if (at.has_value()) {
-            reply.platform_age_ms = std::chrono::ceil<std::chrono::milliseconds>(now - *at).count();
-        }
-        if (message.list_revision == reply.list_revision) {
-            reply.ages = this->confirmations.ages(now);
-        }
-        this->send(peer, std::move(reply));
+        this->reply(now, peer, message);
     } else {
         this->use_reply(now, peer, message, result);
-        mono_time& corrected = this->corrected_at.try_emplace(peer, unknown_time).first->second;
-        bool due = corrected == unknown_time || now - corrected >= correction_interval;
-        if (result.newer_here && due && this->options.gossip) {
-            corrected = now;
-            this->send(peer, this->make_digest(false, 0));
+        if (result.newer_here && this->options.gossip && this->rounds.may_correct(now, peer)) {
+            this->send(peer, this->make_digest());
         }
     }
     this->finish_input(now);
@@ -114,7 +105,7 @@
     auto body = this->held.body(*index, message.revision);
     if (!body.has_value()) {
         // The peer asks for a revision that was replaced here; a digest names the present one.
-        this->send(peer, this->make_digest(false, 0));
+        this->send(peer, this->make_digest());
         return;
     }
     ++this->totals.documents_sent;
@@ -178,16 +169,14 @@
     this->peers.connected(now, peer, opened_address);
     if (this->options.gossip && !this->start.ready()) {
         // A daemon that starts asks each peer at once.
-        this->send(peer.id, this->make_digest(true, ++this->last_round));
-        this->rounds.push_back({.peer = peer.id, .round = this->last_round, .asked_at = now});
+        this->ask(this->rounds.ask(now, peer.id));
     }
 }
 
 void core::connection_closed(const std::string& peer) {
     this->peers.disconnected(peer);
     this->puller.disconnected(peer);
-    this->corrected_at.erase(peer);
-    std::erase_if(this->rounds, [&](const pending_round& each) { return each.peer == peer; });
+    this->rounds.disconnected(peer);
 }
 
 void core::connection_failed(mono_time now, const std::string& address) {
@@ -233,21 +222,22 @@
     return result;
 }
 
-std::optional<mono_time> core::take_round(const std::string& peer, std::uint64_t round) {
-    auto found = std::find_if(
-        this->rounds.begin(), this->rounds.end(),
-        [&](const pending_round& each) { return each.round == round && each.peer == peer; });
-    if (found == this->rounds.end()) {
-        return std::nullopt;
+void core::reply(mono_time now, const std::string& peer, const messages::digest& question) {
+    messages::digest answer = this->make_digest();
+    answer.round = question.round;
+    auto at = this->confirmations.platform_confirmed_at();
+    if (at.has_value()) {
+        answer.platform_age_ms = std::chrono::ceil<milliseconds>(now - *at).count();
+    }
+    if (question.list_revision == answer.list_revision) {
+        answer.ages = this->confirmations.ages(now);
     }
-    mono_time asked_at = found->asked_at;
-    this->rounds.erase(found);
-    return asked_at;
+    this->send(peer, std::move(answer));
 }
 
 void core::use_reply(mono_time now, const std::string& peer, const messages::digest& message,
                      const comparison& result) {
-    auto asked = this->take_round(peer, message.round);
+    auto asked = this->rounds.take(peer, message.round);
     if (!asked.has_value()) {
         return;
     }
@@ -341,19 +331,11 @@
 }
 
 void core::send_rounds(mono_time now) {
-    std::erase_if(this->rounds,
-                  [&](const pending_round& each) { return now - each.asked_at > round_lifetime; });
-    const std::vector<std::string>& chosen = this->peers.chosen();
-    if (now < this->next_round_at || chosen.empty()) {
-        return;
+    auto question = this->rounds.due(now, this->peers.chosen(), this->confirmed_at(),
+                                     this->confirmations.platform_confirmed_at());
+    if (question.has_value()) {
+        this->ask(*question);
     }
-    const std::string& peer = chosen[this->next_peer++ % chosen.size()];
-    this->send(peer, this->make_digest(true, ++this->last_round));
-    this->rounds.push_back({.peer = peer, .round = this->last_round, .asked_at = now});
-    // Jitter of a tenth keeps the rounds of daemons that started together apart.
-    auto interval = static_cast<double>(mono_duration(this->options.round_interval).count());
-    this->next_round_at = now + mono_duration(static_cast<mono_duration::rep>(
-                                    interval * (0.95 + 0.1 * this->random.uniform())));
 }
 
 void core::announce() {
@@ -371,7 +353,7 @@
         }
     }
     for (const std::string& peer : targets) {
-        this->send(peer, this->make_digest(false, 0));
+        this->send(peer, this->make_digest());
     }
 }
 
--- a/packages/dissemination/core.h
+++ b/packages/dissemination/core.h
@@ -20,7 +20,6 @@
 #include <string>
 #include <vector>
 
-#include "absl/container/flat_hash_map.h"
 #include "base/random.h"
 #include "base/time.h"
 #include "dissemination/action.h"
@@ -29,6 +28,7 @@
 #include "dissemination/document_puller.h"
 #include "dissemination/document_store.h"
 #include "dissemination/gossip_peers.h"
+#include "dissemination/gossip_rounds.h"
 #include "dissemination/held_documents.h"
 #include "dissemination/platform_answer.h"
 #include "dissemination/platform_schedule.h"
@@ -95,11 +95,6 @@
     const core_counts& counts() const { return this->totals; }
 
 private:
-    struct pending_round {
-        std::string peer;
-        std::uint64_t round = 0;
-        mono_time asked_at;
-    };
     // How a peer's digest compares with what is held here, over the documents that both hold.
     struct comparison {
         bool newer_there = false;
@@ -111,16 +106,17 @@
     };
 
     comparison compare(mono_time now, const std::string& peer, const messages::digest& message);
+    void reply(mono_time now, const std::string& peer, const messages::digest& question);
     void use_reply(mono_time now, const std::string& peer, const messages::digest& message,
                    const comparison& result);
-    std::optional<mono_time> take_round(const std::string& peer, std::uint64_t round);
     void offer(mono_time now, std::size_t index, const messages::document& offered);
     read_outcome use_document(mono_time now, const platform_schedule::call& sent,
                               const platform_document& answer);
     read_outcome use_unchanged(mono_time now, const platform_schedule::call& sent,
                                std::uint64_t revision);
     mono_time counted_from(mono_time asked_at, mono_time now) const;
-    messages::digest make_digest(bool wants_reply, std::uint64_t round) const;
+    messages::digest make_digest() const;
+    void ask(const gossip_rounds::question& question);
     void send(const std::string& peer, messages::peer_message message);
     void send_rounds(mono_time now);
     void read_platform(mono_time now);
@@ -128,23 +124,18 @@
     void finish_input(mono_time now);
 
     const core_options options;
-    random_source& random;
     held_documents held;
     confirmation confirmations;
     document_puller puller;
     platform_schedule schedule;
     gossip_peers peers;
+    gossip_rounds rounds;
     reader_choice readers;
     start_rule start;
     std::shared_ptr<const membership::view> view;  // Never null.
     bool is_reader = false;
     bool leaving = false;
     mono_time platform_answered_at = unknown_time;
-    mono_time next_round_at;
-    std::uint64_t last_round = 0;
-    std::size_t next_peer = 0;  // Rounds go to the chosen peers in turn.
-    std::vector<pending_round> rounds;
-    absl::flat_hash_map<std::string, mono_time> corrected_at;  // Last unasked digest per peer.
     bool announce_pending = false;  // A new revision is held that peers have not been told of.
     core_counts totals;
     std::vector<action> actions;
--- a/packages/dissemination/core_options.h
+++ b/packages/dissemination/core_options.h
@@ -27,6 +27,9 @@
     std::size_t gossip_peers = 4;
     std::size_t readers_per_domain = 2;
     milliseconds round_interval{1000};
+    // Rounds while the confirmation is older than `hurry_after` or the daemon starts.
+    milliseconds hurried_interval{250};
+    milliseconds hurry_after{1500};
     milliseconds rotation_interval{60000};
     milliseconds request_timeout{1000};  // After this a document is asked from another peer.
 
