Leave the seeds when the instance list is known

All daemons have the same seeds. They stayed with them as gossip peers for the first minutes, so that nobody asked the other daemons and their age vectors never contained a majority.

--- a/packages/dissemination/gossip_peers.cc
+++ b/packages/dissemination/gossip_peers.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace trefoil::dissemination {
 
@@ -46,6 +47,10 @@
     entry.opened_here = entry.opened_here || opened_here;
     entry.used_at = opened_here ? entry.used_at : now;
     if (opened_here) {
+        auto found = this->attempts.find(opened_address);
+        if (found != this->attempts.end() && found->second.id.empty()) {
+            this->from_seeds.push_back(peer.id);
+        }
         this->attempts.erase(opened_address);
         this->attempts.erase(peer.address);
         if (!contains(this->selected, peer.id)) {
@@ -57,6 +62,7 @@
 void gossip_peers::disconnected(const std::string& peer) {
     this->open.erase(peer);
     std::erase(this->selected, peer);
+    std::erase(this->from_seeds, peer);
     std::erase(this->released, peer);
 }
 
@@ -171,6 +177,16 @@
     }
 }
 
+void gossip_peers::release_seeds() {
+    // All daemons have the same few seeds. If they stayed with them, nobody would ask the others,
+    // and their state would spread to nobody.
+    for (const std::string& id : std::exchange(this->from_seeds, {})) {
+        if (std::erase(this->selected, id) != 0) {
+            this->released.push_back(id);
+        }
+    }
+}
+
 void gossip_peers::replace_one(const membership::view& current) {
     if (this->selected.size() <= this->options.gossip_peers) {
         return;
@@ -223,6 +239,9 @@
                         std::vector<action>& actions) {
     this->expire_attempts(now);
     std::size_t target = this->options.gossip_peers;
+    if (!current.listed().empty()) {
+        this->release_seeds();
+    }
     if (now >= this->rotate_at) {
         // One more is wanted until it is connected; then another is released.
         ++target;
--- a/packages/dissemination/gossip_peers.h
+++ b/packages/dissemination/gossip_peers.h
@@ -72,6 +72,7 @@
     void start_attempt(mono_time now, const std::string& address, const std::string& id,
                        std::vector<action>& actions);
     void open_seeds(mono_time now, std::vector<action>& actions);
+    void release_seeds();
     void replace_one(const membership::view& current);
     void close_released(mono_time now, std::vector<action>& actions);
     void expire_attempts(mono_time now);
@@ -79,8 +80,9 @@
     const core_options& options;
     random_source& random;
     mono_time rotate_at;
-    std::vector<std::string> selected;  // Ids in `open`.
-    std::vector<std::string> released;  // Ids that are no longer selected but still connected.
+    std::vector<std::string> selected;    // Ids in `open`.
+    std::vector<std::string> from_seeds;  // Ids that were selected because their address is a seed.
+    std::vector<std::string> released;    // Ids that are no longer selected but still connected.
     absl::flat_hash_map<std::string, connection> open;   // By instance id.
     absl::flat_hash_map<std::string, attempt> attempts;  // By address.
 };
