Let the paused holder of the expiry test hold several tokens

Cause: since batches ahead of demand became smaller, the holder of this test held one token when it was paused, so the run with expiry switched off showed an excess of exactly 1 and the check that the fault is found (more than 1) failed. The limiter itself is not at fault: the run with expiry on stays within the limit before and after. The holder now gets all calls before its pause; both bounds are unchanged.

--- a/packages/admission/testing/limiter_protocol_test.cc
+++ b/packages/admission/testing/limiter_protocol_test.cc
@@ -143,27 +143,29 @@
     return fleet.excess("w");
 }
 
-// Excess of a fleet in which a holder of tokens is paused for longer than their life. Its first
-// calls after the pause come before its timer runs.
+// Excess of a fleet in which a holder of tokens is paused for longer than their life. All calls
+// before the pause come at the holder, so that it holds several tokens. Its first calls after the
+// pause come before its timer runs.
 double excess_after_pause(const limit_faults& faults) {
     std::vector<workspace_limit> limits = {{.workspace = "w", .rate = 100, .burst = 200}};
     limiter_fleet fleet(
         {.instances = 2, .max_instances = 2, .limits = limits, .seed = 4, .faults = faults});
-    auto run_for = [&](mono_duration duration, bool calls) {
+    constexpr int no_calls = -1;
+    auto run_for = [&](mono_duration duration, int caller) {
         int step = 0;
         for (mono_time end = fleet.now() + duration; fleet.now() < end; ++step) {
             fleet.step();
-            if (calls && step % 40 == 0) {
-                fleet.call(0, "w");
-                fleet.call(1, "w");
+            if (caller != no_calls && step % 12 == 0) {
+                fleet.call(caller, "w");
             }
         }
     };
-    run_for(seconds(12), true);
+    run_for(seconds(6), no_calls);
     int home = fleet.limiter(0).inspect("w")->is_home ? 0 : 1;
     int holder = 1 - home;
+    run_for(seconds(6), holder);
     fleet.pause(holder, fleet.now() + seconds(2), false);
-    run_for(seconds(1), false);
+    run_for(seconds(1), no_calls);
     for (int i = 0; i < 200; ++i) {
         fleet.call(home, "w");
     }
