--- a/testing/load_client/load_client.cc
+++ b/testing/load_client/load_client.cc
@@ -6,24 +6,18 @@
 // the label and never the key.
 
 #include <algorithm>
-#include <atomic>
-#include <boost/program_options.hpp>
-#include <chrono>
 #include <cmath>
 #include <fstream>
-#include <iostream>
-#include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
-#include <string>
 #include <thread>
 #include <utility>
-#include <vector>
 
 #include "base/hash.h"
 #include "base/random.h"
 #include "support/event_log.h"
 #include "support/http_client.h"
+#include "support/program.h"
 
 namespace trefoil::testing {
 
@@ -46,8 +40,6 @@
     double seconds = 5;
     std::uint64_t seed = 1;
     std::size_t body_bytes = 0;
-    std::int64_t timeout_ms = 5000;
-    bool idempotent = false;
     std::string events;
 };
 
@@ -55,12 +47,10 @@
 class summary {
 public:
     void add(const http_reply& reply, std::int64_t latency_us) {
-        std::string result = reply.header("trefoil-reason");
-        if (!reply.error.empty()) {
-            result = reply.error;
-        } else if (result.empty()) {
-            result = std::to_string(reply.status);
-        }
+        std::string reason = reply.header("trefoil-reason");
+        std::string result = !reply.error.empty() ? reply.error
+                             : !reason.empty()    ? reason
+                                                  : std::to_string(reply.status);
         std::lock_guard lock(this->mutex);
         ++this->results[result];
         if (reply.error.empty() && reply.status == 200) {
@@ -80,12 +70,8 @@
 private:
     // Nearest-rank quantile of the sorted latencies of answered requests; 0 when there are none.
     std::int64_t quantile(double share) const {
-        if (this->latencies_us.empty()) {
-            return 0;
-        }
-        auto rank = static_cast<std::size_t>(
-            std::ceil(share * static_cast<double>(this->latencies_us.size())));
-        return this->latencies_us[std::max<std::size_t>(rank, 1) - 1];
+        double rank = std::ceil(share * static_cast<double>(this->latencies_us.size()));
+        return rank < 1 ? 0 : this->latencies_us[static_cast<std::size_t>(rank) - 1];
     }
 
     std::mutex mutex;  // Guards the members below.
@@ -151,21 +137,16 @@
             this->options.targets[(this->number + this->moves) % this->options.targets.size()];
         const std::string& path =
             this->options.paths[this->random.below(this->options.paths.size())];
-        bool safe = this->options.method == "GET" || this->options.method == "HEAD";
-        bool idempotent = safe || this->options.idempotent;
+        bool idempotent = this->options.method == "GET";
         http_call call{.method = this->options.method,
                        .url = "http://" + target + path,
                        .headers = this->options.headers,
-                       .body = safe ? "" : this->make_body(),
-                       .timeout = std::chrono::milliseconds(this->options.timeout_ms),
+                       .body = idempotent ? "" : this->make_body(),
                        .fresh_connection = !idempotent};
         call.headers.push_back("Request-Id: " + request);
         if (this->key.key != "-") {
             call.headers.push_back("Authorization: Bearer " + this->key.key);
         }
-        if (idempotent && !safe) {
-            call.headers.emplace_back("Trefoil-Idempotent: true");
-        }
         std::int64_t sent_us = now_us();
         this->events.write(sent_us, "call",
                            {{"request", request},
@@ -185,16 +166,11 @@
              {"error", reply.error},
              {"whole", reply.error.empty() && is_whole(reply, request, call.body, path)}});
         this->totals.add(reply, received_us - sent_us);
-        this->choose_next_target(reply);
-    }
-
-    // Moves to the next target after a failure to connect, and backs off as a real caller would.
-    void choose_next_target(const http_reply& reply) {
-        if (reply.error.empty()) {
-            return;
+        if (!reply.error.empty()) {
+            // Moves to the next target and backs off, as a real caller would.
+            ++this->moves;
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
         }
-        ++this->moves;
-        std::this_thread::sleep_for(std::chrono::milliseconds(10));
     }
 
     std::string make_body() {
@@ -226,32 +202,7 @@
     return keys;
 }
 
-load_options parse_options(int argc, char** argv) {
-    namespace program = boost::program_options;
-    load_options chosen;
-    program::options_description description("load_client");
-    auto add = description.add_options();
-    add("target", program::value(&chosen.targets)->required()->composing());
-    add("path", program::value(&chosen.paths)->required()->composing());
-    add("method", program::value(&chosen.method));
-    add("key-file", program::value(&chosen.key_file));
-    add("header", program::value(&chosen.headers)->composing());
-    add("rate", program::value(&chosen.rate));
-    add("callers", program::value(&chosen.callers));
-    add("seconds", program::value(&chosen.seconds));
-    add("seed", program::value(&chosen.seed));
-    add("body-bytes", program::value(&chosen.body_bytes));
-    add("timeout-ms", program::value(&chosen.timeout_ms));
-    add("idempotent", program::bool_switch(&chosen.idempotent));
-    add("events", program::value(&chosen.events));
-    program::variables_map values;
-    program::store(program::parse_command_line(argc, argv, description), values);
-    program::notify(values);
-    return chosen;
-}
-
-int run(int argc, char** argv) {
-    load_options options = parse_options(argc, argv);
+void run(const load_options& options) {
     std::vector<key_line> keys = read_keys(options.key_file);
     event_log events(options.events);
     summary totals;
@@ -267,7 +218,6 @@
         thread.join();
     }
     std::cout << totals.report(options.seconds).dump() << std::endl;
-    return 0;
 }
 
 }  // namespace
@@ -275,10 +225,23 @@
 }  // namespace trefoil::testing
 
 int main(int argc, char** argv) {
-    try {
-        return trefoil::testing::run(argc, argv);
-    } catch (const std::exception& failure) {
-        std::cerr << failure.what() << "\n";
-        return 2;
-    }
+    using namespace trefoil::testing;
+    load_options chosen;
+    boost::program_options::options_description description;
+    auto add = description.add_options();
+    add("target", value(&chosen.targets)->required()->composing());
+    add("path", value(&chosen.paths)->required()->composing());
+    add("method", value(&chosen.method));
+    add("key-file", value(&chosen.key_file));
+    add("header", value(&chosen.headers)->composing());
+    add("rate", value(&chosen.rate));
+    add("callers", value(&chosen.callers));
+    add("seconds", value(&chosen.seconds));
+    add("seed", value(&chosen.seed));
+    add("body-bytes", value(&chosen.body_bytes));
+    add("events", value(&chosen.events));
+    return run_program(argc, argv, description, [&] {
+        run(chosen);
+        return 0;
+    });
 }
--- /dev/null
+++ b/testing/scenario/scenario.cc
@@ -0,0 +1,262 @@
+// Runs one scenario against real daemons: scenario --name kill --seed 7 --trefoild PATH. Prints
+// figures and a verdict per check; exit status 0 when every check holds and the scenario exercised
+// what it is meant to exercise, 1 when not, 2 when it could not run.
+
+#include <algorithm>
+#include <filesystem>
+
+#include "base/random.h"
+#include "history_checker/history.h"
+#include "scenario/fleet.h"
+#include "support/http_server.h"
+#include "support/program.h"
+
+namespace trefoil::testing {
+
+namespace {
+
+// A daemon's share of each limit becomes active 4 s after its start.
+constexpr std::int64_t share_wait_ms = 4'500;
+
+struct scenario {
+    std::string name;
+    int load_seconds;
+    std::string must_exercise;  // The check that is void unless the fault takes effect.
+    std::function<void(fleet&, seeded_random&)> steps;
+};
+
+member& any_member(fleet& run, seeded_random& random) {
+    return run.members[random.below(run.members.size())];
+}
+
+void pause_up_to_ms(seeded_random& random, std::uint64_t milliseconds) {
+    pause_ms(static_cast<std::int64_t>(random.below(milliseconds)));
+}
+
+void kill_and_restart(fleet& run, seeded_random& random) {
+    for (int i = 0; i < 2; ++i) {
+        member& victim = any_member(run, random);
+        victim.daemon->kill();
+        pause_up_to_ms(random, 2000);
+        run.start_daemon(victim);
+        pause_ms(1000);
+    }
+}
+
+// A pause longer than heartbeats and confirmation, during which the documents change.
+void freeze(fleet& run, seeded_random& random) {
+    member& victim = any_member(run, random);
+    victim.daemon->signal(SIGSTOP);
+    run.publish();
+    pause_ms(2500);
+    pause_up_to_ms(random, 3000);
+    victim.daemon->signal(SIGCONT);
+}
+
+void platform_outage(fleet& run, seeded_random& random) {
+    std::string faults = run.platform_url + "/faults";
+    run.control("PUT", faults, R"({"down": true})");
+    pause_ms(5000);
+    // One read in two comes from a replica that stays behind.
+    run.control("PUT", faults, R"({"stale": true, "stale_every": 2})");
+    for (int i = 0; i < 4; ++i) {
+        run.publish();
+        pause_up_to_ms(random, 400);
+    }
+    pause_ms(1000);
+    run.control("PUT", faults, "{}");
+}
+
+void note_domain(const fleet& run, const std::string& failure_domain, const std::string& kind) {
+    for (const member& item : run.members) {
+        if (item.failure_domain == failure_domain) {
+            run.note(kind, {{"instance", item.name}});
+        }
+    }
+}
+
+// Takes a failure domain out and back; one instance elsewhere leaves at the same time.
+void domain_out(fleet& run, seeded_random& random) {
+    std::string failure_domain = any_member(run, random).failure_domain;
+    run.out_domains = {failure_domain};
+    run.publish();
+    note_domain(run, failure_domain, "taken_out");
+    member& leaving = run.members[failure_domain == "d1" ? 1 : 0];
+    leaving.state = "leaving";
+    run.publish_instances();
+    run.note("leaving", {{"instance", leaving.name}});
+    pause_ms(7500);
+    run.out_domains.clear();
+    note_domain(run, failure_domain, "put_back");
+    run.publish();
+}
+
+void key_revoked(fleet& run, seeded_random& random) {
+    pause_up_to_ms(random, 500);
+    run.revoked_keys = {"n2"};
+    run.publish();
+    run.note("key_revoked", {{"key", "n2"}});
+}
+
+// A daemon that restarts finds a newest version that is not valid.
+void bad_version(fleet& run, seeded_random& random) {
+    run.publish_bad();
+    pause_up_to_ms(random, 2000);
+    member& victim = any_member(run, random);
+    victim.daemon->kill();
+    run.start_daemon(victim);
+    pause_ms(4000);
+    run.publish();
+}
+
+void restart_all(fleet& run, seeded_random& random) {
+    run.publish();
+    pause_up_to_ms(random, 1000);
+    for (member& item : run.members) {
+        item.daemon->kill();
+    }
+    for (member& item : run.members) {
+        run.start_daemon(item);
+    }
+}
+
+void rolling_stop(fleet& run, seeded_random& random) {
+    for (int i = 0; i < 3; ++i) {
+        member& item = any_member(run, random);
+        run.stop_daemon(item);
+        run.start_daemon(item);
+        run.wait_ready(item);
+    }
+}
+
+void cold_upstream(fleet& run, seeded_random& random) {
+    run.control("POST", "http://" + any_member(run, random).upstream + "/control",
+                R"({"cold": true})");
+    pause_ms(2000);
+    member& victim = any_member(run, random);
+    victim.upstream_process->kill();
+    pause_up_to_ms(random, 1000);
+    run.start_upstream(victim);
+}
+
+void noisy_workspace(fleet& run, seeded_random&) {
+    run.load("noisy", {"--path", "/station/a", "--rate", "600", "--callers", "10"}, 5);
+}
+
+// Calls nested two deep, and calls with a context handle that no daemon issued.
+void nested(fleet& run, seeded_random&) {
+    std::string path = "/station/a?call=%2Fdosing%2Fb%3Fcall%3D%252Fstation%252Fc";
+    run.load("nested", {"--path", path, "--rate", "40", "--callers", "5"}, 5);
+    std::string forged = "Trefoil-Context: 0123456789abcdef0123456789abcdef";
+    run.load("forged",
+             {"--path", "/station/a", "--rate", "20", "--callers", "5", "--header", forged}, 5);
+}
+
+const std::vector<scenario> scenarios = {
+    {"steady", 6, "rate_and_burst", [](fleet&, seeded_random&) {}},
+    {"kill", 10, "at_most_once", kill_and_restart},
+    {"freeze", 10, "at_most_once", freeze},
+    {"platform_outage", 11, "version_never_back", platform_outage},
+    {"domain_out", 11, "no_work_after_taken_out", domain_out},
+    {"key_revoked", 9, "key_stops", key_revoked},
+    {"bad_version", 10, "bad_version_refused", bad_version},
+    {"restart_all", 10, "version_never_back", restart_all},
+    {"rolling_stop", 10, "graceful_stop", rolling_stop},
+    {"cold_upstream", 10, "cold_start_load", cold_upstream},
+    {"noisy_workspace", 8, "rate_and_burst", noisy_workspace},
+    {"nested", 8, "workspace_of_key", nested}};
+
+// Prints for each accepted pair how long the last daemon took to report it or a newer one.
+void print_convergence(const std::vector<event>& events) {
+    for (const event& accepted : events) {
+        std::map<std::string, std::int64_t> first_us;
+        for (const event& item : events) {
+            if (item.kind == "version" && item.t >= accepted.t && item.base >= accepted.base &&
+                item.overlay >= accepted.overlay) {
+                first_us.emplace(item.instance, item.t - accepted.t);
+            }
+        }
+        std::int64_t last_us = 0;
+        for (const auto& [instance, delay_us] : first_us) {
+            last_us = std::max(last_us, delay_us);
+        }
+        if (accepted.kind == "accepted") {
+            std::cout << "base " << accepted.base << " overlay " << accepted.overlay
+                      << " in force in daemons: " << first_us.size()
+                      << ", last after ms: " << last_us / 1000 << "\n";
+        }
+    }
+}
+
+bool judge(const scenario& chosen, const std::vector<std::string>& files) {
+    auto events = read_events(files);
+    if (const auto* failure = std::get_if<read_failure>(&events)) {
+        throw std::runtime_error(failure->file + " is not readable as events");
+    }
+    const auto& history = std::get<std::vector<event>>(events);
+    print_convergence(history);
+    std::vector<check_result> checks = check_history(history);
+    std::cout << describe(checks);
+    return std::all_of(checks.begin(), checks.end(), [&](const check_result& check) {
+        bool required = check.name == chosen.must_exercise || check.name == "whole_answer";
+        return check.violations.empty() && (check.examined > 0 || !required);
+    });
+}
+
+bool run_scenario(const scenario& chosen, std::uint64_t seed, const fleet_options& options) {
+    seeded_random random(seed);
+    fleet run(options);
+    run.start();
+    pause_ms(share_wait_ms);
+    std::string seed_text = std::to_string(seed);
+    run.load(
+        "readings",
+        {"--path", "/station/a?size=300", "--rate", "200", "--callers", "10", "--seed", seed_text},
+        chosen.load_seconds);
+    run.load("commands",
+             {"--path", "/station/b", "--path", "/dosing/c", "--method", "POST", "--body-bytes",
+              "500", "--rate", "80", "--callers", "10", "--seed", seed_text},
+             chosen.load_seconds);
+    pause_ms(1000);
+    chosen.steps(run, random);
+    return judge(chosen, run.finish());
+}
+
+int run_named(const std::string& name, std::uint64_t seed, fleet_options options) {
+    auto found = std::find_if(scenarios.begin(), scenarios.end(),
+                              [&](const scenario& item) { return item.name == name; });
+    if (found == scenarios.end()) {
+        throw std::runtime_error("unknown scenario " + name);
+    }
+    block_stop_signals();
+    options.doubles = std::filesystem::canonical("/proc/self/exe").parent_path();
+    options.directory = std::filesystem::temp_directory_path() / "trefoil-scenario-XXXXXX";
+    if (::mkdtemp(options.directory.data()) == nullptr) {
+        throw std::runtime_error("cannot create a temporary directory");
+    }
+    std::cout << "logs and events, kept after a failure: " << options.directory << std::endl;
+    bool holds = run_scenario(*found, seed, options);
+    std::cout << "scenario " << name << " seed " << seed << ": " << (holds ? "holds" : "VIOLATED")
+              << "\n";
+    if (holds) {
+        std::filesystem::remove_all(options.directory);
+    }
+    return holds ? 0 : 1;
+}
+
+}  // namespace
+
+}  // namespace trefoil::testing
+
+int main(int argc, char** argv) {
+    using namespace trefoil::testing;
+    std::string name;
+    std::uint64_t seed = 1;
+    fleet_options options;
+    boost::program_options::options_description description;
+    auto add = description.add_options();
+    add("name", value(&name)->required());
+    add("seed", value(&seed));
+    add("trefoild", value(&options.trefoild)->required());
+    return run_program(argc, argv, description, [&] { return run_named(name, seed, options); });
+}
--- a/testing/support/event_log.h
+++ b/testing/support/event_log.h
@@ -9,29 +9,50 @@
 #define TREFOIL_TESTING_SUPPORT_EVENT_LOG_H_
 
 #include <cstdint>
+#include <cstdio>
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "base/time.h"
+
 namespace trefoil::testing {
 
 // Microseconds of CLOCK_MONOTONIC, which all processes of a machine share.
-std::int64_t now_us();
+inline std::int64_t now_us() {
+    return to_microseconds(steady_time_source().now());
+}
 
 class event_log {
 public:
-    // Appends to `path`; an empty path discards all events. Exits the process when the file cannot
-    // be opened, because a history with missing events proves nothing.
-    explicit event_log(const std::string& path);
-    ~event_log();
+    // Appends to `path`; an empty path discards all events.
+    explicit event_log(const std::string& path)
+        : file(std::fopen(path.empty() ? "/dev/null" : path.c_str(), "ae")) {
+        if (this->file == nullptr) {
+            std::perror(path.c_str());
+            std::exit(2);
+        }
+    }
+    ~event_log() { std::fclose(this->file); }
     event_log(const event_log&) = delete;
     event_log& operator=(const event_log&) = delete;
 
-    // Appends one line with a single write, so that a killed process leaves whole lines. Safe for
-    // concurrent use.
-    void write(std::int64_t time_us, const std::string& kind, nlohmann::json fields) const;
+    // Appends one line at once, so that a killed process leaves whole lines. Safe for concurrent
+    // use. A failure ends the process, because a history with missing events proves nothing.
+    void write(std::int64_t time_us, const std::string& kind, nlohmann::json fields) const {
+        fields["t"] = time_us;
+        fields["kind"] = kind;
+        std::string line = fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        line.push_back('\n');
+        if (std::fwrite(line.data(), 1, line.size(), this->file) != line.size() ||
+            std::fflush(this->file) != 0) {
+            std::perror("event log");
+            std::_Exit(2);
+        }
+    }
 
 private:
-    int file = -1;
+    std::FILE* file;
 };
 
 }  // namespace trefoil::testing
--- a/testing/support/http_client.cc
+++ b/testing/support/http_client.cc
@@ -16,32 +16,25 @@
     return size * count;
 }
 
-std::size_t append_header(char* data, std::size_t size, std::size_t count, void* target) {
+std::size_t add_header(char* data, std::size_t size, std::size_t count, void* target) {
     std::string line(data, size * count);
-    std::size_t colon = line.find(':');
+    std::size_t colon = line.find(": ");
     if (colon != std::string::npos) {
-        std::string name = line.substr(0, colon);
-        std::transform(name.begin(), name.end(), name.begin(),
+        std::transform(line.begin(), line.begin() + static_cast<std::ptrdiff_t>(colon),
+                       line.begin(),
                        [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-        std::size_t first = line.find_first_not_of(' ', colon + 1);
-        std::size_t last = line.find_last_not_of("\r\n ");
-        static_cast<http_reply*>(target)->headers[name] =
-            first <= last ? line.substr(first, last - first + 1) : "";
+        std::string value = line.substr(colon + 2);
+        value.erase(value.find_last_not_of("\r\n") + 1);
+        static_cast<http_reply*>(target)->headers[line.substr(0, colon)] = value;
     }
     return size * count;
 }
 
 std::string error_class(CURLcode code) {
-    switch (code) {
-        case CURLE_OK:
-            return "";
-        case CURLE_COULDNT_CONNECT:
-            return "refused";
-        case CURLE_OPERATION_TIMEDOUT:
-            return "timeout";
-        default:
-            return "reset";
-    }
+    return code == CURLE_OK                   ? ""
+           : code == CURLE_COULDNT_CONNECT    ? "refused"
+           : code == CURLE_OPERATION_TIMEDOUT ? "timeout"
+                                              : "reset";
 }
 
 }  // namespace
@@ -59,26 +52,29 @@
 
 http_reply http_client::perform(const http_call& call) {
     http_reply reply;
+    auto set = [this](CURLoption option, auto value) {
+        curl_easy_setopt(this->handle, option, value);
+    };
     curl_easy_reset(this->handle);
     curl_slist* headers = curl_slist_append(nullptr, "Expect:");
     for (const std::string& header : call.headers) {
         headers = curl_slist_append(headers, header.c_str());
     }
-    curl_easy_setopt(this->handle, CURLOPT_URL, call.url.c_str());
-    curl_easy_setopt(this->handle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
-    curl_easy_setopt(this->handle, CURLOPT_HTTPHEADER, headers);
-    curl_easy_setopt(this->handle, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(this->handle, CURLOPT_PROXY, "");
-    curl_easy_setopt(this->handle, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
-    curl_easy_setopt(this->handle, CURLOPT_WRITEFUNCTION, append_body);
-    curl_easy_setopt(this->handle, CURLOPT_WRITEDATA, &reply);
-    curl_easy_setopt(this->handle, CURLOPT_HEADERFUNCTION, append_header);
-    curl_easy_setopt(this->handle, CURLOPT_HEADERDATA, &reply);
-    curl_easy_setopt(this->handle, CURLOPT_FRESH_CONNECT, call.fresh_connection ? 1L : 0L);
-    curl_easy_setopt(this->handle, CURLOPT_FORBID_REUSE, call.fresh_connection ? 1L : 0L);
+    set(CURLOPT_URL, call.url.c_str());
+    set(CURLOPT_CUSTOMREQUEST, call.method.c_str());
+    set(CURLOPT_HTTPHEADER, headers);
+    set(CURLOPT_NOSIGNAL, 1L);
+    set(CURLOPT_PROXY, "");
+    set(CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
+    set(CURLOPT_WRITEFUNCTION, append_body);
+    set(CURLOPT_WRITEDATA, &reply);
+    set(CURLOPT_HEADERFUNCTION, add_header);
+    set(CURLOPT_HEADERDATA, &reply);
+    set(CURLOPT_FRESH_CONNECT, call.fresh_connection ? 1L : 0L);
+    set(CURLOPT_FORBID_REUSE, call.fresh_connection ? 1L : 0L);
     if (call.method != "GET") {
-        curl_easy_setopt(this->handle, CURLOPT_POSTFIELDS, call.body.data());
-        curl_easy_setopt(this->handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(call.body.size()));
+        set(CURLOPT_POSTFIELDS, call.body.data());
+        set(CURLOPT_POSTFIELDSIZE, static_cast<long>(call.body.size()));
     }
     reply.error = error_class(curl_easy_perform(this->handle));
     curl_easy_getinfo(this->handle, CURLINFO_RESPONSE_CODE, &reply.status);
--- a/testing/support/http_client.h
+++ b/testing/support/http_client.h
@@ -4,7 +4,6 @@
 //
 //     http_client client;
 //     http_reply reply = client.perform({.url = "http://127.0.0.1:8001/station/a"});
-//     if (reply.error.empty()) { ... reply.status ... }
 
 #ifndef TREFOIL_TESTING_SUPPORT_HTTP_CLIENT_H_
 #define TREFOIL_TESTING_SUPPORT_HTTP_CLIENT_H_
--- a/testing/support/http_server.cc
+++ b/testing/support/http_server.cc
@@ -4,37 +4,23 @@
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
-#include <netinet/in.h>
 #include <poll.h>
-#include <sys/socket.h>
+#include <strings.h>
 
 #include <algorithm>
 #include <cctype>
-#include <csignal>
-#include <cstdio>
 #include <cstdlib>
-#include <memory>
-#include <string_view>
-#include <utility>
+#include <stdexcept>
 
 namespace trefoil::testing {
 
 namespace {
 
-std::string lower(std::string_view text) {
-    std::string result(text);
-    std::transform(result.begin(), result.end(), result.begin(),
+MHD_Result add_field(void* target, MHD_ValueKind, const char* key, const char* value) {
+    std::string name(key);
+    std::transform(name.begin(), name.end(), name.begin(),
                    [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return result;
-}
-
-MHD_Result add_header(void* target, MHD_ValueKind, const char* key, const char* value) {
-    static_cast<http_request*>(target)->headers[lower(key)] = value != nullptr ? value : "";
-    return MHD_YES;
-}
-
-MHD_Result add_argument(void* target, MHD_ValueKind, const char* key, const char* value) {
-    static_cast<http_request*>(target)->query[key] = value != nullptr ? value : "";
+    (*static_cast<std::map<std::string, std::string>*>(target))[name] = value ? value : "";
     return MHD_YES;
 }
 
@@ -54,24 +40,21 @@
 MHD_Result on_request(void* context, MHD_Connection* connection, const char* url,
                       const char* method, const char*, const char* data, size_t* size,
                       void** state) {
-    if (*state == nullptr) {
-        auto request = std::make_unique<http_request>();
-        request->method = method;
-        request->path = url;
-        MHD_get_connection_values(connection, MHD_HEADER_KIND, add_header, request.get());
-        MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, add_argument, request.get());
+    auto* request = static_cast<http_request*>(*state);
+    if (request == nullptr) {
+        *state = request = new http_request{.method = method, .path = url};
+        MHD_get_connection_values(connection, MHD_HEADER_KIND, add_field, &request->headers);
+        MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, add_field, &request->query);
         request->socket =
             MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
-        *state = request.release();
         return MHD_YES;
     }
-    auto* request = static_cast<http_request*>(*state);
     if (*size > 0) {
         request->body.append(data, *size);
         *size = 0;
         return MHD_YES;
     }
-    return queue(connection, (*static_cast<http_server::handler*>(context))(*request));
+    return queue(connection, (*static_cast<http_handler*>(context))(*request));
 }
 
 void on_completed(void*, MHD_Connection*, void** state, MHD_RequestTerminationCode) {
@@ -79,14 +62,6 @@
     *state = nullptr;
 }
 
-sigset_t stop_signals() {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    return signals;
-}
-
 }  // namespace
 
 std::string http_request::header(const std::string& name) const {
@@ -96,12 +71,10 @@
 
 std::int64_t http_request::number(const std::string& name, std::int64_t fallback) const {
     auto found = this->query.find(name);
-    if (found == this->query.end() || found->second.empty()) {
-        return fallback;
-    }
     char* end = nullptr;
-    std::int64_t value = std::strtoll(found->second.c_str(), &end, 10);
-    return *end == '\0' ? value : fallback;
+    std::int64_t value =
+        found == this->query.end() ? 0 : std::strtoll(found->second.c_str(), &end, 10);
+    return end != nullptr && end != found->second.c_str() && *end == '\0' ? value : fallback;
 }
 
 bool http_request::wait(std::chrono::milliseconds duration) const {
@@ -109,35 +82,31 @@
     return ::poll(&closed, 1, static_cast<int>(duration.count())) <= 0;
 }
 
-http_server::http_server(std::uint16_t port, handler answer) : respond(std::move(answer)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    this->daemon = MHD_start_daemon(
-        MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL, port,
-        nullptr, nullptr, on_request, &this->respond, MHD_OPTION_SOCK_ADDR, &address,
-        MHD_OPTION_NOTIFY_COMPLETED, on_completed, nullptr, MHD_OPTION_CONNECTION_LIMIT, 1000U,
-        MHD_OPTION_END);
-    if (this->daemon == nullptr) {
-        std::fprintf(stderr, "cannot listen on 127.0.0.1:%u\n", port);
-        std::exit(2);
-    }
-}
-
-http_server::~http_server() {
-    MHD_stop_daemon(this->daemon);
-}
-
-void block_stop_signals() {
-    sigset_t signals = stop_signals();
+sigset_t block_stop_signals() {
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
 }
 
-void wait_for_stop_signal() {
-    sigset_t signals = stop_signals();
+void serve(std::uint16_t port, http_handler handle) {
+    sigset_t signals = block_stop_signals();
+    sockaddr_in address{.sin_family = AF_INET, .sin_port = htons(port)};
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    constexpr unsigned connection_limit = 1000;
+    MHD_Daemon* daemon = MHD_start_daemon(
+        MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL, port,
+        nullptr, nullptr, on_request, &handle, MHD_OPTION_SOCK_ADDR, &address,
+        MHD_OPTION_NOTIFY_COMPLETED, on_completed, nullptr, MHD_OPTION_CONNECTION_LIMIT,
+        connection_limit, MHD_OPTION_END);
+    if (daemon == nullptr) {
+        throw std::runtime_error("cannot listen on 127.0.0.1:" + std::to_string(port));
+    }
     int received = 0;
     sigwait(&signals, &received);
+    std::_Exit(0);
 }
 
 }  // namespace trefoil::testing
--- a/testing/support/http_server.h
+++ b/testing/support/http_server.h
@@ -2,28 +2,24 @@
 //
 // Example:
 //
-//     http_server server(5000, [](const http_request& request) {
-//         return http_response{.body = request.path};
-//     });
-//     wait_for_stop_signal();
+//     serve(5000, [](const http_request& request) { return http_response{.body = request.path}; });
 
 #ifndef TREFOIL_TESTING_SUPPORT_HTTP_SERVER_H_
 #define TREFOIL_TESTING_SUPPORT_HTTP_SERVER_H_
 
 #include <chrono>
+#include <csignal>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
 
-struct MHD_Daemon;
-
 namespace trefoil::testing {
 
 struct http_request {
     std::string method;
     std::string path;                            // Without the query.
-    std::map<std::string, std::string> query;    // Unescaped.
+    std::map<std::string, std::string> query;    // Names in lower case, values unescaped.
     std::map<std::string, std::string> headers;  // Names in lower case.
     std::string body;
     int socket = -1;
@@ -41,27 +37,15 @@
     std::string body = {};
 };
 
-class http_server {
-public:
-    using handler = std::function<http_response(const http_request&)>;
-
-    // Listens on 127.0.0.1. Exits the process when the port is taken. `answer` runs on several
-    // threads at once.
-    http_server(std::uint16_t port, handler answer);
-    ~http_server();
-    http_server(const http_server&) = delete;
-    http_server& operator=(const http_server&) = delete;
-
-private:
-    handler respond;
-    MHD_Daemon* daemon = nullptr;
-};
+using http_handler = std::function<http_response(const http_request&)>;
 
-// Blocks the stop signals in the calling thread and in those that it starts later.
-void block_stop_signals();
+// Listens on 127.0.0.1 until SIGTERM or SIGINT and then ends the process at once, because waiting
+// handlers would delay an orderly end. Throws std::runtime_error when the port is taken. `handle`
+// runs on several threads at once.
+[[noreturn]] void serve(std::uint16_t port, http_handler handle);
 
-// Returns after SIGTERM or SIGINT; needs block_stop_signals() before any thread starts.
-void wait_for_stop_signal();
+// Blocks SIGTERM and SIGINT in this thread and those that it starts later, and returns the set.
+sigset_t block_stop_signals();
 
 }  // namespace trefoil::testing
 
--- a/testing/upstream_double/upstream_double.cc
+++ b/testing/upstream_double/upstream_double.cc
@@ -10,19 +10,15 @@
 // The answer is JSON: instance, request (identifier), body_checksum, headers, padding, nested.
 
 #include <algorithm>
-#include <boost/program_options.hpp>
-#include <chrono>
-#include <cstdlib>
-#include <iostream>
 #include <mutex>
 #include <nlohmann/json.hpp>
-#include <string>
 #include <utility>
 
 #include "base/hash.h"
 #include "support/event_log.h"
 #include "support/http_client.h"
 #include "support/http_server.h"
+#include "support/program.h"
 
 namespace trefoil::testing {
 
@@ -63,7 +59,8 @@
         if (place.shed) {
             return {.status = 503, .body = this->echo(request, nullptr)};
         }
-        bool connected = place.overloaded || this->serve(request, place);
+        bool connected =
+            place.overloaded || request.wait(std::chrono::milliseconds(place.service_ms));
         nlohmann::json nested = connected ? this->call_nested(request) : nullptr;
         unsigned status = this->finish(request, place, connected);
         return {.status = status,
@@ -82,13 +79,12 @@
                request.body.find(test_key_prefix) != std::string::npos;
     }
 
-    // Concurrent requests that the instance can handle now.
+    // Concurrent requests that the instance can handle now: grows evenly from 1 to all slots.
     int capacity(std::int64_t now) const {
-        if (this->options.warmup_ms == 0) {
-            return this->options.slots;
-        }
-        double warm = static_cast<double>(now - this->cold_since) /
-                      (1000.0 * static_cast<double>(this->options.warmup_ms));
+        double warm = this->options.warmup_ms == 0
+                          ? 1.0
+                          : static_cast<double>(now - this->cold_since) /
+                                (1000.0 * static_cast<double>(this->options.warmup_ms));
         return 1 + static_cast<int>((this->options.slots - 1) * std::min(1.0, warm));
     }
 
@@ -122,11 +118,6 @@
             .service_ms = this->slow_ms + request.number("service_ms", this->options.service_ms)};
     }
 
-    // Returns false when the caller closed the connection before the service time had passed.
-    bool serve(const http_request& request, const admission& place) const {
-        return request.wait(std::chrono::milliseconds(place.service_ms));
-    }
-
     unsigned finish(const http_request& request, const admission& place, bool connected) {
         std::lock_guard lock(this->mutex);
         std::int64_t now = now_us();
@@ -148,17 +139,24 @@
         if (path == request.query.end()) {
             return nullptr;
         }
+        std::string id = request.header("request-id") + ".1";
         http_client client;
         http_reply reply =
             client.perform({.url = "http://" + this->options.daemon + path->second,
                             .headers = {"Trefoil-Context: " + request.header("trefoil-context"),
-                                        "Request-Id: " + request.header("request-id") + ".1"},
+                                        "Request-Id: " + id},
                             .fresh_connection = true});
         nlohmann::json answer = nlohmann::json::parse(reply.body, nullptr, false);
-        return {{"status", reply.status},
-                {"reason", reply.header("trefoil-reason")},
-                {"error", reply.error},
-                {"answer", answer.is_discarded() ? nullptr : answer}};
+        bool whole =
+            answer.is_object() && (answer.contains("outcome") || answer.value("request", "") == id);
+        nlohmann::json result = {{"request", id},
+                                 {"status", reply.status},
+                                 {"reason", reply.header("trefoil-reason")},
+                                 {"outcome", reply.header("trefoil-outcome")},
+                                 {"error", reply.error},
+                                 {"whole", whole}};
+        this->events.write(now_us(), "outcome", result);
+        return result;
     }
 
     std::string echo(const http_request& request, const nlohmann::json& nested) const {
@@ -198,39 +196,24 @@
     std::int64_t slow_ms = 0;
 };
 
-int run(int argc, char** argv) {
-    namespace program = boost::program_options;
-    upstream_options chosen;
-    program::options_description description("upstream_double");
-    auto add = description.add_options();
-    add("port", program::value(&chosen.port)->required());
-    add("instance", program::value(&chosen.instance)->required());
-    add("slots", program::value(&chosen.slots));
-    add("service-ms", program::value(&chosen.service_ms));
-    add("warmup-ms", program::value(&chosen.warmup_ms));
-    add("daemon", program::value(&chosen.daemon));
-    add("events", program::value(&chosen.events));
-    program::variables_map values;
-    program::store(program::parse_command_line(argc, argv, description), values);
-    program::notify(values);
-    block_stop_signals();
-    std::uint16_t port = chosen.port;
-    upstream_double upstream(std::move(chosen));
-    http_server server(port, [&](const http_request& request) { return upstream.handle(request); });
-    wait_for_stop_signal();
-    // Events are already written; running requests would delay an orderly end.
-    std::_Exit(0);
-}
-
 }  // namespace
 
 }  // namespace trefoil::testing
 
 int main(int argc, char** argv) {
-    try {
-        return trefoil::testing::run(argc, argv);
-    } catch (const std::exception& failure) {
-        std::cerr << failure.what() << "\n";
-        return 2;
-    }
+    using namespace trefoil::testing;
+    upstream_options chosen;
+    boost::program_options::options_description description;
+    auto add = description.add_options();
+    add("port", value(&chosen.port)->required());
+    add("instance", value(&chosen.instance)->required());
+    add("slots", value(&chosen.slots));
+    add("service-ms", value(&chosen.service_ms));
+    add("warmup-ms", value(&chosen.warmup_ms));
+    add("daemon", value(&chosen.daemon));
+    add("events", value(&chosen.events));
+    return run_program(argc, argv, description, [&]() -> int {
+        upstream_double upstream(chosen);
+        serve(chosen.port, [&](const http_request& request) { return upstream.handle(request); });
+    });
 }
