--- a/testing/scenario/fleet.cc
+++ b/testing/scenario/fleet.cc
@@ -166,7 +166,9 @@
 
 std::string fleet::base_document(const std::string& service) const {
     std::string text = fmt::format(
-        "fleet: {{max_instances: {0}}}\nservices:\n"
+        "fleet: {{max_instances: {0}}}\n"
+        "failure_domains: {{d1: {{out: false}}, d2: {{out: false}}, d3: {{out: "
+        "false}}}}\nservices:\n"
         "  station: {{slots: {1}, timeout_ms: 2000, queue: 64}}\n"
         "  dosing: {{slots: {1}, timeout_ms: 2000, queue: 64}}\nroutes:\n"
         "  readings: {{path_prefix: /station/, methods: [GET], service: {2}}}\n"
@@ -234,8 +236,8 @@
             nlohmann::json status = nlohmann::json::parse(reply.body, nullptr, false);
             if (reply.status == 200 && status.is_object()) {
                 this->note("version", {{"instance", item.name},
-                                       {"base", status.at("base").at("in_force")},
-                                       {"overlay", status.at("overlay").at("in_force")}});
+                                       {"base", status.value("base", 0U)},
+                                       {"overlay", status.value("overlay", 0U)}});
             }
         }
     }
