--- a/testing/upstream_double/upstream_double.cc
+++ b/testing/upstream_double/upstream_double.cc
@@ -10,19 +10,14 @@
 // The answer is JSON: instance, request (identifier), body_checksum, headers, padding, nested.
 
 #include <algorithm>
-#include <boost/program_options.hpp>
-#include <chrono>
-#include <cstdlib>
-#include <iostream>
 #include <mutex>
 #include <nlohmann/json.hpp>
-#include <string>
 #include <utility>
 
 #include "base/hash.h"
 #include "support/event_log.h"
-#include "support/http_client.h"
-#include "support/http_server.h"
+#include "support/http.h"
+#include "support/program.h"
 
 namespace trefoil::testing {
 
@@ -44,9 +39,9 @@
 // Place of one request among those that run.
 struct admission {
     bool shed = false;
+    bool failing = false;
     bool overloaded = false;       // This request made the instance fall over.
     std::uint64_t generation = 0;  // Changes when the instance falls over.
-    bool failing = false;
     std::int64_t service_ms = 0;
 };
 
@@ -63,32 +58,28 @@
         if (place.shed) {
             return {.status = 503, .body = this->echo(request, nullptr)};
         }
-        bool connected = place.overloaded || this->serve(request, place);
+        bool connected =
+            place.overloaded || request.wait(std::chrono::milliseconds(place.service_ms));
         nlohmann::json nested = connected ? this->call_nested(request) : nullptr;
         unsigned status = this->finish(request, place, connected);
-        return {.status = status,
-                .headers = {{"Content-Type", "application/json"}},
-                .body = this->echo(request, nested)};
+        return {.status = status, .body = this->echo(request, nested)};
     }
 
 private:
     static bool carries_key(const http_request& request) {
-        auto contains_key = [](const auto& field) {
-            return field.first == "authorization" ||
-                   field.second.find(test_key_prefix) != std::string::npos;
-        };
-        return std::any_of(request.headers.begin(), request.headers.end(), contains_key) ||
-               std::any_of(request.query.begin(), request.query.end(), contains_key) ||
-               request.body.find(test_key_prefix) != std::string::npos;
+        std::string all = nlohmann::json{request.headers, request.query}.dump(
+            -1, ' ', false, nlohmann::json::error_handler_t::replace);
+        all += request.path + request.body;
+        return request.headers.count("authorization") > 0 ||
+               all.find(test_key_prefix) != std::string::npos;
     }
 
-    // Concurrent requests that the instance can handle now.
+    // Concurrent requests that the instance can handle now: grows evenly from 1 to all slots.
     int capacity(std::int64_t now) const {
-        if (this->options.warmup_ms == 0) {
-            return this->options.slots;
-        }
-        double warm = static_cast<double>(now - this->cold_since) /
-                      (1000.0 * static_cast<double>(this->options.warmup_ms));
+        double warm = this->options.warmup_ms == 0
+                          ? 1.0
+                          : static_cast<double>(now - this->cold_since) /
+                                (1000.0 * static_cast<double>(this->options.warmup_ms));
         return 1 + static_cast<int>((this->options.slots - 1) * std::min(1.0, warm));
     }
 
@@ -96,69 +87,63 @@
         std::lock_guard lock(this->mutex);
         std::int64_t now = now_us();
         int capacity_now = this->capacity(now);
-        bool warm = capacity_now >= this->options.slots;
-        nlohmann::json fields = {
-            {"instance", this->options.instance}, {"request", request.header("request-id")},
-            {"method", request.method},           {"path", request.path},
-            {"key_seen", carries_key(request)},   {"capacity", capacity_now}};
-        if (warm && this->running >= this->options.slots) {
-            fields["running"] = this->running;
-            this->events.write(now, "shed", std::move(fields));
+        if (capacity_now >= this->options.slots && this->running >= this->options.slots) {
+            this->write(now, "shed", request, 503);
             return {.shed = true};
         }
         ++this->running;
+        ++this->requests;
+        this->write(now, "start", request, 0);
         bool overloaded = this->running > capacity_now;
         if (overloaded) {
             ++this->generation;
             this->cold_since = now;
         }
-        ++this->requests;
-        fields["running"] = this->running;
-        this->events.write(now, "start", std::move(fields));
         return {
+            .failing = this->fail_every > 0 && this->requests % this->fail_every == 0,
             .overloaded = overloaded,
             .generation = this->generation,
-            .failing = this->fail_every > 0 && this->requests % this->fail_every == 0,
             .service_ms = this->slow_ms + request.number("service_ms", this->options.service_ms)};
     }
 
-    // Returns false when the caller closed the connection before the service time had passed.
-    bool serve(const http_request& request, const admission& place) const {
-        return request.wait(std::chrono::milliseconds(place.service_ms));
-    }
-
     unsigned finish(const http_request& request, const admission& place, bool connected) {
         std::lock_guard lock(this->mutex);
-        std::int64_t now = now_us();
         bool failed = place.overloaded || place.failing || place.generation != this->generation;
         unsigned status = failed ? 500 : 200;
         --this->running;
-        this->events.write(now, "end",
-                           {{"instance", this->options.instance},
-                            {"request", request.header("request-id")},
-                            {"status", connected ? status : 0},
-                            {"running", this->running},
-                            {"capacity", this->capacity(now)}});
+        this->write(now_us(), "end", request, connected ? status : 0);
         return status;
     }
 
+    // Needs the lock, so that the order of events is the order of the counts in them.
+    void write(std::int64_t now, const char* kind, const http_request& request,
+               unsigned status) const {
+        nlohmann::json fields = {{"instance", this->options.instance}, {"status", status}};
+        fields.update({{"request", request.header("request-id")}, {"path", request.path}});
+        fields.update({{"running", this->running}, {"capacity", this->capacity(now)}});
+        fields["key_seen"] = carries_key(request);
+        this->events.write(now, kind, std::move(fields));
+    }
+
     // Makes the nested call that the request asks for, on behalf of the same workspace.
     nlohmann::json call_nested(const http_request& request) const {
         auto path = request.query.find("call");
         if (path == request.query.end()) {
             return nullptr;
         }
+        std::string id = request.header("request-id") + ".1";
         http_client client;
         http_reply reply =
             client.perform({.url = "http://" + this->options.daemon + path->second,
                             .headers = {"Trefoil-Context: " + request.header("trefoil-context"),
-                                        "Request-Id: " + request.header("request-id") + ".1"},
+                                        "Request-Id: " + id},
                             .fresh_connection = true});
         nlohmann::json answer = nlohmann::json::parse(reply.body, nullptr, false);
-        return {{"status", reply.status},
-                {"reason", reply.header("trefoil-reason")},
-                {"error", reply.error},
-                {"answer", answer.is_discarded() ? nullptr : answer}};
+        nlohmann::json outcome = outcome_fields(reply, id);
+        outcome["whole"] =
+            answer.is_object() && (answer.contains("outcome") || answer.value("request", "") == id);
+        this->events.write(now_us(), "outcome", outcome);
+        return outcome;
     }
 
     std::string echo(const http_request& request, const nlohmann::json& nested) const {
@@ -189,7 +174,7 @@
 
     const upstream_options options;
     const event_log events;
-    std::mutex mutex;  // Guards the members below; events are written under it, in their order.
+    std::mutex mutex;  // Guards the members below.
     std::int64_t cold_since;
     int running = 0;
     std::uint64_t generation = 0;
@@ -198,39 +183,24 @@
     std::int64_t slow_ms = 0;
 };
 
-int run(int argc, char** argv) {
-    namespace program = boost::program_options;
-    upstream_options chosen;
-    program::options_description description("upstream_double");
-    auto add = description.add_options();
-    add("port", program::value(&chosen.port)->required());
-    add("instance", program::value(&chosen.instance)->required());
-    add("slots", program::value(&chosen.slots));
-    add("service-ms", program::value(&chosen.service_ms));
-    add("warmup-ms", program::value(&chosen.warmup_ms));
-    add("daemon", program::value(&chosen.daemon));
-    add("events", program::value(&chosen.events));
-    program::variables_map values;
-    program::store(program::parse_command_line(argc, argv, description), values);
-    program::notify(values);
-    block_stop_signals();
-    std::uint16_t port = chosen.port;
-    upstream_double upstream(std::move(chosen));
-    http_server server(port, [&](const http_request& request) { return upstream.handle(request); });
-    wait_for_stop_signal();
-    // Events are already written; running requests would delay an orderly end.
-    std::_Exit(0);
-}
-
 }  // namespace
 
 }  // namespace trefoil::testing
 
 int main(int argc, char** argv) {
-    try {
-        return trefoil::testing::run(argc, argv);
-    } catch (const std::exception& failure) {
-        std::cerr << failure.what() << "\n";
-        return 2;
-    }
+    using namespace trefoil::testing;
+    upstream_options chosen;
+    boost::program_options::options_description description;
+    auto add = description.add_options();
+    add("port", value(&chosen.port)->required());
+    add("instance", value(&chosen.instance)->required());
+    add("slots", value(&chosen.slots));
+    add("service-ms", value(&chosen.service_ms));
+    add("warmup-ms", value(&chosen.warmup_ms));
+    add("daemon", value(&chosen.daemon));
+    add("events", value(&chosen.events));
+    return run_program(argc, argv, description, [&]() -> int {
+        upstream_double upstream(chosen);
+        serve(chosen.port, [&](const http_request& request) { return upstream.handle(request); });
+    });
 }
