--- a/packages/admission/testing/limit_benchmark.cc
+++ b/packages/admission/testing/limit_benchmark.cc
@@ -292,6 +292,7 @@
     run_for(warm_up);
     auto before = fleet.counts();
     std::vector<std::uint64_t> bytes_before;
+    bytes_before.reserve(daemons);
     for (int i = 0; i < daemons; ++i) {
         bytes_before.push_back(fleet.traffic_bytes(i));
     }
@@ -328,6 +329,7 @@
     limiter.tick(start + seconds(10), warm);
     constexpr int rounds = 1000000;
     std::vector<std::thread> workers;
+    workers.reserve(threads);
     std::atomic<int> admitted = 0;
     auto begin = std::chrono::steady_clock::now();
     for (int i = 0; i < threads; ++i) {
--- /dev/null
+++ b/packages/telemetry/burn_tracker.h
@@ -0,0 +1,95 @@
+// How fast each service spends its error budget, per workspace.
+//
+// Example:
+//
+//     telemetry::burn_tracker burn;
+//     burn.set_objectives({{"station", {.availability = 0.999, .latency = milliseconds(250)}}});
+//     burn.record("station", "north", {.latency = milliseconds(31)}, clock.now());
+//     for (const telemetry::burn_row& row : burn.rows(clock.now())) { ... }
+
+#ifndef TREFOIL_TELEMETRY_BURN_TRACKER_H_
+#define TREFOIL_TELEMETRY_BURN_TRACKER_H_
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "absl/synchronization/mutex.h"
+#include "base/board_slot.h"
+#include "base/time.h"
+#include "telemetry/burn_window.h"
+
+namespace trefoil::telemetry {
+
+// What a service promises.
+struct service_objective {
+    double availability = 0.999;  // Part of calls that are good; below 1.
+    std::chrono::milliseconds latency{250};
+
+    friend bool operator==(const service_objective&, const service_objective&) = default;
+};
+
+// How a call ended.
+struct served_call {
+    mono_duration latency{0};
+    bool error = false;
+
+    friend bool operator==(const served_call&, const served_call&) = default;
+};
+
+// One service, workspace and window. A burn of 1 spends the error budget exactly as fast as the
+// objective allows.
+struct burn_row {
+    std::string service;
+    std::string workspace;
+    std::chrono::seconds window{0};
+    std::uint64_t good = 0;
+    std::uint64_t bad = 0;
+    double burn = 0;
+
+    friend bool operator==(const burn_row&, const burn_row&) = default;
+};
+
+// Safe for concurrent use. At most `most_pairs_per_shard` pairs of service and workspace are kept
+// per shard. A pair without calls for an hour makes room; calls of pairs that find no room are
+// counted for the workspace `other_workspace` of their service.
+class burn_tracker {
+public:
+    static constexpr std::size_t most_pairs_per_shard = 64;
+    static constexpr std::string_view other_workspace = "(other)";
+
+    using objective_map = std::map<std::string, service_objective, std::less<>>;
+
+    // Calls of services without an objective are not counted.
+    void set_objectives(objective_map objectives);
+
+    void record(std::string_view service, std::string_view workspace, const served_call& call,
+                mono_time now);
+
+    // The windows of 5 minutes and of 1 hour of every pair with calls in the last hour, sorted by
+    // service, workspace and window.
+    std::vector<burn_row> rows(mono_time now) const;
+
+private:
+    static constexpr std::size_t shard_count = 16;
+
+    using pair = std::pair<std::string, std::string>;  // Service and workspace.
+    struct shard {
+        mutable absl::Mutex mutex;
+        std::map<pair, burn_window> windows;  // Guarded by mutex.
+    };
+
+    bool record_pair(pair wanted, bool good, mono_time now, std::size_t most_pairs);
+
+    board_slot<objective_map> objectives;
+    std::array<shard, shard_count> shards;
+};
+
+}  // namespace trefoil::telemetry
+
+#endif  // TREFOIL_TELEMETRY_BURN_TRACKER_H_
--- /dev/null
+++ b/packages/telemetry/counter.h
@@ -0,0 +1,29 @@
+// A number that only grows.
+//
+// Example:
+//
+//     telemetry::counter& refused = registry.find_counter("trefoil_refused_total", {{"reason",
+//     "rate"}}); refused.add();
+
+#ifndef TREFOIL_TELEMETRY_COUNTER_H_
+#define TREFOIL_TELEMETRY_COUNTER_H_
+
+#include <atomic>
+#include <cstdint>
+
+namespace trefoil::telemetry {
+
+// Safe for concurrent use. Each counter has its own cache line, so that threads that count
+// different things do not slow each other down.
+class alignas(64) counter {
+public:
+    void add(std::uint64_t count = 1) { this->total.fetch_add(count, std::memory_order_relaxed); }
+    std::uint64_t value() const { return this->total.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<std::uint64_t> total = 0;
+};
+
+}  // namespace trefoil::telemetry
+
+#endif  // TREFOIL_TELEMETRY_COUNTER_H_
--- /dev/null
+++ b/packages/telemetry/gauge.h
@@ -0,0 +1,29 @@
+// A number that rises and falls.
+//
+// Example:
+//
+//     telemetry::gauge& running = registry.find_gauge("trefoil_running_calls", {});
+//     running.add(1);
+
+#ifndef TREFOIL_TELEMETRY_GAUGE_H_
+#define TREFOIL_TELEMETRY_GAUGE_H_
+
+#include <atomic>
+#include <cstdint>
+
+namespace trefoil::telemetry {
+
+// Safe for concurrent use.
+class alignas(64) gauge {
+public:
+    void set(std::int64_t value) { this->current.store(value, std::memory_order_relaxed); }
+    void add(std::int64_t change) { this->current.fetch_add(change, std::memory_order_relaxed); }
+    std::int64_t value() const { return this->current.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<std::int64_t> current = 0;
+};
+
+}  // namespace trefoil::telemetry
+
+#endif  // TREFOIL_TELEMETRY_GAUGE_H_
