Let the paused holder of the test hold more tokens

Cause: with the present tuning of the holder, the test tokens_expire_during_a_pause held one token when the pause began, so that without the expiry check the excess was 1 and not more than 1, and the test failed.

Change: rate, burst and traffic are higher; the conditions are the same.

Figures: limiter_protocol_test passes.

--- a/packages/admission/testing/limiter_protocol_test.cc
+++ b/packages/admission/testing/limiter_protocol_test.cc
@@ -146,14 +146,14 @@
 // Excess of a fleet in which a holder of tokens is paused for longer than their life. Its first
 // calls after the pause come before its timer runs.
 double excess_after_pause(const limit_faults& faults) {
-    std::vector<workspace_limit> limits = {{.workspace = "w", .rate = 100, .burst = 200}};
+    std::vector<workspace_limit> limits = {{.workspace = "w", .rate = 400, .burst = 400}};
     limiter_fleet fleet(
         {.instances = 2, .max_instances = 2, .limits = limits, .seed = 4, .faults = faults});
     auto run_for = [&](mono_duration duration, bool calls) {
         int step = 0;
         for (mono_time end = fleet.now() + duration; fleet.now() < end; ++step) {
             fleet.step();
-            if (calls && step % 40 == 0) {
+            if (calls && step % 10 == 0) {
                 fleet.call(0, "w");
                 fleet.call(1, "w");
             }
@@ -164,10 +164,10 @@
     int holder = 1 - home;
     fleet.pause(holder, fleet.now() + seconds(2), false);
     run_for(seconds(1), false);
-    for (int i = 0; i < 200; ++i) {
+    for (int i = 0; i < 400; ++i) {
         fleet.call(home, "w");
     }
-    for (int i = 0; i < 200; ++i) {
+    for (int i = 0; i < 400; ++i) {
         fleet.call(holder, "w");
     }
     return fleet.excess("w");
