Let the benchmark fail a domain silently and stop only its upstreams

Killed processes refuse connections and are avoided at once. Silent machines and daemons whose upstream is down are harder and showed two weak points of the choice.

--- a/packages/routing/testing/policy_benchmark.cc
+++ b/packages/routing/testing/policy_benchmark.cc
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include <cstdlib>
+#include <utility>
 
 #include "routing/testing/policy_simulation.h"
 
@@ -16,38 +17,55 @@
 
 namespace {
 
-void print_run(const site& where, const rules& with, std::uint64_t seed, bool every_second) {
-    simulation leaving(where, with, {.domain_leaves = true}, seed);
-    leaving.run();
+constexpr std::array<std::pair<const char*, domain_failure>, 3> failures = {
+    {{"killed", domain_failure::killed},
+     {"silent", domain_failure::silent},
+     {"upstream down", domain_failure::upstream_down}}};
+
+void print_seconds(const simulation& run) {
+    for (std::size_t second = 0; second < run.by_second.size(); ++second) {
+        const tally& each = run.by_second.at(second);
+        fmt::print("  second {:2}: calls {:5} served {:6.2f}% late {:5.2f}% refused {:5.2f}%\n",
+                   second, each.calls, each.share(each.served), each.share(each.late),
+                   each.share(each.refused));
+    }
+}
+
+void print_failure(const site& where, const rules& with, const char* name, domain_failure failure,
+                   std::uint64_t seed, bool every_second) {
+    simulation run(where, with, {.failure = failure}, seed);
+    run.run();
     tally all;
-    double worst_second = 100;
-    for (const tally& each : leaving.by_second) {
+    double worst = 100;
+    for (const tally& each : run.by_second) {
         all.calls += each.calls;
         all.served += each.served;
         all.late += each.late;
         all.refused += each.refused;
-        worst_second = std::min(worst_second, each.share(each.served));
-    }
-    simulation noisy(where, with, {.noise = 5}, seed);
-    noisy.run();
-    double worst_workspace = 100;
-    for (std::size_t index = 1; index < workspaces; ++index) {
-        const tally& each = noisy.by_workspace.at(index);
-        worst_workspace = std::min(worst_workspace, each.share(each.served));
+        worst = std::min(worst, each.share(each.served));
     }
     fmt::print(
-        "{:9} {:21} served {:6.2f}% late {:5.2f}% refused {:5.2f}% worst second {:6.2f}% "
-        "retries/call {:.4f} above capacity {:6} | noisy: worst workspace {:6.2f}% own {:6.2f}%\n",
-        where.name, with.name, all.share(all.served), all.share(all.late), all.share(all.refused),
-        worst_second, static_cast<double>(leaving.retries) / static_cast<double>(all.calls),
-        leaving.above_capacity(), worst_workspace,
-        noisy.by_workspace[0].share(noisy.by_workspace[0].served));
-    for (std::size_t second = 0; every_second && second < leaving.by_second.size(); ++second) {
-        const tally& each = leaving.by_second.at(second);
-        fmt::print("  second {:2}: calls {:5} served {:6.2f}% late {:5.2f}% refused {:5.2f}%\n",
-                   second, each.calls, each.share(each.served), each.share(each.late),
-                   each.share(each.refused));
+        "{:9} {:20} {:13} served {:6.2f}% late {:5.2f}% refused {:5.2f}% worst second {:6.2f}% "
+        "retries/call {:.4f} above capacity {}\n",
+        where.name, with.name, name, all.share(all.served), all.share(all.late),
+        all.share(all.refused), worst,
+        static_cast<double>(run.retries) / static_cast<double>(all.calls), run.above_capacity());
+    if (every_second) {
+        print_seconds(run);
+    }
+}
+
+void print_noise(const site& where, const rules& with, std::uint64_t seed) {
+    simulation run(where, with, {.noise = 5}, seed);
+    run.run();
+    double worst = 100;
+    for (std::size_t index = 1; index < workspaces; ++index) {
+        const tally& each = run.by_workspace.at(index);
+        worst = std::min(worst, each.share(each.served));
     }
+    const tally& noisy = run.by_workspace[0];
+    fmt::print("{:9} {:20} noisy         worst workspace {:6.2f}% noisy workspace {:6.2f}%\n",
+               where.name, with.name, worst, noisy.share(noisy.served));
 }
 
 }  // namespace
@@ -68,7 +86,11 @@
          {.name = "one FIFO queue", .fifo = true}}};
     for (const site& where : sites) {
         for (const rules& with : all_rules) {
-            print_run(where, with, seed, count > 2 && &with == &all_rules[0]);
+            bool every_second = count > 2 && &with == &all_rules[0];
+            for (const auto& [name, failure] : failures) {
+                print_failure(where, with, name, failure, seed, every_second);
+            }
+            print_noise(where, with, seed);
         }
     }
     return 0;
--- a/packages/routing/testing/policy_simulation.h
+++ b/packages/routing/testing/policy_simulation.h
@@ -2,7 +2,7 @@
 //
 // Example:
 //
-//     routing::simulation run(where, rules, {.domain_leaves = true}, 1);
+//     routing::simulation run(where, rules, {.failure = domain_failure::killed}, 1);
 //     run.run();
 //     double served = run.by_second[5].share(run.by_second[5].served);
 
@@ -25,50 +25,15 @@
 #include "gate/testing/model_upstream.h"
 #include "gate/upstream_gate.h"
 #include "routing/retry_policy.h"
+#include "routing/testing/policy_scenario.h"
 #include "routing/upstream_picker.h"
 
 namespace trefoil::routing {
 
 using std::chrono::duration_cast;
-using std::chrono::microseconds;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr mono_time origin{std::chrono::hours(1)};
-constexpr int measured_seconds = 30;
-constexpr std::size_t workspaces = 8;
-constexpr std::array<double, workspaces> workspace_weights = {6, 4, 1, 1, 1, 1, 1, 1};
-
-struct site {
-    std::string name;
-    std::size_t domains;
-    std::size_t upstreams;
-    std::uint32_t slots;
-    microseconds one_way;
-    double load;  // Share of the capacity of all upstreams that callers ask for.
-};
-
-enum class choice_rule { two_choices, round_robin, least_in_flight, two_without_reports };
-
-struct rules {
-    std::string name;
-    choice_rule choice = choice_rule::two_choices;
-    bool fixed_limit = false;
-    bool fifo = false;
-};
-
-struct scenario {
-    bool domain_leaves = false;
-    double noise = 1;  // Multiple of its rate that workspace 0 asks for.
-};
-
-struct tally {
-    std::uint64_t calls = 0, served = 0, late = 0, refused = 0;
-    double share(std::uint64_t part) const {
-        return 100.0 * static_cast<double>(part) / static_cast<double>(calls == 0 ? 1 : calls);
-    }
-};
-
 struct bench_call {
     std::size_t ingress = 0;
     std::size_t workspace = 0;
@@ -87,6 +52,7 @@
     retry_budget budget{{}};
     std::size_t next = 0;  // Of round robin.
     bool alive = true;
+    bool upstream_down = false;
     std::uint64_t starts = 0;                      // Incremented when the instance dies.
     std::map<std::uint64_t, call_pointer> served;  // Calls at this egress, by sequence.
 };
@@ -109,7 +75,7 @@
 
     void run() {
         this->schedule_arrival(this->now);
-        if (this->plan.domain_leaves) {
+        if (this->plan.failure != domain_failure::none) {
             this->at(origin + seconds(5), [this] { this->leave(); });
             this->at(origin + seconds(8), [this] { this->list_state(candidate_state::suspected); });
             this->at(origin + seconds(15), [this] { this->come_back(); });
@@ -237,6 +203,11 @@
 
     void offer(const call_pointer& call, std::size_t target) {
         instance& egress = *this->instances[target];
+        mono_time detected = origin + seconds(7);
+        if (!egress.alive && this->plan.failure == domain_failure::silent && this->now < detected) {
+            return this->at(detected,
+                            [=, this] { this->reply(call, target, attempt_end::no_reply, true); });
+        }
         if (!egress.alive) {
             return this->reply(call, target, attempt_end::not_sent, true);
         }
@@ -274,6 +245,9 @@
     void start(std::size_t target, std::uint64_t sequence) {
         instance& egress = *this->instances[target];
         gate::model_response response = egress.upstream->begin(this->now, this->random);
+        if (egress.upstream_down) {
+            response = {gate::call_result_kind::connection_refused, milliseconds(1)};
+        }
         this->at(this->now + response.latency, [=, this, starts = egress.starts] {
             instance& again = *this->instances[target];
             again.upstream->end();
@@ -283,9 +257,13 @@
             auto call = again.served.extract(sequence).mapped();
             gate::gate_changes changes = again.gate->finish({"ingress", 1, sequence}, response.kind,
                                                             response.latency, this->now);
-            bool good = response.kind == gate::call_result_kind::good;
-            this->reply(call, target,
-                        good ? std::nullopt : std::optional(attempt_end::unknown_reply), false);
+            std::optional<attempt_end> end;
+            if (response.kind == gate::call_result_kind::connection_refused) {
+                end = attempt_end::not_run_reply;
+            } else if (response.kind != gate::call_result_kind::good) {
+                end = attempt_end::unknown_reply;
+            }
+            this->reply(call, target, end, false);
             this->apply(target, changes);
         });
     }
@@ -335,21 +313,36 @@
     void leave() {
         for (std::size_t index = 0; index < this->instances.size(); index += this->place.domains) {
             instance& each = *this->instances[index];
+            if (this->plan.failure == domain_failure::upstream_down) {
+                each.upstream_down = true;
+                continue;
+            }
             each.alive = false;
             ++each.starts;
-            for (auto& [sequence, call] : std::exchange(each.served, {})) {
-                this->reply(call, index, attempt_end::no_reply, true);
+            bool silent = this->plan.failure == domain_failure::silent;
+            for (auto& [sequence, lost] : std::exchange(each.served, {})) {
+                this->at(this->now + (silent ? seconds(2) : seconds(0)),
+                         [this, call = lost, index] {
+                             this->reply(call, index, attempt_end::no_reply, true);
+                         });
             }
         }
     }
     void come_back() {
         for (std::size_t index = 0; index < this->instances.size(); index += this->place.domains) {
-            this->new_gate(*this->instances[index]);
-            this->instances[index]->upstream->restart(this->now);
-            this->instances[index]->alive = true;
+            instance& each = *this->instances[index];
+            if (!each.alive) {
+                this->new_gate(each);
+            }
+            each.upstream->restart(this->now);
+            each.upstream_down = false;
+            each.alive = true;
         }
     }
     void list_state(candidate_state state) {
+        if (this->plan.failure == domain_failure::upstream_down) {
+            return;
+        }
         for (std::size_t index = 0; index < this->instances.size(); index += this->place.domains) {
             this->instances[index]->self.state = state;
         }
