Avoid instances that refused a call, with growing backoff

A daemon whose upstream is down answers "not run" within milliseconds and reports no load, so it was the best choice for most calls and used up the retries. After a refusal the load table now counts the instance as full for 25 ms, doubling to 800 ms until a call is accepted.

--- a/packages/routing/load_table.cc
+++ b/packages/routing/load_table.cc
@@ -2,8 +2,18 @@
 
 #include "routing/load_table.h"
 
+#include <algorithm>
+#include <chrono>
+
 namespace trefoil::routing {
 
+namespace {
+
+constexpr std::chrono::milliseconds shortest_backoff{25};
+constexpr std::uint32_t highest_doublings = 5;  // 25 ms to 800 ms.
+
+}  // namespace
+
 void load_table::call_sent(const std::string& instance) {
     this->loads.update(instance, [](instance_load& load) { ++load.in_flight; });
 }
@@ -24,6 +34,25 @@
     });
 }
 
+void load_table::refused(const std::string& instance, mono_time now) {
+    this->loads.update(instance, [&](instance_load& load) {
+        // Calls that were sent together are refused together and count once.
+        if (now < load.avoid_until) {
+            return;
+        }
+        std::uint32_t doublings = std::min(load.refusals, highest_doublings);
+        load.avoid_until = now + shortest_backoff * (1U << doublings);
+        ++load.refusals;
+    });
+}
+
+void load_table::accepted(const std::string& instance) {
+    this->loads.update(instance, [](instance_load& load) {
+        load.refusals = 0;
+        load.avoid_until = mono_time::min();
+    });
+}
+
 void load_table::connection_failed(const std::string& instance, mono_time now) {
     this->loads.update(instance, [&](instance_load& load) { load.connection_failed_at = now; });
 }
--- a/packages/routing/load_table.h
+++ b/packages/routing/load_table.h
@@ -28,6 +28,8 @@
     messages::load_report report;
     std::optional<mono_time> reported_at;  // When `report` arrived; nothing before the first one.
     std::optional<mono_time> connection_failed_at;
+    std::uint32_t refusals = 0;  // Backoff steps since the last call that the egress accepted.
+    mono_time avoid_until = mono_time::min();  // End of the latest backoff step.
 
     friend bool operator==(const instance_load&, const instance_load&) = default;
 };
@@ -41,6 +43,14 @@
     // A report that arrives with a call result. Call call_ended() for that call first.
     void reported(const std::string& instance, const messages::load_report& report, mono_time now);
 
+    // The egress refused a call that it could have run (`overloaded` or `no_upstream`). An egress
+    // whose upstream is down refuses quickly and reports no load, so by its load alone it would be
+    // the best choice.
+    void refused(const std::string& instance, mono_time now);
+
+    // The egress ran a call, whatever the result.
+    void accepted(const std::string& instance);
+
     // A connection could not be opened, or was lost.
     void connection_failed(const std::string& instance, mono_time now);
 
--- a/packages/routing/testing/policy_simulation.h
+++ b/packages/routing/testing/policy_simulation.h
@@ -284,6 +284,11 @@
             } else {
                 from.loads.reported(name, load, this->now);
             }
+            if (end == attempt_end::not_run_reply) {
+                from.loads.refused(name, this->now);
+            } else if (!end.has_value()) {
+                from.loads.accepted(name);
+            }
             if (!end.has_value()) {
                 bool late = this->now > call->arrived + milliseconds(250);
                 return this->count(*call, late ? &tally::late : &tally::served);
--- a/packages/routing/testing/upstream_picker_test.cc
+++ b/packages/routing/testing/upstream_picker_test.cc
@@ -112,6 +112,29 @@
     BOOST_TEST(count_picks(picker, candidates, loads, start + milliseconds(1000))["a"] == 1000);
 }
 
+// Guards against a daemon whose upstream is down: it refuses quickly, reports no load, and would be
+// chosen for most calls.
+BOOST_AUTO_TEST_CASE(refusing_instance_is_the_last_choice) {
+    upstream_picker picker({.failure_domain = "d1"});
+    std::vector<candidate> candidates = {live("dead", "d1"), live("busy", "d1")};
+    load_table loads;
+    loads.reported("busy", {.running = 11, .queued = 0, .limit = 12}, start);
+    loads.reported("dead", {.running = 0, .queued = 0, .limit = 1}, start);
+    mono_time now = start;
+    int refusals = 0;
+    for (int call = 0; call < 5000; ++call) {
+        now += milliseconds(1);
+        if (picker.score(loads.find("dead"), now) < 1.0) {
+            loads.refused("dead", now);
+            ++refusals;
+        }
+    }
+    BOOST_TEST(refusals <= 12);
+    BOOST_TEST(count_picks(picker, candidates, loads, now)["busy"] == 1000);
+    loads.accepted("dead");
+    BOOST_TEST(picker.score(loads.find("dead"), now) == 0.0);
+}
+
 // Guards against an answer that does not tell "all tried" from "none there".
 BOOST_AUTO_TEST_CASE(reason_for_no_choice) {
     upstream_picker picker({.failure_domain = "d1"});
--- a/packages/routing/upstream_picker.cc
+++ b/packages/routing/upstream_picker.cc
@@ -10,14 +10,16 @@
 double upstream_picker::score(const instance_load& load, mono_time now) const {
     auto own = static_cast<double>(load.in_flight);
     auto limit = static_cast<double>(std::max<std::uint32_t>(1, load.report.limit));
+    // Counted as full, but not excluded: when all candidates refuse, the best of them is tried.
+    double penalty = now < load.avoid_until ? this->options.full_score : 0.0;
     if (!load.reported_at.has_value()) {
-        return own / limit;
+        return penalty + own / limit;
     }
     std::chrono::duration<double> age = now - *load.reported_at;
     std::chrono::duration<double> half_life = this->options.report_half_life;
     double weight = std::exp2(-std::max(0.0, age / half_life));
     auto reported = static_cast<double>(load.report.running + load.report.queued);
-    return (own + weight * reported) / limit;
+    return penalty + (own + weight * reported) / limit;
 }
 
 bool upstream_picker::recently_failed(const instance_load& load, mono_time now) const {
