Count rounds from when they were due

The owner ticks every 100 ms, so that rounds of 250 ms took 300 ms and the age of the majority grew with every hop.

--- a/packages/dissemination/gossip_rounds.cc
+++ b/packages/dissemination/gossip_rounds.cc
@@ -32,14 +32,17 @@
     std::optional<mono_time> platform_confirmed_at) {
     bool hurry = older_than(confirmed_at, now, this->options.hurry_after);
     milliseconds interval = hurry ? this->options.hurried_interval : this->options.round_interval;
-    auto wait = std::chrono::duration<double>(interval) * this->jitter;
+    auto wait = std::chrono::duration_cast<mono_duration>(std::chrono::duration<double>(interval) *
+                                                          this->jitter);
     if (peers.empty() || now - this->last_at < wait) {
         return std::nullopt;
     }
+    // Counted from when the digest was due, so that the owner's tick interval does not add to every
+    // round. After a pause the missed rounds are not made up for.
+    this->last_at = std::max(this->last_at + wait, now - interval / 2);
     // Jitter keeps the rounds of daemons that started together apart.
     this->jitter = 0.95 + 0.1 * this->random.uniform();
     question result = this->ask(now, peers[this->next_peer++ % peers.size()]);
-    this->last_at = now;
     bool ages_due = now - this->last_ages_at >= this->options.round_interval * 0.9;
     result.wants_ages = ages_due || older_than(platform_confirmed_at, now, platform_lost_after);
     if (result.wants_ages) {
