Spread the phases of readers' watches

A change ends the watches of all readers at once, and from then on they ended together every 2 s. All ages of confirmation grew together, and daemons far from a reader passed 3 s and read the platform themselves.

--- a/packages/dissemination/platform_schedule.cc
+++ b/packages/dissemination/platform_schedule.cc
@@ -19,7 +19,8 @@
 
 platform_schedule::platform_schedule(const core_options& settings, random_source& source,
                                      mono_time start)
-    : options(settings), random(source), started_at(start) {
+    : options(settings), random(source) {
+    this->phase = start + this->jitter(settings.watch_wait);
     // The list is read first: with it a daemon knows the readers and its peers. Of the other
     // documents a daemon that is not a reader reads what peers have not brought by then.
     for (std::size_t i = 0; i < document_count; ++i) {
@@ -34,6 +35,12 @@
     return mono_duration(static_cast<mono_duration::rep>(this->random.uniform() * ticks));
 }
 
+milliseconds platform_schedule::watch_wait(mono_time now) const {
+    mono_duration passed = (now - this->phase) % this->options.watch_wait;
+    mono_duration left = passed < mono_duration(0) ? -passed : this->options.watch_wait - passed;
+    return std::chrono::ceil<milliseconds>(left);
+}
+
 milliseconds platform_schedule::backoff(unsigned failures) const {
     milliseconds limit = this->options.read_interval;
     for (unsigned i = 1; i < failures && limit < this->options.longest_backoff; ++i) {
@@ -85,7 +92,7 @@
     target.request = ++this->last_request;
     target.sent = {.document = document,
                    .after = held_revision,
-                   .wait = wait ? this->options.watch_wait : milliseconds(0),
+                   .wait = wait ? this->watch_wait(now) : milliseconds(0),
                    .issued_at = now};
     return read_document{
         .request = target.request, .name = name, .after = held_revision, .wait = target.sent.wait};
--- a/packages/dissemination/platform_schedule.h
+++ b/packages/dissemination/platform_schedule.h
@@ -68,12 +68,16 @@
 
     bool wants_watch(const slot& target, mono_time now, bool reader) const;
     bool wants_read(slot& target, mono_time now, mono_time confirmed_at);
+    milliseconds watch_wait(mono_time now) const;
     mono_duration jitter(milliseconds limit);
     milliseconds backoff(unsigned failures) const;
 
     const core_options& options;
     random_source& random;
-    mono_time started_at;
+    // Watches of all documents end at this time plus multiples of the wait. So the three documents
+    // are confirmed together, and the phases of readers differ although a change ends the watches
+    // of all readers at once.
+    mono_time phase;
     std::uint64_t last_request = 0;
     std::array<slot, document_count> slots;
 };
