--- a/testing/scenario/fleet.h
+++ b/testing/scenario/fleet.h
@@ -149,10 +149,12 @@
         throw std::runtime_error(target.name + " is not ready in time");
     }
 
-    // Sends SIGTERM and waits for the exit.
-    void stop_daemon(member& target) {
+    void begin_stop(member& target) {
         this->note("stop", {{"instance", target.name}, {"target", target.callers}});
         target.daemon->signal(SIGTERM);
+    }
+
+    void wait_stopped(member& target) {
         if (auto status = target.daemon->wait(std::chrono::seconds(10))) {
             this->note("exited", {{"instance", target.name}, {"status", *status}});
         }
@@ -236,7 +238,10 @@
             files.push_back(this->file(name + ".jsonl"));
         }
         for (member& item : this->members) {
-            this->stop_daemon(item);
+            this->begin_stop(item);
+        }
+        for (member& item : this->members) {
+            this->wait_stopped(item);
             files.push_back(this->file(item.name + ".jsonl"));
         }
         this->stop_polling();
--- a/testing/scenario/scenario.cc
+++ b/testing/scenario/scenario.cc
@@ -122,7 +122,8 @@
 void rolling_stop(fleet& run, seeded_random& random) {
     for (int i = 0; i < 3; ++i) {
         member& item = any_member(run, random);
-        run.stop_daemon(item);
+        run.begin_stop(item);
+        run.wait_stopped(item);
         run.start_daemon(item);
         run.wait_ready(item);
     }
@@ -165,25 +166,33 @@
     {"noisy_workspace", 8, "rate_and_burst", noisy_workspace},
     {"nested", 8, "workspace_of_key", nested}};
 
-// Prints for each accepted pair how long the last daemon took to report it or a newer one.
-void print_convergence(const std::vector<event>& events) {
-    for (const event& accepted : events) {
-        std::map<std::string, std::int64_t> first_us;
-        for (const event& item : events) {
-            if (item.kind == "version" && item.t >= accepted.t && item.base >= accepted.base &&
-                item.overlay >= accepted.overlay) {
-                first_us.emplace(item.instance, item.t - accepted.t);
+// Prints for each accepted pair how long the last daemon took to report it or a newer one, and for
+// each workspace what became of its calls.
+void print_figures(const std::vector<event>& events) {
+    std::map<std::string, std::string> workspaces;  // By request.
+    std::map<std::string, std::map<std::string, int>> results;
+    for (const event& item : events) {
+        if (item.kind == "call") {
+            workspaces[item.request] = item.workspace;
+        } else if (item.kind == "outcome" && workspaces.count(item.request) > 0) {
+            std::string answered = item.reason.empty() ? std::to_string(item.status) : item.reason;
+            ++results[workspaces[item.request]][item.error.empty() ? answered : item.error];
+        } else if (item.kind == "accepted") {
+            std::map<std::string, std::int64_t> first_us;
+            std::int64_t last_us = 0;
+            for (const event& other : events) {
+                if (other.kind == "version" && other.t >= item.t && other.base >= item.base &&
+                    other.overlay >= item.overlay &&
+                    first_us.emplace(other.instance, other.t - item.t).second) {
+                    last_us = std::max(last_us, other.t - item.t);
+                }
             }
+            std::cout << "base " << item.base << " overlay " << item.overlay << " in force in "
+                      << first_us.size() << " daemons, last after ms: " << last_us / 1000 << "\n";
         }
-        std::int64_t last_us = 0;
-        for (const auto& [instance, delay_us] : first_us) {
-            last_us = std::max(last_us, delay_us);
-        }
-        if (accepted.kind == "accepted") {
-            std::cout << "base " << accepted.base << " overlay " << accepted.overlay
-                      << " in force in daemons: " << first_us.size()
-                      << ", last after ms: " << last_us / 1000 << "\n";
-        }
+    }
+    for (const auto& [workspace, counts] : results) {
+        std::cout << "workspace " << workspace << ": " << nlohmann::json(counts) << "\n";
     }
 }
 
@@ -193,7 +202,7 @@
         throw std::runtime_error(failure->file + " is not readable as events");
     }
     const auto& history = std::get<std::vector<event>>(events);
-    print_convergence(history);
+    print_figures(history);
     std::vector<check_result> checks = check_history(history);
     std::cout << describe(checks);
     return std::all_of(checks.begin(), checks.end(), [&](const check_result& check) {
@@ -221,7 +230,7 @@
     return judge(chosen, run.finish());
 }
 
-int run_named(const std::string& name, std::uint64_t seed, fleet_options options) {
+int run_named(const std::string& name, std::uint64_t seed, bool keep, fleet_options options) {
     auto found = std::find_if(scenarios.begin(), scenarios.end(),
                               [&](const scenario& item) { return item.name == name; });
     if (found == scenarios.end()) {
@@ -233,11 +242,11 @@
     if (::mkdtemp(options.directory.data()) == nullptr) {
         throw std::runtime_error("cannot create a temporary directory");
     }
-    std::cout << "logs and events, kept after a failure: " << options.directory << std::endl;
+    std::cout << "logs and events: " << options.directory << std::endl;
     bool holds = run_scenario(*found, seed, options);
     std::cout << "scenario " << name << " seed " << seed << ": " << (holds ? "holds" : "VIOLATED")
               << "\n";
-    if (holds) {
+    if (holds && !keep) {
         std::filesystem::remove_all(options.directory);
     }
     return holds ? 0 : 1;
@@ -251,11 +260,14 @@
     using namespace trefoil::testing;
     std::string name;
     std::uint64_t seed = 1;
+    bool keep = false;
     fleet_options options;
     boost::program_options::options_description description;
     auto add = description.add_options();
     add("name", value(&name)->required());
     add("seed", value(&seed));
+    add("keep", boost::program_options::bool_switch(&keep), "keep logs and events");
     add("trefoild", value(&options.trefoild)->required());
-    return run_program(argc, argv, description, [&] { return run_named(name, seed, options); });
+    return run_program(argc, argv, description,
+                       [&] { return run_named(name, seed, keep, options); });
 }
