--- a/packages/admission/context_table.cc
+++ b/packages/admission/context_table.cc
@@ -12,22 +12,34 @@
 
 }  // namespace
 
-std::string context_table::open(const call_context& context) {
+std::string context_table::add(const call_context& context) {
     std::string handle = secure_random_hex(handle_bytes);
-    this->contexts.update(handle, [&](call_context& slot) { slot = context; });
+    this->contexts.update(handle, [&](call_context& stored) { stored = context; });
     return handle;
 }
 
-std::optional<call_context> context_table::find(const std::string& handle, mono_time now) const {
-    auto found = this->contexts.find(handle);
-    if (found.has_value() && now >= found->deadline) {
-        return std::nullopt;
-    }
-    return found;
+void context_table::remove(std::string_view handle) {
+    this->contexts.take(std::string(handle));
 }
 
-void context_table::close(const std::string& handle) {
-    this->contexts.take(handle);
+result<call_context, unknown_handle, depth_exceeded, deadline_passed> context_table::nested(
+    std::string_view handle, mono_time now) const {
+    // Longer values come from outside and need not be copied and hashed.
+    if (handle.size() != 2 * handle_bytes) {
+        return unknown_handle{};
+    }
+    std::optional<call_context> found = this->contexts.find(std::string(handle));
+    if (!found.has_value()) {
+        return unknown_handle{};
+    }
+    if (found->depth >= deepest_call) {
+        return depth_exceeded{};
+    }
+    if (found->deadline <= now) {
+        return deadline_passed{};
+    }
+    ++found->depth;
+    return *std::move(found);
 }
 
 }  // namespace trefoil::admission
--- a/packages/admission/token_holder.h
+++ b/packages/admission/token_holder.h
@@ -28,7 +28,7 @@
     token_holder(const limit_options& settings, std::string name)
         : options(settings), workspace(std::move(name)) {}
 
-    void set_limit(double rate, double burst);
+    void set_limit(double new_rate, double new_burst, int new_shares);
 
     // Counts one call for the demand estimate.
     void count_call() { ++this->calls; }
@@ -36,8 +36,9 @@
     // Takes a token from a batch that is still usable.
     bool take(mono_time now);
 
-    // Whether the last answer of the home leaves no hope for a token within the wait bound.
-    bool exhausted(mono_time now) const { return now < this->exhausted_until; }
+    // Whether one more waiting call may get a token within the wait bound, judged by the home's
+    // last answers.
+    bool hopeful(mono_time now) const;
 
     void add_waiting(std::uint64_t call, mono_time now);
     std::size_t waiting_count() const { return this->waiting.size(); }
@@ -96,6 +97,8 @@
     void drop_old(mono_time now);
     void refuse_waiting(double count, limiter_output& out);
     bool settlement_due(const std::string& home, mono_time now) const;
+    double falling_smoothing() const;
+    mono_duration settle_interval() const;
     void return_unspent(batch& item);
     std::vector<messages::token_request::settlement> settle(const std::string& home, mono_time now);
     double wanted_now(mono_time now) const;
@@ -107,6 +110,7 @@
     std::string workspace;
     double rate = 0;
     double burst = 0;
+    int shares = 1;
     std::deque<batch> batches;         // In order of `usable_until`, oldest first.
     std::vector<open_request> open;    // Unanswered and younger than a batch's life.
     std::deque<waiting_call> waiting;  // In order of deadline.
@@ -116,7 +120,8 @@
     double demand = 0;                 // Calls per second, smoothed.
     std::uint64_t calls = 0;           // Since `measured`.
     mono_time measured;
-    mono_time exhausted_until;
+    mono_time exhausted_until;   // The home had no token and expected none.
+    mono_time short_until;       // The home had fewer tokens than calls waited.
     mono_time ahead_not_before;  // The home had none to spare.
     mono_time settle_not_before;
 };
--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -34,6 +34,9 @@
     if (std::holds_alternative<edge::connection_refused>(result)) {
         return gate::call_result_kind::connection_refused;
     }
+    if (std::holds_alternative<edge::not_started>(result)) {
+        return gate::call_result_kind::cancelled;
+    }
     const auto* stopped = std::get_if<edge::interrupted>(&result);
     return stopped != nullptr && stopped->cancelled ? gate::call_result_kind::cancelled
                                                     : gate::call_result_kind::failed;
@@ -49,6 +52,9 @@
     } else if (std::holds_alternative<edge::connection_refused>(result)) {
         answer.outcome = messages::call_outcome::not_run;
         answer.reason = "no_upstream";
+    } else if (std::holds_alternative<edge::not_started>(result)) {
+        answer.outcome = messages::call_outcome::not_run;
+        answer.reason = "deadline_exceeded";
     } else if (std::holds_alternative<edge::interrupted>(result)) {
         answer.outcome = messages::call_outcome::unknown;
         answer.reason = "deadline_exceeded";
@@ -138,7 +144,7 @@
     held_call& call = **found;
     mono_time now = this->clock.now();
     call.started = now;
-    call.handle = this->contexts.open(
+    call.handle = this->contexts.add(
         {.workspace = call.call.workspace, .deadline = call.deadline, .depth = call.call.depth});
     ++this->started;
     this->client.start(
@@ -152,7 +158,7 @@
         return;
     }
     held_call& call = **held;
-    this->contexts.close(call.handle);
+    this->contexts.remove(call.handle);
     mono_time now = this->clock.now();
     mono_duration latency = now - call.started;
     this->upstream_busy_us += static_cast<std::uint64_t>(
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -7,14 +7,13 @@
 #include <optional>
 #include <utility>
 
-#include "base/hash.h"
+#include "admission/key_check.h"
 #include "base/random.h"
 
 namespace trefoil::daemon {
 
 namespace {
 
-constexpr std::string_view bearer_prefix = "Bearer ";
 constexpr unsigned status_too_large = 413;
 constexpr unsigned status_headers_too_large = 431;
 constexpr unsigned status_unavailable = 503;
@@ -32,15 +31,6 @@
            status == status_gateway_timeout;
 }
 
-std::optional<std::string> bearer_key(const edge::http_request& request) {
-    auto header = edge::find_header(request.headers, "Authorization");
-    if (!header.has_value() || header->size() <= bearer_prefix.size() ||
-        !edge::same_header_name(header->substr(0, bearer_prefix.size()), bearer_prefix)) {
-        return std::nullopt;
-    }
-    return header->substr(bearer_prefix.size());
-}
-
 std::string_view reason_of_give_up(const routing::give_up& decision, std::string_view last) {
     return decision.reason == routing::give_up_reason::deadline_exceeded
                ? reasons::deadline_exceeded
@@ -179,25 +169,30 @@
 // outside gains nothing with it.
 std::optional<call_refusal> ingress::identify(entry_call& call, const edge::http_request& request) {
     if (auto handle = edge::find_header(request.headers, "Trefoil-Context")) {
-        if (auto context = this->contexts.find(*handle, call.arrived)) {
+        auto context = this->contexts.nested(*handle, call.arrived);
+        if (auto* valid = std::get_if<admission::call_context>(&context)) {
             call.nested = true;
-            call.message.workspace = context->workspace;
-            call.message.depth = context->depth + 1;
-            call.history.deadline = context->deadline;
-            if (call.message.depth > this->options.max_depth) {
-                return call_refusal{.reason = reasons::depth_exceeded};
-            }
+            call.message.workspace = valid->workspace;
+            call.message.depth = valid->depth;
+            call.history.deadline = valid->deadline;
             return std::nullopt;
         }
+        if (std::holds_alternative<admission::depth_exceeded>(context)) {
+            return call_refusal{.reason = reasons::depth_exceeded};
+        }
+        if (std::holds_alternative<admission::deadline_passed>(context)) {
+            return call_refusal{.reason = reasons::deadline_exceeded};
+        }
     }
     if (call.route->open) {
         return std::nullopt;
     }
-    auto key = bearer_key(request);
-    if (!key.has_value()) {
+    auto header = edge::find_header(request.headers, "Authorization");
+    auto digest = admission::bearer_key_digest(header.value_or(""));
+    if (!digest.has_value()) {
         return call_refusal{.reason = reasons::key_missing};
     }
-    const config::workspace* owner = call.snapshot->find_workspace_by_digest(sha256_hex(*key));
+    const config::workspace* owner = call.snapshot->find_workspace_by_digest(*digest);
     if (owner == nullptr) {
         return call_refusal{.reason = reasons::key_unknown};
     }
