Serve metrics, burn and explanations from the telemetry package

trefoilctl burn now adds up by failure domain, service and workspace, because one workspace can spend the whole error budget while the service as a whole looks well; its test gained that column.

--- a/packages/ctl/burn_command.cc
+++ b/packages/ctl/burn_command.cc
@@ -4,8 +4,8 @@
 
 #include <fmt/format.h>
 
+#include <compare>
 #include <map>
-#include <utility>
 
 #include "ctl/text_table.h"
 
@@ -25,8 +25,15 @@
     std::map<double, window_counts> windows;  // By length in seconds.
 };
 
-// By failure domain and service.
-using burn_map = std::map<std::pair<std::string, std::string>, service_burn>;
+struct burn_key {
+    std::string failure_domain;
+    std::string service;
+    std::string workspace;
+
+    friend auto operator<=>(const burn_key&, const burn_key&) = default;
+};
+
+using burn_map = std::map<burn_key, service_burn>;
 
 // Adds up the calls of all instances of a failure domain, so that an instance with few calls does
 // not weigh as much as a busy one.
@@ -35,7 +42,9 @@
     for (const admin_report& report : reports) {
         std::string domain = text_field(report.answer, "failure_domain");
         for (const json& service : list_field(report.answer, "services")) {
-            service_burn& burn = sums[{domain, text_field(service, "service")}];
+            service_burn& burn = sums[{.failure_domain = domain,
+                                       .service = text_field(service, "service"),
+                                       .workspace = text_field(service, "workspace")}];
             burn.availability = number_field(service, "availability");
             for (const json& window : list_field(service, "windows")) {
                 double seconds = number_field(window, "seconds");
@@ -68,7 +77,7 @@
 }
 
 std::string burn_command::summary() const {
-    return "Show how fast services spend their error budget, by failure domain.";
+    return "Show how fast services spend their error budget, by failure domain and workspace.";
 }
 
 std::string burn_command::target(const boost::program_options::variables_map& /*values*/) const {
@@ -76,12 +85,14 @@
 }
 
 bool burn_command::print(const std::vector<admin_report>& reports, std::ostream* out) const {
-    text_table table({"FAILURE DOMAIN", "SERVICE", "WINDOW", "CALLS", "BAD", "BURN RATE"});
+    text_table table(
+        {"FAILURE DOMAIN", "SERVICE", "WORKSPACE", "WINDOW", "CALLS", "BAD", "BURN RATE"});
     bool well = true;
     for (const auto& [key, burn] : sum(reports)) {
         for (const auto& [seconds, window] : burn.windows) {
-            table.add({key.first, key.second, fmt::format("{:.0f} s", seconds),
-                       fmt::format("{:.0f}", window.calls), fmt::format("{:.0f}", window.bad),
+            table.add({key.failure_domain, key.service, key.workspace,
+                       fmt::format("{:.0f} s", seconds), fmt::format("{:.0f}", window.calls),
+                       fmt::format("{:.0f}", window.bad),
                        fmt::format("{:.2f}", burn_rate(window, burn.availability))});
         }
         well = well && !spends_too_fast(burn);
--- a/packages/ctl/testing/fleet_commands_test.cc
+++ b/packages/ctl/testing/fleet_commands_test.cc
@@ -185,15 +185,15 @@
 BOOST_FIXTURE_TEST_CASE(burn_sums_calls_by_failure_domain, fixture) {
     auto answer = [](int long_bad) {
         return R"({"failure_domain": "d1", "services": [{"service": "station",
-            "availability": 0.99, "windows": [{"seconds": 300, "calls": 100, "bad": 5},
+            "workspace": "north", "availability": 0.99, "windows": [{"seconds": 300, "calls": 100, "bad": 5},
             {"seconds": 3600, "calls": 1000, "bad": )" +
                std::to_string(long_bad) + "}]}]}";
     };
     BOOST_TEST(this->run({"burn"}, {answer(5), answer(7)}) == 0);
     BOOST_TEST(this->out ==
-               "FAILURE DOMAIN  SERVICE  WINDOW  CALLS  BAD  BURN RATE\n"
-               "d1              station  300 s   200    10   5.00\n"
-               "d1              station  3600 s  2000   12   0.60\n");
+               "FAILURE DOMAIN  SERVICE  WORKSPACE  WINDOW  CALLS  BAD  BURN RATE\n"
+               "d1              station  north      300 s   200    10   5.00\n"
+               "d1              station  north      3600 s  2000   12   0.60\n");
     BOOST_TEST(this->run({"burn"}, {answer(5), answer(20)}) == 1);
 }
 
--- a/packages/daemon/admin.cc
+++ b/packages/daemon/admin.cc
@@ -4,10 +4,14 @@
 
 #include <fmt/format.h>
 
-#include <nlohmann/json.hpp>
+#include <algorithm>
+#include <map>
+#include <tuple>
 #include <utility>
 
 #include "base/result.h"
+#include "daemon/refusal.h"
+#include "telemetry/prometheus_text.h"
 
 namespace trefoil::daemon {
 
@@ -35,7 +39,7 @@
 json versions_json(const control_state& control) {
     json list = json::array();
     for (const config::held_versions& each : control.versions) {
-        json entry = {{"document", each.name}, {"newest", nullptr}, {"in_force", nullptr}};
+        json entry = {{"name", each.name}, {"newest", nullptr}, {"in_force", nullptr}};
         if (each.newest.has_value()) {
             entry["newest"] = each.newest->revision;
         }
@@ -96,6 +100,8 @@
         responder->respond(this->metrics());
     } else if (request.path == "/status") {
         responder->respond(this->status());
+    } else if (request.path == "/burn") {
+        responder->respond(this->burn());
     } else if (request.path == "/explain") {
         responder->respond(this->explain(request));
     } else {
@@ -129,43 +135,94 @@
                          {{"ready", reasons.empty()}, {"reasons", reasons}});
 }
 
-edge::http_response admin::metrics() const {
-    std::string text = this->sources.metrics.prometheus_text();
-    auto add = [&text](std::string_view name, auto value) {
-        text += fmt::format("trefoil_{} {}\n", name, value);
+std::vector<telemetry::series> admin::own_series() const {
+    std::vector<telemetry::series> all;
+    auto add = [&all](std::string_view name, auto value, std::string_view help) {
+        all.push_back({.name = fmt::format("trefoil_{}", name),
+                       .labels = {},
+                       .help = std::string(help),
+                       .value = value});
     };
-    auto control = this->board.control.read();
-    if (control != nullptr) {
-        add("ready", control->ready ? 1 : 0);
-        add("confirmed", this->confirmed(*control) ? 1 : 0);
-        add("reader", control->reader ? 1 : 0);
-        add("configuration_rejected", control->rejected.has_value() ? 1 : 0);
-        add("platform_reads_total", control->platform_reads);
-        add("platform_stale_answers_total", control->stale_answers);
-        add("documents_received_total", control->documents_received);
-        add("documents_sent_total", control->documents_sent);
+    auto gauge = [](auto value) { return static_cast<std::int64_t>(value); };
+    if (auto control = this->board.control.read()) {
+        add("ready", gauge(control->ready), "1 when the start is complete.");
+        add("confirmed", gauge(this->confirmed(*control)),
+            "1 when the configuration is confirmed.");
+        add("reader", gauge(control->reader), "1 when this daemon watches the platform.");
+        add("configuration_rejected", gauge(control->rejected.has_value()),
+            "1 when the newest documents are not in force.");
+        add("platform_reads_total", control->platform_reads, "Calls to the platform.");
+        add("platform_stale_answers_total", control->stale_answers,
+            "Answers of the platform with an older revision.");
+        add("documents_received_total", control->documents_received, "Documents from peers.");
+        add("documents_sent_total", control->documents_sent, "Documents sent to peers.");
+    }
+    if (auto snapshot = this->board.snapshot.read()) {
+        add("base_revision", gauge(snapshot->base_revision()), "Base document in force.");
+        add("overlay_revision", gauge(snapshot->overlay_revision()), "Overlay in force.");
     }
     transport::traffic_totals traffic = this->sources.links.totals();
-    add("peer_connections", this->sources.links.open_count());
-    add("peer_bytes_sent_total", traffic.bytes_sent);
-    add("peer_bytes_received_total", traffic.bytes_received);
-    add("control_bytes_sent_total", traffic.control_bytes_sent);
-    add("control_bytes_received_total", traffic.control_bytes_received);
-    add("peer_connections_rejected_total", traffic.rejected_connections);
-    egress_totals egress = this->sources.local_egress.totals();
+    add("peer_connections", gauge(this->sources.links.open_count()), "Open peer connections.");
+    add("peer_bytes_sent_total", traffic.bytes_sent, "Bytes of all frames sent to peers.");
+    add("peer_bytes_received_total", traffic.bytes_received, "Bytes of all frames from peers.");
+    add("control_bytes_sent_total", traffic.control_bytes_sent, "Bytes sent, without calls.");
+    add("control_bytes_received_total", traffic.control_bytes_received,
+        "Bytes received, without calls.");
+    add("peer_connections_rejected_total", traffic.rejected_connections,
+        "Connections closed for a wrong proof or a bad frame.");
     messages::load_report load = this->sources.local_egress.load();
-    add("gate_limit", load.limit);
-    add("gate_running", load.running);
-    add("gate_queued", load.queued);
-    add("egress_started_total", egress.started);
-    add("egress_answered_total", egress.answered);
-    add("egress_refused_total", egress.refused);
-    add("egress_unknown_total", egress.unknown);
-    add("egress_upstream_busy_us_total", egress.upstream_busy_us);
-    add("calls_in_progress", this->sources.local_ingress.calls_in_progress());
+    add("gate_limit", gauge(load.limit), "Concurrent calls that the gate allows.");
+    add("gate_running", gauge(load.running), "Calls that run at the upstream.");
+    add("gate_queued", gauge(load.queued), "Calls that wait in the gate.");
+    egress_totals egress = this->sources.local_egress.totals();
+    add("egress_started_total", egress.started, "Calls started at the upstream.");
+    add("egress_answered_total", egress.answered, "Calls with a whole response.");
+    add("egress_refused_total", egress.refused, "Calls that the gate refused.");
+    add("egress_unknown_total", egress.unknown, "Calls with an unknown outcome.");
+    add("egress_upstream_busy_us_total", egress.upstream_busy_us, "Time spent at the upstream.");
+    add("calls_in_progress", gauge(this->sources.local_ingress.calls_in_progress()),
+        "Requests of callers without a response.");
+    return all;
+}
+
+edge::http_response admin::metrics() const {
+    std::vector<telemetry::series> all = this->sources.metrics.read();
+    for (telemetry::series& each : this->own_series()) {
+        all.push_back(std::move(each));
+    }
+    std::sort(all.begin(), all.end(), [](const auto& left, const auto& right) {
+        return std::tie(left.name, left.labels) < std::tie(right.name, right.labels);
+    });
     return {.status = status_ok,
-            .headers = {{.name = "Content-Type", .value = "text/plain; version=0.0.4"}},
-            .body = std::move(text)};
+            .headers = {{.name = "Content-Type", .value = telemetry::prometheus_content_type}},
+            .body = telemetry::prometheus_text(all)};
+}
+
+edge::http_response admin::burn() const {
+    auto snapshot = this->board.snapshot.read();
+    std::map<std::pair<std::string, std::string>, json> windows;
+    for (const telemetry::burn_row& row : this->sources.metrics.burn()) {
+        json& list = windows[{row.service, row.workspace}];
+        list.push_back({{"seconds", row.window.count()},
+                        {"calls", row.good + row.bad},
+                        {"bad", row.bad},
+                        {"burn", row.burn}});
+    }
+    json services = json::array();
+    for (auto& [key, list] : windows) {
+        const config::service* service =
+            snapshot == nullptr ? nullptr : snapshot->find_service(key.first);
+        if (service == nullptr || !service->objective.has_value()) {
+            continue;
+        }
+        services.push_back({{"service", key.first},
+                            {"workspace", key.second},
+                            {"availability", service->objective->availability},
+                            {"windows", std::move(list)}});
+    }
+    return json_response(status_ok, {{"instance", this->options.instance},
+                                     {"failure_domain", this->options.failure_domain},
+                                     {"services", std::move(services)}});
 }
 
 edge::http_response admin::status() const {
@@ -182,8 +239,8 @@
         body["ready"] = control->ready;
         body["reader"] = control->reader;
         body["confirmed"] = this->confirmed(*control);
-        body["confirmed_age_ms"] = age_ms(control->confirmed_at, now);
-        body["versions"] = versions_json(*control);
+        body["confirmation_age_ms"] = age_ms(control->confirmed_at, now);
+        body["documents"] = versions_json(*control);
         body["rejected"] = rejected_json(control->rejected);
     }
     auto snapshot = this->board.snapshot.read();
@@ -209,42 +266,76 @@
 
 edge::http_response admin::explain(const edge::http_request& request) const {
     auto snapshot = this->board.snapshot.read();
-    auto candidates = this->board.candidates.read();
     std::string method = edge::query_parameter(request.query, "method").value_or("GET");
     std::string path = edge::query_parameter(request.query, "path").value_or("/");
-    json body = {{"instance", this->options.instance}, {"method", method}, {"path", path}};
+    std::string workspace = edge::query_parameter(request.query, "workspace").value_or("");
+    json body = {{"instance", this->options.instance},
+                 {"failure_domain", this->options.failure_domain},
+                 {"method", method},
+                 {"path", path}};
     if (snapshot == nullptr) {
-        body["result"] = "not_ready";
+        body["decision"] = "refused";
+        body["reason"] = reasons::not_ready;
         return json_response(status_ok, body);
     }
     auto found = snapshot->find_route(method, path);
     if (!std::holds_alternative<const config::route*>(found)) {
-        body["result"] =
-            std::holds_alternative<config::no_route>(found) ? "no_route" : "method_not_allowed";
+        body["decision"] = "refused";
+        body["reason"] = std::holds_alternative<config::no_route>(found)
+                             ? reasons::no_route
+                             : reasons::method_not_allowed;
         return json_response(status_ok, body);
     }
-    const config::route* route = std::get<const config::route*>(found);
-    body["result"] = "routed";
-    body["route"] = route->name;
-    body["service"] = route->service;
-    body["open"] = route->open;
-    body["idempotent"] = route->idempotent_for(method);
+    const config::route& route = *std::get<const config::route*>(found);
+    std::string_view refusal = this->refusal_of(route, *snapshot, workspace);
+    body["decision"] = refusal.empty() ? "routed" : "refused";
+    body["reason"] = refusal;
+    body["route"] = route.name;
+    body["service"] = route.service;
+    body["open"] = route.open;
+    body["idempotent"] = route.idempotent_for(method);
     body["base"] = snapshot->base_revision();
+    body["candidates"] = this->candidates_json(route.service);
+    return json_response(status_ok, body);
+}
+
+// Why a request of the workspace on the route would be refused before an upstream is chosen; empty
+// when it would not.
+std::string_view admin::refusal_of(const config::route& route, const config::snapshot& snapshot,
+                                   const std::string& workspace) const {
+    auto control = this->board.control.read();
+    if (control == nullptr || !control->ready) {
+        return reasons::not_ready;
+    }
+    if (!route.open && snapshot.find_workspace(workspace) == nullptr) {
+        return workspace.empty() ? reasons::key_missing : reasons::key_unknown;
+    }
+    bool refuses_unconfirmed = route.when_unconfirmed == config::unconfirmed_policy::refuse;
+    return refuses_unconfirmed && !this->confirmed(*control) ? reasons::unconfirmed
+                                                             : std::string_view();
+}
+
+nlohmann::json admin::candidates_json(const std::string& service) const {
     json list = json::array();
+    auto candidates = this->board.candidates.read();
+    if (candidates == nullptr) {
+        return list;
+    }
     mono_time now = this->clock.now();
-    if (candidates != nullptr) {
-        for (const routing::candidate& each : candidates->of_service(route->service)) {
-            routing::instance_load load = this->sources.local_ingress.loads().find(each.instance);
-            list.push_back({{"instance", each.instance},
-                            {"failure_domain", each.failure_domain},
-                            {"local", each.failure_domain == this->options.failure_domain},
-                            {"accepts_work", each.accepts_work()},
-                            {"taken_out", each.taken_out},
-                            {"score", this->sources.local_ingress.picker().score(load, now)}});
+    for (const routing::candidate& each : candidates->of_service(service)) {
+        routing::instance_load load = this->sources.local_ingress.loads().find(each.instance);
+        std::string_view reason = each.taken_out ? "taken out" : "";
+        if (!each.taken_out && each.state != routing::candidate_state::live) {
+            reason = each.state == routing::candidate_state::leaving ? "leaving" : "suspected";
         }
+        list.push_back({{"instance", each.instance},
+                        {"failure_domain", each.failure_domain},
+                        {"local", each.failure_domain == this->options.failure_domain},
+                        {"usable", each.accepts_work()},
+                        {"reason", reason},
+                        {"score", this->sources.local_ingress.picker().score(load, now)}});
     }
-    body["candidates"] = std::move(list);
-    return json_response(status_ok, body);
+    return list;
 }
 
 }  // namespace trefoil::daemon
--- a/packages/daemon/admin.h
+++ b/packages/daemon/admin.h
@@ -10,7 +10,9 @@
 
 #include <chrono>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/time.h"
@@ -21,6 +23,7 @@
 #include "daemon/peer_links.h"
 #include "daemon/request_metrics.h"
 #include "edge/http_server.h"
+#include "telemetry/registry.h"
 
 namespace trefoil::daemon {
 
@@ -58,7 +61,12 @@
     edge::http_response ready() const;
     edge::http_response metrics() const;
     edge::http_response status() const;
+    edge::http_response burn() const;
     edge::http_response explain(const edge::http_request& request) const;
+    std::vector<telemetry::series> own_series() const;
+    std::string_view refusal_of(const config::route& route, const config::snapshot& snapshot,
+                                const std::string& workspace) const;
+    nlohmann::json candidates_json(const std::string& service) const;
 
     const admin_options options;
     blackboard& board;
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -61,6 +61,7 @@
 daemon::daemon(const settings& given)
     : options(given),
       incarnation(make_incarnation()),
+      metrics(this->clock),
       platform({.url = given.platform}),
       limits({.incarnation = this->incarnation}, given.instance, this->board, this->clock),
       local_egress({.upstream = given.upstream.text(), .service = given.service}, this->contexts,
@@ -183,6 +184,7 @@
     }
     this->applied_snapshot = snapshot;
     this->applied_view = view;
+    this->metrics.set_objectives(*snapshot);
     if (const config::service* own = snapshot->find_service(this->options.service)) {
         this->local_egress.configure(own->slots, own->queue);
     }
--- a/packages/daemon/request_metrics.cc
+++ b/packages/daemon/request_metrics.cc
@@ -8,27 +8,52 @@
 
 namespace trefoil::daemon {
 
+namespace {
+
+constexpr unsigned status_server_error = 500;
+
+}  // namespace
+
+request_metrics::request_metrics(const time_source& time) : clock(time) {
+    this->registry.describe("trefoil_requests_total", "Finished requests by result.");
+    this->registry.describe("trefoil_retries_total", "Attempts after the first one.");
+    this->registry.describe("trefoil_request_microseconds",
+                            "Time from the request's arrival to its response.");
+}
+
+// Requests that were refused for a reason on the caller's side, such as a missing key or a rate
+// above the limit, spend no error budget.
 void request_metrics::on_finished(const finished_request& request) {
-    std::string labels =
-        fmt::format("service=\"{}\",workspace=\"{}\",status=\"{}\",reason=\"{}\"", request.service,
-                    request.workspace, request.status, request.reason);
+    this->registry
+        .find_counter("trefoil_requests_total", {{"service", request.service},
+                                                 {"workspace", request.workspace},
+                                                 {"status", fmt::to_string(request.status)},
+                                                 {"reason", std::string(request.reason)}})
+        .add();
+    if (request.retries > 0) {
+        this->registry.find_counter("trefoil_retries_total", {{"service", request.service}})
+            .add(request.retries);
+    }
+    bool error = request.status >= status_server_error;
+    if (request.service.empty() || (!request.admitted && !error)) {
+        return;
+    }
     auto duration = std::chrono::duration_cast<std::chrono::microseconds>(request.duration);
-    this->by_labels.update(labels, [&](totals& slot) {
-        ++slot.count;
-        slot.duration_us += static_cast<std::uint64_t>(duration.count());
-        slot.retries += request.retries;
-    });
+    this->registry.find_histogram("trefoil_request_microseconds", {{"service", request.service}})
+        .observe(duration);
+    this->tracker.record(request.service, request.workspace,
+                         {.latency = request.duration, .error = error}, this->clock.now());
 }
 
-std::string request_metrics::prometheus_text() {
-    std::string text = "# TYPE trefoil_requests_total counter\n";
-    this->by_labels.for_each([&](const std::string& labels, const totals& each) {
-        text += fmt::format("trefoil_requests_total{{{}}} {}\n", labels, each.count);
-        text +=
-            fmt::format("trefoil_request_duration_us_total{{{}}} {}\n", labels, each.duration_us);
-        text += fmt::format("trefoil_retries_total{{{}}} {}\n", labels, each.retries);
-    });
-    return text;
+void request_metrics::set_objectives(const config::snapshot& snapshot) {
+    telemetry::burn_tracker::objective_map objectives;
+    for (const auto& [name, service] : snapshot.contents().services) {
+        if (service.objective.has_value()) {
+            objectives[name] = {.availability = service.objective->availability,
+                                .latency = service.objective->latency};
+        }
+    }
+    this->tracker.set_objectives(std::move(objectives));
 }
 
 }  // namespace trefoil::daemon
--- a/packages/daemon/request_metrics.h
+++ b/packages/daemon/request_metrics.h
@@ -1,35 +1,41 @@
-// Counts finished requests for the metrics endpoint.
+// Counts finished requests for the metrics endpoint and the burn of service-level objectives.
 //
 // Example:
 //
-//     daemon::request_metrics metrics;
+//     daemon::request_metrics metrics(clock);
 //     metrics.on_finished(request);
-//     std::string text = metrics.prometheus_text();
+//     std::vector<telemetry::series> series = metrics.read();
 
 #ifndef TREFOIL_DAEMON_REQUEST_METRICS_H_
 #define TREFOIL_DAEMON_REQUEST_METRICS_H_
 
-#include <cstdint>
-#include <string>
+#include <vector>
 
-#include "base/sharded_map.h"
+#include "base/time.h"
+#include "config/snapshot.h"
 #include "daemon/ingress.h"
+#include "telemetry/burn_tracker.h"
+#include "telemetry/registry.h"
 
 namespace trefoil::daemon {
 
 // Safe for concurrent use.
 class request_metrics final : public request_observer {
 public:
+    explicit request_metrics(const time_source& clock);
+
     void on_finished(const finished_request& request) override;
-    std::string prometheus_text();
+
+    // Takes over the objectives of the services of a new snapshot.
+    void set_objectives(const config::snapshot& snapshot);
+
+    std::vector<telemetry::series> read() const { return this->registry.read(); }
+    std::vector<telemetry::burn_row> burn() const { return this->tracker.rows(this->clock.now()); }
 
 private:
-    struct totals {
-        std::uint64_t count = 0;
-        std::uint64_t duration_us = 0;
-        std::uint64_t retries = 0;
-    };
-    sharded_map<std::string, totals> by_labels;
+    const time_source& clock;
+    telemetry::registry registry;
+    telemetry::burn_tracker tracker;
 };
 
 }  // namespace trefoil::daemon
