Choose three of four gossip peers in the own site

Only peers of the own site confirm the overlay, so that in a fleet of three sites its confirmation spread through half of the connections only and passed 4 s for some daemons.

--- a/packages/dissemination/gossip_peers.cc
+++ b/packages/dissemination/gossip_peers.cc
@@ -105,7 +105,9 @@
         }
     }
     std::size_t half = (this->options.gossip_peers + 1) / 2;
-    return {.outside_domain = outside < half, .own_site = in_site < half};
+    // One peer is left for other sites.
+    std::size_t site_share = std::max(half, this->options.gossip_peers - 1);
+    return {.outside_domain = outside < half, .own_site = in_site < site_share};
 }
 
 bool gossip_peers::eligible(mono_time now, const membership::instance_record& record) const {
--- a/packages/dissemination/gossip_peers.h
+++ b/packages/dissemination/gossip_peers.h
@@ -1,6 +1,6 @@
 // Chooses the peers with which this daemon gossips: 4, at least half of them outside its failure
-// domain and, where possible, at least half in its own site, because only those confirm the
-// overlay. One is replaced at random every 60 s.
+// domain and, where possible, all but one in its own site, because only those confirm the overlay.
+// One is replaced at random every 60 s.
 //
 // Example:
 //
