Tell the core which connections it asked for

Cause: the control loop reported every peer connection as opened for gossip, so the homes of limits, to which all daemons connect, became everyone's gossip peers and nobody asked the others. In an idle fleet of 120 daemons, each saw about 89 instances as suspected and 48 daemons thought themselves readers (expected 20).

--- a/packages/daemon/control_loop.cc
+++ b/packages/daemon/control_loop.cc
@@ -154,19 +154,27 @@
         membership::instance_record record = record_of(peer);
         this->tracker.contact(now, record, peer.incarnation);
         if (first) {
-            this->core.connection_opened(now, record, peer.address);
+            this->open_peers[peer.address] = record;
+            bool asked_by_core = this->asked_addresses.erase(peer.address) != 0;
+            this->core.connection_opened(now, record, asked_by_core ? peer.address : "");
         }
     });
 }
 
 void control_loop::on_link_closed(const messages::hello& peer, bool last) {
     if (last) {
-        this->feed([&](mono_time) { this->core.connection_closed(peer.instance); });
+        this->feed([&](mono_time) {
+            this->open_peers.erase(peer.address);
+            this->core.connection_closed(peer.instance);
+        });
     }
 }
 
 void control_loop::on_dial_failed(const std::string& address) {
-    this->feed([&](mono_time now) { this->core.connection_failed(now, address); });
+    this->feed([&](mono_time now) {
+        this->asked_addresses.erase(address);
+        this->core.connection_failed(now, address);
+    });
 }
 
 void control_loop::on_message(const messages::hello& peer, const messages::peer_message& message) {
@@ -257,7 +265,7 @@
                 absl::MutexLock lock(&this->read_mutex);
                 this->reads.push_back(read);
             },
-            [this](const dissemination::open_connection& open) { this->links->dial(open.address); },
+            [this](const dissemination::open_connection& open) { this->open_peer(open.address); },
             // The idle limit closes the connection, because calls may use it too.
             [](const dissemination::close_connection&) {},
             [](const dissemination::configuration_offered&) {},
@@ -273,6 +281,25 @@
         action);
 }
 
+// A connection that calls or limits opened serves gossip as well. It becomes a gossip peer only when
+// the core asks for it: otherwise the homes of limits, to which everyone is connected, would be
+// everyone's gossip peers, and nobody would hear of the others.
+void control_loop::open_peer(const std::string& address) {
+    bool connected = false;
+    this->feed([&](mono_time now) {
+        auto found = this->open_peers.find(address);
+        connected = found != this->open_peers.end();
+        if (connected) {
+            this->core.connection_opened(now, found->second, address);
+        } else {
+            this->asked_addresses.insert(address);
+        }
+    });
+    if (!connected) {
+        this->links->dial(address);
+    }
+}
+
 void control_loop::run_platform_reads() {
     while (true) {
         dissemination::read_document next;
--- a/packages/daemon/control_loop.h
+++ b/packages/daemon/control_loop.h
@@ -12,7 +12,9 @@
 
 #include <atomic>
 #include <deque>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -60,6 +62,7 @@
     // Runs `input` on the core under the lock, then executes the actions outside of it.
     template <class Input>
     void feed(Input input);
+    void open_peer(const std::string& address);
     void publish(mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void publish_candidates() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void publish_control_state() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
@@ -80,6 +83,8 @@
     std::shared_ptr<const membership::view> published_view;
     std::shared_ptr<const config::snapshot> published_snapshot;
     bool leaving = false;
+    std::map<std::string, membership::instance_record> open_peers;  // By peer address.
+    std::set<std::string> asked_addresses;  // Connections that the core asked for, not open yet.
 
     absl::Mutex read_mutex;
     std::deque<dissemination::read_document> reads;  // Guarded by read_mutex.
