Test dissemination under focused failures

Fleets of cores run under a stale platform, without the platform, cut off from the majority, paused, with a bad newest version, with crossed updates and lost messages, restarted all at once, and with two sites. Switches show that the checks fail without gossip, majority, the count from the request, bridging, and the choice of readers.

--- /dev/null
+++ b/packages/dissemination/testing/core_test.cc
@@ -0,0 +1,232 @@
+// Tests of the dissemination core: fleets of cores under focused failures. Where a switch turns the
+// mechanism off, the test also shows that the check then fails.
+
+#define BOOST_TEST_MODULE dissemination_core
+#include "dissemination/core.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "dissemination/testing/fleet.h"
+
+namespace trefoil::dissemination {
+
+namespace {
+
+// A fleet that holds revision 2 of every document and has run for a while.
+std::unique_ptr<fleet> settled_fleet(fleet_options options) {
+    auto result = std::make_unique<fleet>(options);
+    result->publish("base", 2, "good");
+    for (std::size_t site = 0; site < options.sites; ++site) {
+        result->publish("site/s" + std::to_string(site), 2, "good");
+    }
+    result->publish_list(2);
+    result->run(milliseconds(15000));
+    return result;
+}
+
+bool all_hold(const fleet& subject, const std::string& name, std::uint64_t revision) {
+    return subject.all([&](std::size_t i) { return subject.held(i, name) == revision; });
+}
+
+// Restarts a third of the fleet while the platform answers with revision 2 of `base`, and returns
+// whether every daemon ends at the accepted revision 3.
+bool keeps_revision_under_stale_platform(bool gossip) {
+    fleet_options options{.count = 24, .seed = 7};
+    options.core.gossip = gossip;
+    auto subject = settled_fleet(options);
+    subject->platform.freeze();
+    subject->platform.stale = false;
+    subject->publish("base", 3, "good");
+    subject->run(milliseconds(8000));
+    subject->platform.stale = true;
+    for (std::size_t i = 0; i < 8; ++i) {
+        subject->restart(i);
+    }
+    subject->run(milliseconds(15000));
+    BOOST_TEST(subject->regressions == 0U);
+    return all_hold(*subject, "base", 3);
+}
+
+// Returns how many daemons are ever unconfirmed during 30 s without the platform.
+std::size_t unconfirmed_without_platform(bool by_majority) {
+    fleet_options options{.count = 40, .seed = 3, .loss = 0.01};
+    options.core.confirm_by_majority = by_majority;
+    auto subject = settled_fleet(options);
+    subject->platform.down = true;
+    std::set<std::size_t> lost;
+    for (int step = 0; step < 300; ++step) {
+        subject->run(milliseconds(100));
+        for (std::size_t i = 0; i < subject->size(); ++i) {
+            if (!subject->confirmed(i)) {
+                lost.insert(i);
+            }
+        }
+    }
+    return lost.size();
+}
+
+// Returns whether a paused reader is unconfirmed after it has handled what waited for it, which
+// includes the answers to its watches.
+bool unconfirmed_after_pause(bool check_pauses) {
+    fleet_options options{.count = 12, .seed = 5};
+    options.core.check_pauses = check_pauses;
+    auto subject = settled_fleet(options);
+    std::size_t reader = 0;
+    while (!subject->at(reader).reader()) {
+        ++reader;
+    }
+    BOOST_REQUIRE(subject->confirmed(reader));
+    subject->pause(reader);
+    // Shorter than the time after which the core gives up an answer.
+    subject->run(milliseconds(8000));
+    BOOST_TEST(!subject->confirmed(reader));
+    subject->resume(reader);
+    bool unconfirmed = !subject->confirmed(reader);
+    subject->run(milliseconds(5000));
+    BOOST_TEST(subject->confirmed(reader));
+    return unconfirmed;
+}
+
+// Returns whether a daemon that starts after a bad version gets the version in force at its peers.
+bool bridges_bad_version(bool bridge) {
+    fleet_options options{.count = 12, .seed = 9};
+    options.core.bridge_invalid = bridge;
+    auto subject = settled_fleet(options);
+    subject->publish("base", 3, "bad");
+    subject->run(milliseconds(5000));
+    BOOST_TEST(all_hold(*subject, "base", 3));
+    subject->restart(6);
+    subject->run(milliseconds(10000));
+    BOOST_TEST(subject->held(6, "base") == 3U);
+    return subject->in_force(6, "base") == 2 && subject->at(6).ready();
+}
+
+// Returns the most platform reads in a second after all of 200 daemons restart at once.
+std::uint64_t reads_after_mass_restart(std::size_t readers, milliseconds spread) {
+    fleet_options options{.count = 200, .domains = 10, .seed = 13};
+    options.core.readers_per_domain = readers;
+    options.core.first_read_spread = spread;
+    auto subject = settled_fleet(options);
+    for (std::size_t i = 0; i < subject->size(); ++i) {
+        subject->restart(i);
+    }
+    std::uint64_t most = 0;
+    for (int second = 0; second < 15; ++second) {
+        std::uint64_t before = subject->platform.reads;
+        subject->run(milliseconds(1000));
+        most = std::max(most, subject->platform.reads - before);
+    }
+    BOOST_TEST(all_hold(*subject, "base", 2));
+    BOOST_TEST(subject->all([&](std::size_t i) { return subject->at(i).ready(); }));
+    return most;
+}
+
+// Returns the time until two updates that are published at once, to daemons with lost messages, are
+// held everywhere.
+milliseconds time_of_crossed_updates() {
+    fleet_options options{.count = 40, .seed = 17, .loss = 0.05};
+    options.longest_delay = milliseconds(300);
+    auto subject = settled_fleet(options);
+    milliseconds longest{0};
+    for (std::uint64_t revision = 3; revision < 8; ++revision) {
+        subject->publish("base", revision, "good");
+        subject->publish("site/s0", revision, "good");
+        auto holds = [&](std::size_t i) {
+            return subject->held(i, "base") == revision && subject->held(i, "site/s0") == revision;
+        };
+        longest = std::max(longest, subject->run_until_all(holds, milliseconds(10000)));
+    }
+    BOOST_TEST(subject->regressions == 0U);
+    return longest;
+}
+
+}  // namespace
+
+// Guards against a return to an older version when restarted daemons find a stale platform.
+BOOST_AUTO_TEST_CASE(revision_never_goes_back_under_a_stale_platform) {
+    BOOST_TEST(keeps_revision_under_stale_platform(true));
+    BOOST_TEST(!keeps_revision_under_stale_platform(false));
+}
+
+// Guards against a fleet that refuses calls because only the platform is down.
+BOOST_AUTO_TEST_CASE(majority_stays_confirmed_without_the_platform) {
+    BOOST_TEST(unconfirmed_without_platform(true) == 0U);
+    BOOST_TEST(unconfirmed_without_platform(false) == 40U);
+}
+
+// Guards against a revoked key that a cut-off minority honours beyond the bound, and against a
+// partition that does not heal.
+BOOST_AUTO_TEST_CASE(minority_is_unconfirmed_within_4_s_and_catches_up) {
+    auto subject = settled_fleet({.count = 40, .seed = 21});
+    for (std::size_t i = 0; i < 12; ++i) {
+        subject->set_group(i, 1);
+    }
+    subject->run(milliseconds(4100));
+    for (std::size_t i = 0; i < subject->size(); ++i) {
+        BOOST_TEST(subject->confirmed(i) == (i >= 12), "instance " << i);
+    }
+    subject->publish("base", 3, "good");
+    subject->run(milliseconds(40000));
+    BOOST_TEST(subject->held(0, "base") == 2U);
+    for (std::size_t i = 0; i < 12; ++i) {
+        subject->set_group(i, 0);
+    }
+    auto healed = [&](std::size_t i) {
+        return subject->held(i, "base") == 3 && subject->confirmed(i);
+    };
+    BOOST_TEST(subject->run_until_all(healed, milliseconds(20000)).count() < 10000);
+}
+
+// Guards against a process that serves with old keys because messages from before its pause confirm
+// them.
+BOOST_AUTO_TEST_CASE(paused_daemon_is_unconfirmed_when_it_resumes) {
+    BOOST_TEST(unconfirmed_after_pause(true));
+    BOOST_TEST(!unconfirmed_after_pause(false));
+}
+
+// Guards against a restart that cannot serve because the newest version is bad.
+BOOST_AUTO_TEST_CASE(bad_newest_version_is_bridged_by_peers) {
+    BOOST_TEST(bridges_bad_version(true));
+    BOOST_TEST(!bridges_bad_version(false));
+}
+
+// No switch: without gossip every daemon considers itself a reader, and the platform alone
+// suffices. Guards against updates that overwrite each other or stop each other on the way.
+BOOST_AUTO_TEST_CASE(crossed_updates_converge) {
+    BOOST_TEST(time_of_crossed_updates().count() < 5000);
+}
+
+// Guards against an overload of the platform when all daemons restart at once.
+BOOST_AUTO_TEST_CASE(mass_restart_has_bounded_platform_reads) {
+    BOOST_TEST(reads_after_mass_restart(2, milliseconds(2000)) < 250U);
+    BOOST_TEST(reads_after_mass_restart(1000, milliseconds(0)) >= 600U);
+}
+
+// Guards against an overlay that a peer of another site confirms although it does not hold it.
+BOOST_AUTO_TEST_CASE(sites_hold_and_confirm_their_own_overlay) {
+    auto subject = settled_fleet({.count = 40, .domains = 8, .sites = 2, .seed = 23});
+    subject->publish("site/s1", 3, "good");
+    subject->run(milliseconds(5000));
+    for (std::size_t i = 0; i < subject->size(); ++i) {
+        std::uint64_t expected = subject->site_of(i) == "s1" ? 3 : 2;
+        BOOST_TEST(subject->held(i, "site/" + subject->site_of(i)) == expected);
+        BOOST_TEST(subject->confirmed(i));
+    }
+    confirmation state("x", "s0");
+    std::vector<membership::instance_record> records(3);
+    records[0].id = "x";
+    records[1].id = "y";
+    records[2].id = "z";
+    records[0].site = records[1].site = "s0";
+    records[2].site = "s1";
+    state.set_list(std::make_shared<const membership::instance_list>(1, records));
+    state.heard("z", false, subject->now(), {0, 0, 0});
+    state.apply_majority(subject->now());
+    BOOST_TEST((state.document_confirmed_at(base_index) == subject->now()));
+    BOOST_TEST((state.document_confirmed_at(overlay_index) == unknown_time));
+    state.heard("y", true, subject->now(), {0, 0, 0});
+    state.apply_majority(subject->now());
+    BOOST_TEST((state.document_confirmed_at(overlay_index) == subject->now()));
+}
+
+}  // namespace trefoil::dissemination
--- a/packages/dissemination/testing/fleet.cc
+++ b/packages/dissemination/testing/fleet.cc
@@ -293,7 +293,7 @@
 void fleet::close(std::size_t a, std::size_t b) {
     for (auto [self, peer] : {std::pair(a, b), std::pair(b, a)}) {
         if (this->nodes[self]->connections.erase(peer) != 0) {
-            this->deliver(self, this->nodes[self]->incarnation, [this, peer](node& target) {
+            this->deliver(self, this->nodes[self]->incarnation, [this, peer = peer](node& target) {
                 target.decision->connection_closed(this->nodes[peer]->record.id);
             });
         }
