Correct start, healing and leaving of cut-off daemons

New tests showed three faults. A daemon that restarted in a minority became ready, because times of confirmation from before the cut counted as responses. A leaving reader stopped watching although instances without a connection to it still counted on it (3 readers of 4 after 2 s).

Start rules (i) and (iii) ask for times within the confirmation limit. An unconfirmed daemon replaces a gossip peer every 2 s by an instance of any state. A leaving reader watches until its process ends. The tests cover these and damaged documents.

--- a/packages/dissemination/core.cc
+++ b/packages/dissemination/core.cc
@@ -75,7 +75,8 @@
     this->held.refresh();
     this->read_platform(now);
     if (this->options.gossip) {
-        this->peers.tick(now, *this->view, this->actions);
+        bool unconfirmed = this->start.ready() && !this->confirmed(now);
+        this->peers.tick(now, *this->view, unconfirmed, this->actions);
         this->send_rounds(now);
     }
     this->finish_input(now);
@@ -186,12 +187,11 @@
 void core::set_view(std::shared_ptr<const membership::view> next) {
     this->view = std::move(next);
     this->confirmations.set_list(this->view->list());
-    this->is_reader = this->readers.update(*this->view) && !this->leaving;
+    this->is_reader = this->readers.update(*this->view);
 }
 
 void core::set_leaving(mono_time now) {
     this->leaving = true;
-    this->is_reader = false;
     this->announce_pending = true;
     this->finish_input(now);
 }
@@ -368,9 +368,12 @@
         this->send(each.peer, messages::document_request{.name = this->held.name(each.document),
                                                          .revision = each.revision});
     }
+    // Older times may be from before this start, when the peers were not yet cut off.
+    mono_time oldest = now - this->options.confirmation_limit;
+    mono_time platform_at = this->confirmations.platform_confirmed_at().value_or(unknown_time);
     start_facts facts{.valid_pair = this->held.held(base_index).revision_in_force != 0,
-                      .platform_confirmed = this->confirmations.platform_confirmed_at().has_value(),
-                      .majority_heard = this->confirmations.majority_at() != unknown_time,
+                      .platform_confirmed = platform_at >= oldest,
+                      .majority_heard = this->confirmations.majority_at() >= oldest,
                       .document_missing = this->puller.waits_for_newest(),
                       .platform_answered_at = this->platform_answered_at};
     this->start.update(now, facts, *this->view);
--- a/packages/dissemination/core.h
+++ b/packages/dissemination/core.h
@@ -76,7 +76,8 @@
 
     void set_view(std::shared_ptr<const membership::view> next);
 
-    // The daemon stops: it watches no longer and tells its peers.
+    // The daemon stops and tells its peers. A reader goes on watching until its process ends,
+    // because instances without a connection to it still count on it.
     void set_leaving(mono_time now);
 
     // Returns the actions since the last call, in the order in which they arose.
--- a/packages/dissemination/gossip_peers.cc
+++ b/packages/dissemination/gossip_peers.cc
@@ -20,6 +20,7 @@
 // One choice in this many disregards the states, so that both sides of a healed partition, which
 // consider each other gone, find each other again.
 constexpr std::uint64_t any_state_period = 4;
+constexpr milliseconds probe_interval{2000};
 
 bool contains(const std::vector<std::string>& list, const std::string& value) {
     return std::find(list.begin(), list.end(), value) != list.end();
@@ -28,7 +29,7 @@
 }  // namespace
 
 gossip_peers::gossip_peers(const core_options& settings, random_source& source, mono_time start)
-    : options(settings), random(source) {
+    : options(settings), random(source), probe_at(start) {
     auto interval = static_cast<double>(mono_duration(settings.rotation_interval).count());
     // The first replacement is spread, so that daemons started together do not rotate together.
     this->rotate_at =
@@ -120,13 +121,14 @@
            (!found->second.running && now >= found->second.retry_at);
 }
 
-const membership::member* gossip_peers::pick(mono_time now, const membership::view& current) {
+const membership::member* gossip_peers::pick(mono_time now, const membership::view& current,
+                                             bool any_state) {
     const std::vector<membership::member>& members = current.listed();
     if (members.empty()) {
         return nullptr;
     }
     needs lacking = this->missing(current);
-    bool any_state = this->random.below(any_state_period) == 0;
+    any_state = any_state || this->random.below(any_state_period) == 0;
     bool all = members.size() <= sample_size;
     std::size_t offset = this->random.below(members.size());
     const membership::member* best = nullptr;
@@ -237,13 +239,17 @@
     });
 }
 
-void gossip_peers::tick(mono_time now, const membership::view& current,
+void gossip_peers::tick(mono_time now, const membership::view& current, bool unconfirmed,
                         std::vector<action>& actions) {
     this->expire_attempts(now);
     std::size_t target = this->options.gossip_peers;
     if (!current.listed().empty()) {
         this->release_seeds();
     }
+    if (unconfirmed && now >= this->probe_at) {
+        this->rotate_at = std::min(this->rotate_at, now);
+        this->probe_at = now + probe_interval;
+    }
     if (now >= this->rotate_at) {
         // One more is wanted until it is connected; then another is released.
         ++target;
@@ -254,7 +260,7 @@
         }
     }
     while (this->selected.size() + this->running_attempts() < target) {
-        const membership::member* candidate = this->pick(now, current);
+        const membership::member* candidate = this->pick(now, current, unconfirmed);
         if (candidate == nullptr) {
             break;
         }
--- a/packages/dissemination/gossip_peers.h
+++ b/packages/dissemination/gossip_peers.h
@@ -39,8 +39,10 @@
     // The peer uses the connection for its own rounds.
     void used_by_peer(mono_time now, const std::string& peer);
 
-    // Appends connections to open and close.
-    void tick(mono_time now, const membership::view& current, std::vector<action>& actions);
+    // Appends connections to open and close. While this daemon is unconfirmed, it replaces a peer
+    // every 2 s by an instance of any state: the present peers may all be cut off with it.
+    void tick(mono_time now, const membership::view& current, bool unconfirmed,
+              std::vector<action>& actions);
 
     const std::vector<std::string>& chosen() const { return this->selected; }
 
@@ -68,7 +70,7 @@
     std::size_t running_attempts() const;
     needs missing(const membership::view& current) const;
     bool eligible(mono_time now, const membership::instance_record& record) const;
-    const membership::member* pick(mono_time now, const membership::view& current);
+    const membership::member* pick(mono_time now, const membership::view& current, bool any_state);
     void start_attempt(mono_time now, const std::string& address, const std::string& id,
                        std::vector<action>& actions);
     void open_seeds(mono_time now, std::vector<action>& actions);
@@ -80,6 +82,7 @@
     const core_options& options;
     random_source& random;
     mono_time rotate_at;
+    mono_time probe_at;                   // Next replacement while unconfirmed.
     std::vector<std::string> selected;    // Ids in `open`.
     std::vector<std::string> from_seeds;  // Ids that were selected because their address is a seed.
     std::vector<std::string> released;    // Ids that are no longer selected but still connected.
--- a/packages/dissemination/start_rule.h
+++ b/packages/dissemination/start_rule.h
@@ -26,9 +26,9 @@
 // What the rule depends on besides the peers' responses.
 struct start_facts {
     bool valid_pair = false;
-    // Whether the platform confirmed each held document after the start, as read here or by a peer.
+    // Whether the platform confirmed each held document lately, as read here or by a peer.
     bool platform_confirmed = false;
-    bool majority_heard = false;    // Whether a majority of the list holds nothing newer.
+    bool majority_heard = false;    // Whether a majority of the list lately held nothing newer.
     bool document_missing = false;  // Whether a known newer document has not arrived.
     // When a read here last had an answer that was not stale; mono_time::min() when none had.
     mono_time platform_answered_at = mono_time::min();
--- a/packages/dissemination/testing/core_test.cc
+++ b/packages/dissemination/testing/core_test.cc
@@ -202,6 +202,91 @@
     BOOST_TEST(reads_after_mass_restart(1000, milliseconds(0)) >= 600U);
 }
 
+// Guards against a restarted daemon that stays out of service while the platform is down, and
+// against one that serves what a minority holds.
+BOOST_AUTO_TEST_CASE(start_without_the_platform_needs_a_majority) {
+    auto subject = settled_fleet({.count = 40, .seed = 27});
+    subject->platform.down = true;
+    // Each side has a seed.
+    subject->set_group(2, 1);
+    for (std::size_t i = 0; i < 11; ++i) {
+        subject->set_group(29 + i, 1);
+    }
+    subject->run(milliseconds(5000));
+    subject->restart(30);
+    subject->restart(20);
+    subject->run(milliseconds(10000));
+    BOOST_TEST(subject->in_force(20, "base") == 2U);
+    BOOST_TEST(subject->at(20).ready());
+    BOOST_TEST(subject->confirmed(20));
+    BOOST_TEST(subject->in_force(30, "base") == 2U);
+    BOOST_TEST(!subject->at(30).ready());
+    BOOST_TEST(subject->at(30).waiting_for() == "platform");
+}
+
+// Guards against a reader that stops watching before others know that it leaves.
+BOOST_AUTO_TEST_CASE(leaving_reader_goes_on_until_it_is_replaced) {
+    auto subject = settled_fleet({.count = 12, .domains = 2, .seed = 29});
+    auto readers = [&] {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < subject->size(); ++i) {
+            count += subject->at(i).reader() ? 1 : 0;
+        }
+        return count;
+    };
+    BOOST_TEST(readers() == 4U);
+    std::size_t leaver = 0;
+    while (!subject->at(leaver).reader()) {
+        ++leaver;
+    }
+    subject->at(leaver).set_leaving(subject->now());
+    subject->run(milliseconds(2000));
+    BOOST_TEST(readers() >= 4U);
+}
+
+// Guards against a damaged body that is applied, and against a pull that stops after it.
+BOOST_AUTO_TEST_CASE(damaged_document_is_refused_and_asked_again) {
+    fake_document_store store;
+    seeded_random random(31);
+    mono_time now(std::chrono::hours(1));
+    core_options options;
+    options.instance = "x";
+    options.site = "s0";
+    core subject(options, store, random, now);
+    membership::instance_record peer;
+    peer.id = "y";
+    subject.connection_opened(now, peer, "");
+    messages::document good{
+        .name = "base", .revision = 4, .checksum = checksum64("b"), .body = "b"};
+    messages::digest announcement;
+    announcement.documents = {{"base", 4, good.checksum, 4}};
+    auto requests = [&] {
+        std::size_t count = 0;
+        for (const action& each : subject.take_actions()) {
+            const auto* message = std::get_if<send_message>(&each);
+            count += message != nullptr &&
+                             std::holds_alternative<messages::document_request>(message->message)
+                         ? 1
+                         : 0;
+        }
+        return count;
+    };
+    subject.receive(now, "y", announcement);
+    BOOST_TEST(requests() == 1U);
+    messages::document damaged = good;
+    damaged.body = "c";
+    subject.receive(now, "y", damaged);
+    BOOST_TEST(store.held("base").revision == 0U);
+    BOOST_TEST(subject.counts().damaged_documents == 1U);
+    subject.tick(now + milliseconds(1100));
+    BOOST_TEST(requests() == 1U);
+    subject.receive(now, "y", good);
+    BOOST_TEST(store.held("base").revision == 4U);
+    good.revision = 3;
+    subject.receive(now, "y", good);
+    BOOST_TEST(store.held("base").revision == 4U);
+}
+
 // Guards against an overlay that a peer of another site confirms although it does not hold it.
 BOOST_AUTO_TEST_CASE(sites_hold_and_confirm_their_own_overlay) {
     auto subject = settled_fleet({.count = 40, .domains = 8, .sites = 2, .seed = 23});
--- a/packages/dissemination/testing/fleet.cc
+++ b/packages/dissemination/testing/fleet.cc
@@ -232,6 +232,7 @@
     if (const auto* digest = std::get_if<messages::digest>(&message)) {
         double before = this->options.measure_cpu ? cpu_us() : 0;
         target.decision->receive(this->time, peer, *digest);
+        target.tracker->leaving(peer, this->nodes[from]->incarnation, digest->leaving);
         if (this->options.measure_cpu) {
             this->digest_us.push_back(cpu_us() - before);
         }
