Hide keys and digests that misplaced quotation marks move into names or values

Paths now show names only, values are cut to the length of a name, and 32 or more hex digits in a row are hidden in every failure. trefoilctl hides with the same function.

--- a/packages/config/sections.cc
+++ b/packages/config/sections.cc
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "config/field_reader.h"
+#include "config/redaction.h"
 
 namespace trefoil::config::detail {
 
@@ -24,7 +25,6 @@
 constexpr std::uint32_t queue_max = 100'000;
 constexpr std::uint32_t timeout_ms_max = 600'000;
 constexpr std::size_t path_prefix_bytes_max = 1024;
-constexpr std::size_t digest_hex_digits = 64;
 // Below this rate a share of a large fleet would accrue less than one token a day.
 constexpr double rate_per_second_min = 0.01;
 constexpr double rate_per_second_max = 1e7;
@@ -226,7 +226,7 @@
         std::map<std::string, std::string> id_by_digest;
         for (auto& [id, field] : read_entries(section, this->sink)) {
             if (!is_key_id(id)) {
-                reject_key(field, "a key id: a name that is not 32 or more hex digits");
+                reject_key(field, "a key id: a name without 32 or more hex digits in a row");
             }
             map_reader entry(field, this->sink);
             access_key each{.id = id};
--- a/packages/config/testing/build_snapshot_test.cc
+++ b/packages/config/testing/build_snapshot_test.cc
@@ -229,6 +229,8 @@
         "keys: {" + digest + ": {workspace: a, sha256: '" + digest +
             "'}, b: {workspace: a, sha256: '" + digest + "'}}",
         "keys: {north-1: " + digest + ": }\n: [" + digest,
+        "\"services: {}\nkeys: {north-1: {workspace: a, sha256: " + digest + "}}\": 1",
+        "fleet: {max_instances: a\n  keys north-1 " + digest + "}",
     };
     for (const std::string& body : bodies) {
         std::string texts = failures_of(body);
--- a/packages/config/validation_failure.cc
+++ b/packages/config/validation_failure.cc
@@ -5,13 +5,15 @@
 #include <fmt/format.h>
 
 #include "base/result.h"
+#include "config/redaction.h"
 
 namespace trefoil::config {
 
 namespace {
 
-// Long values are cut, so that a failure stays readable in one line.
-constexpr std::size_t shown_bytes_max = 120;
+// Values longer than a name are cut: a quotation mark in the wrong place turns the following lines
+// of a document, possibly its keys, into one value.
+constexpr std::size_t shown_bytes_max = 64;
 
 // Replaces control characters, which could fake further lines or change a terminal's state.
 std::string without_control_characters(std::string_view text) {
@@ -66,8 +68,9 @@
 std::string describe(const validation_failure& failure) {
     const location& place = where(failure);
     std::string path = place.path.empty() ? "" : place.path + ": ";
-    return without_control_characters(
+    std::string line = without_control_characters(
         fmt::format("{}:{}: {}{}", place.document, place.line, path, text_of(failure)));
+    return hide_hex_runs(line, secret_hex_digits_min);
 }
 
 }  // namespace trefoil::config
--- a/packages/config/yaml_node.cc
+++ b/packages/config/yaml_node.cc
@@ -8,22 +8,18 @@
 #include <unordered_map>
 #include <utility>
 
+#include "config/redaction.h"
+
 namespace trefoil::config {
 
 namespace {
 
 constexpr std::size_t name_length_max = 64;
-// Shorter hexadecimal text is common in ids; 128 bits and more are likely to be a secret.
-constexpr std::size_t hidden_hex_digits_min = 32;
 
 bool is_alphanumeric(char c) {
     return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9');
 }
 
-bool is_hex_digit(char c) {
-    return (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F') || (c >= '0' && c <= '9');
-}
-
 bool may_be_shown(std::string_view parent, std::string_view key) {
     if (parent == "keys") {
         return is_key_id(key);
@@ -31,7 +27,8 @@
     if (parent.substr(0, 5) == "keys.") {
         return key == "workspace" || key == "sha256";
     }
-    return true;
+    // A quotation mark in the wrong place can turn lines with keys into the name of a field.
+    return is_name(key);
 }
 
 // A map of the overlay that replaces nothing must not keep the nodes that stand for removals.
@@ -110,9 +107,7 @@
 }
 
 bool is_key_id(std::string_view text) {
-    bool like_a_secret =
-        text.size() >= hidden_hex_digits_min && std::all_of(text.begin(), text.end(), is_hex_digit);
-    return is_name(text) && !like_a_secret;
+    return is_name(text) && hide_hex_runs(text, secret_hex_digits_min) == text;
 }
 
 }  // namespace trefoil::config
--- a/packages/config/yaml_node.h
+++ b/packages/config/yaml_node.h
@@ -56,15 +56,15 @@
 // may stop defining it before the overlays are changed.
 yaml_node merge(const yaml_node& base, const yaml_node& overlay);
 
-// Appends a key to a path. Under the section `keys`, text that is neither a key id nor a defined
-// field is replaced by "<hidden>", because it could be a key in the wrong place.
+// Appends a key to a path. Text that is no name and, under the section `keys`, text that is neither
+// a key id nor a defined field is replaced by "<hidden>", because it could contain a key.
 std::string child_path(std::string_view parent, std::string_view key);
 std::string element_path(std::string_view parent, std::size_t index);
 
 // Whether `text` can name a service, route, workspace, failure domain or instance.
 bool is_name(std::string_view text);
 
-// Whether `text` can name a key: a name that cannot be taken for a hexadecimal key or digest.
+// Whether `text` can name a key: a name without a part that could be a hexadecimal key or digest.
 bool is_key_id(std::string_view text);
 
 }  // namespace trefoil::config
--- a/packages/ctl/fleet_command.cc
+++ b/packages/ctl/fleet_command.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "base/result.h"
+#include "config/redaction.h"
 
 namespace trefoil::ctl {
 
@@ -17,31 +18,15 @@
 
 using json = nlohmann::json;
 
-// A SHA-256 digest has 64 hex digits.
-constexpr std::ptrdiff_t hidden_hex_digits_min = 64;
-
 // Daemons never answer with digests; this keeps the promise of the tool also for other endpoints.
-void hide_digests(std::string& text) {
-    auto is_digit = [](unsigned char c) { return std::isxdigit(c) != 0; };
-    auto start = std::find_if(text.begin(), text.end(), is_digit);
-    while (start != text.end()) {
-        auto end = std::find_if_not(start, text.end(), is_digit);
-        bool hidden = end - start >= hidden_hex_digits_min;
-        if (hidden) {
-            auto position = start - text.begin();
-            text.replace(start, end, "hidden");
-            end = text.begin() + position + 6;
-        }
-        start = std::find_if(end, text.end(), is_digit);
-    }
+std::string hidden(const std::string& text) {
+    return config::hide_hex_runs(text, config::digest_hex_digits);
 }
 
 // Returns a copy in which no text or name contains a digest.
 json without_digests(const json& source) {
     if (source.is_string()) {
-        auto text = source.get<std::string>();
-        hide_digests(text);
-        return text;
+        return hidden(source.get<std::string>());
     }
     if (source.is_array()) {
         json copy = json::array();
@@ -53,9 +38,7 @@
     if (source.is_object()) {
         json copy = json::object();
         for (const auto& [name, value] : source.items()) {
-            std::string shown = name;
-            hide_digests(shown);
-            copy[shown] = without_digests(value);
+            copy[hidden(name)] = without_digests(value);
         }
         return copy;
     }
--- a/packages/ctl/testing/fleet_commands_test.cc
+++ b/packages/ctl/testing/fleet_commands_test.cc
@@ -156,7 +156,7 @@
                          digest + R"( y"}], "site": "\u001b[2J"})";
     this->run({"status", "--json"}, {answer});
     BOOST_TEST(this->out.find(digest) == std::string::npos);
-    BOOST_TEST(this->out.find("hidden y") != std::string::npos);
+    BOOST_TEST(this->out.find("<hidden> y") != std::string::npos);
     this->run({"status"}, {answer});
     BOOST_TEST(this->out.find(digest) == std::string::npos);
     BOOST_TEST(this->out.find('\x1b') == std::string::npos);
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -8,8 +8,8 @@
 //         return 2;
 //     }
 //
-// prints for example `station-1.yaml:5: upstream: expected an IP address with a port, such as
-// 127.0.0.1:6001, found "localhost"`, in one line.
+// prints, for example, `station-1.yaml:10: log_level: expected debug, info, warning, error or off,
+// found "verbose"` in one line.
 
 #ifndef TREFOIL_DAEMON_SETTINGS_H_
 #define TREFOIL_DAEMON_SETTINGS_H_
