Bound the size of documents and the number of reported failures

A trial with a 1 MB document of unknown fields gave 101,011 failures, which active_configuration would keep and /status would print. The first 200 are kept. Bodies over 1 MiB are refused before they are parsed, as the platform stores nothing larger.

--- a/packages/config/build_snapshot.cc
+++ b/packages/config/build_snapshot.cc
@@ -70,6 +70,16 @@
                      });
 }
 
+// Sorts the failures and keeps the first ones.
+validation_failures report(validation_failures failures, const std::string& base_name) {
+    sort_by_place(failures, base_name);
+    if (failures.size() > reported_failures_max) {
+        failures.erase(failures.begin() + reported_failures_max, failures.end());
+        failures.shrink_to_fit();
+    }
+    return failures;
+}
+
 // Moves the failures of a reading into `failures`; returns the tree, or null after a failure.
 const yaml_node* take_tree(result<yaml_node, validation_failures>& outcome,
                            validation_failures& failures) {
@@ -92,14 +102,13 @@
     const yaml_node* base_tree = take_tree(base_outcome, failures);
     const yaml_node* overlay_tree = take_tree(overlay_outcome, failures);
     if (!failures.empty()) {
-        return failures;
+        return report(std::move(failures), base.name);
     }
     check_fleet_wide_sections(*overlay_tree, failures);
     check_failure_domains(*base_tree, *overlay_tree, failures);
     snapshot_contents contents = detail::read_sections(merge(*base_tree, *overlay_tree), failures);
     if (!failures.empty()) {
-        sort_by_place(failures, base.name);
-        return failures;
+        return report(std::move(failures), base.name);
     }
     contents.base = version_of(base);
     contents.overlay = version_of(overlay);
--- a/packages/config/build_snapshot.h
+++ b/packages/config/build_snapshot.h
@@ -9,6 +9,8 @@
 #ifndef TREFOIL_CONFIG_BUILD_SNAPSHOT_H_
 #define TREFOIL_CONFIG_BUILD_SNAPSHOT_H_
 
+#include <cstddef>
+
 #include "base/result.h"
 #include "config/document.h"
 #include "config/snapshot.h"
@@ -16,10 +18,14 @@
 
 namespace trefoil::config {
 
+// A document with a repeated mistake could otherwise fill memory and the answers of admin endpoints
+// with its failures.
+inline constexpr std::size_t reported_failures_max = 200;
+
 // Maps of base and overlay merge, lists and scalars of the overlay replace, and a key with the
 // value
 // `!remove` in the overlay removes that key. The whole merged document is validated; the failures
-// are in the order of the document and never empty.
+// are in the order of the document and never empty. At most `reported_failures_max` are returned.
 result<snapshot, validation_failures> build_snapshot(const document& base, const document& overlay);
 
 }  // namespace trefoil::config
--- a/packages/config/document.h
+++ b/packages/config/document.h
@@ -8,6 +8,7 @@
 #ifndef TREFOIL_CONFIG_DOCUMENT_H_
 #define TREFOIL_CONFIG_DOCUMENT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -16,6 +17,9 @@
 
 inline constexpr std::string_view base_document_name = "base";
 
+// The platform stores nothing larger.
+inline constexpr std::size_t document_bytes_max = 1U << 20U;
+
 struct document {
     std::string name{};  // Also names the document in validation failures.
     std::uint64_t revision =
--- a/packages/config/testing/build_snapshot_test.cc
+++ b/packages/config/testing/build_snapshot_test.cc
@@ -216,6 +216,8 @@
     BOOST_TEST(failures_of("[]\n") ==
                "base:1: expected a map of sections, found a value of another type\n");
     BOOST_TEST(failures_of(std::string(100000, '[')) != "");
+    BOOST_TEST(failures_of(std::string(document_bytes_max + 1, '#')) ==
+               "base:1: expected a document of at most 1 MiB\n");
 }
 
 // Guards against a key or digest in a message that is logged or shown.
@@ -239,6 +241,19 @@
     }
 }
 
+// Guards against a document whose failures fill the memory of every daemon.
+BOOST_AUTO_TEST_CASE(number_of_failures_is_bounded) {
+    std::string body = "services:\n";
+    for (int i = 0; i < 1000; ++i) {
+        body += "  s" + std::to_string(i) + ": {slots: 0}\n";
+    }
+    auto outcome = build_snapshot(base_with(body), overlay_with(""));
+    auto& failures = std::get<validation_failures>(outcome);
+    BOOST_TEST(failures.size() == reported_failures_max);
+    BOOST_TEST(where(failures.front()).line == 1);
+    BOOST_TEST(where(failures.back()).path == "services.s198.slots");
+}
+
 // Guards against a revoked key that works through a second id.
 BOOST_AUTO_TEST_CASE(digest_must_be_unique) {
     BOOST_TEST(failures_of(base_body + R"(instances: {}
--- a/packages/config/yaml_reader.cc
+++ b/packages/config/yaml_reader.cc
@@ -214,6 +214,10 @@
 }  // namespace
 
 result<yaml_node, validation_failures> read_yaml(const document& source, yaml_options options) {
+    if (source.body.size() > document_bytes_max) {
+        return validation_failures{
+            malformed_document{{source.name, 1, ""}, "a document of at most 1 MiB"}};
+    }
     tree_builder builder(source, options);
     parse(source, builder);
     if (!builder.failures.empty()) {
