--- a/packages/dissemination/testing/fleet.cc
+++ b/packages/dissemination/testing/fleet.cc
@@ -232,6 +232,7 @@
     if (const auto* digest = std::get_if<messages::digest>(&message)) {
         double before = this->options.measure_cpu ? cpu_us() : 0;
         target.decision->receive(this->time, peer, *digest);
+        target.tracker->leaving(peer, this->nodes[from]->incarnation, digest->leaving);
         if (this->options.measure_cpu) {
             this->digest_us.push_back(cpu_us() - before);
         }
@@ -293,7 +294,7 @@
 void fleet::close(std::size_t a, std::size_t b) {
     for (auto [self, peer] : {std::pair(a, b), std::pair(b, a)}) {
         if (this->nodes[self]->connections.erase(peer) != 0) {
-            this->deliver(self, this->nodes[self]->incarnation, [this, peer](node& target) {
+            this->deliver(self, this->nodes[self]->incarnation, [this, peer = peer](node& target) {
                 target.decision->connection_closed(this->nodes[peer]->record.id);
             });
         }
