Send gossip rounds also to the peers that chose this daemon

Cause: rounds went only to the peers that a daemon had chosen, and only replies spread ages. Instances that nobody had chosen were asked by nobody and counted as suspected everywhere; those that started last were chosen least.

--- a/packages/dissemination/core.cc
+++ b/packages/dissemination/core.cc
@@ -331,7 +331,7 @@
 }
 
 void core::send_rounds(mono_time now) {
-    auto question = this->rounds.due(now, this->peers.chosen(), this->confirmed_at(),
+    auto question = this->rounds.due(now, this->peers.partners(now), this->confirmed_at(),
                                      this->confirmations.platform_confirmed_at());
     if (question.has_value()) {
         this->ask(*question);
--- a/packages/dissemination/gossip_peers.cc
+++ b/packages/dissemination/gossip_peers.cc
@@ -83,6 +83,18 @@
     }
 }
 
+std::vector<std::string> gossip_peers::partners(mono_time now) const {
+    std::vector<std::string> askers;
+    for (const auto& [id, entry] : this->open) {
+        if (entry.used_at >= now - use_limit && !contains(this->selected, id)) {
+            askers.push_back(id);
+        }
+    }
+    std::sort(askers.begin(), askers.end());  // The map's order differs between runs.
+    askers.insert(askers.begin(), this->selected.begin(), this->selected.end());
+    return askers;
+}
+
 std::size_t gossip_peers::running_attempts() const {
     return static_cast<std::size_t>(
         std::count_if(this->attempts.begin(), this->attempts.end(),
--- a/packages/dissemination/gossip_peers.h
+++ b/packages/dissemination/gossip_peers.h
@@ -46,6 +46,10 @@
 
     const std::vector<std::string>& chosen() const { return this->selected; }
 
+    // The chosen peers and those that have chosen this daemon, to which the rounds go. An instance
+    // that nobody chose would otherwise be asked by nobody, and count as dead at all others.
+    std::vector<std::string> partners(mono_time now) const;
+
     struct connection {
         membership::instance_record record;
         bool opened_here = false;
