Count instances that are silent with calls in flight as loaded

Heartbeats notice a silent connection after 2 s. Until then an instance collected calls from every ingress up to its limit, and all of them were late or unknown. The load table now knows since when nothing was heard while calls are in flight, and 100 ms of silence count as a full instance. load_table::call_sent takes the time for that. A service whose responses take longer than 100 ms pays with more calls to other failure domains at low rates.

--- a/packages/routing/load_table.cc
+++ b/packages/routing/load_table.cc
@@ -14,8 +14,13 @@
 
 }  // namespace
 
-void load_table::call_sent(const std::string& instance) {
-    this->loads.update(instance, [](instance_load& load) { ++load.in_flight; });
+void load_table::call_sent(const std::string& instance, mono_time now) {
+    this->loads.update(instance, [&](instance_load& load) {
+        if (load.in_flight == 0) {
+            load.waiting_since = now;
+        }
+        ++load.in_flight;
+    });
 }
 
 void load_table::call_ended(const std::string& instance) {
@@ -31,6 +36,7 @@
     this->loads.update(instance, [&](instance_load& load) {
         load.report = report;
         load.reported_at = now;
+        load.waiting_since = now;
     });
 }
 
--- a/packages/routing/load_table.h
+++ b/packages/routing/load_table.h
@@ -4,7 +4,7 @@
 // Example:
 //
 //     routing::load_table loads;
-//     loads.call_sent("station-1");
+//     loads.call_sent("station-1", now);
 //     loads.call_ended("station-1");
 //     loads.reported("station-1", result.load, now);
 
@@ -25,6 +25,8 @@
 // State of one instance as this ingress sees it.
 struct instance_load {
     std::uint32_t in_flight = 0;  // Own calls that were sent and are not over.
+    // Since when nothing was heard although calls are in flight; meaningless when none is.
+    mono_time waiting_since = mono_time::min();
     messages::load_report report;
     std::optional<mono_time> reported_at;  // When `report` arrived; nothing before the first one.
     std::optional<mono_time> connection_failed_at;
@@ -37,7 +39,8 @@
 // Safe for concurrent use; one lock per shard of instances.
 class load_table {
 public:
-    void call_sent(const std::string& instance);
+    void call_sent(const std::string& instance, mono_time now);
+    // The call is over for this ingress, with a reply or without one.
     void call_ended(const std::string& instance);
 
     // A report that arrives with a call result. Call call_ended() for that call first.
--- a/packages/routing/testing/policy_simulation.h
+++ b/packages/routing/testing/policy_simulation.h
@@ -196,7 +196,7 @@
         }
         std::string name = std::to_string(*target);
         call->tried.push_back(name);
-        this->instances[call->ingress]->loads.call_sent(name);
+        this->instances[call->ingress]->loads.call_sent(name, this->now);
         this->at(this->now + this->hop(call->ingress, *target),
                  [this, call, target] { this->offer(call, *target); });
     }
--- a/packages/routing/testing/upstream_picker_test.cc
+++ b/packages/routing/testing/upstream_picker_test.cc
@@ -53,7 +53,7 @@
                 loads.connection_failed(each.instance, start);
             }
             for (std::uint64_t calls = random.below(4); calls > 0; --calls) {
-                loads.call_sent(each.instance);
+                loads.call_sent(each.instance, start);
             }
             candidates.push_back(each);
         }
@@ -80,11 +80,11 @@
     for (const candidate& each : candidates) {
         loads.reported(each.instance, {.running = 0, .queued = 0, .limit = 2}, start);
     }
-    loads.call_sent("a");
-    loads.call_sent("b");
+    loads.call_sent("a", start);
+    loads.call_sent("b", start);
     BOOST_TEST(count_picks(picker, candidates, loads, start).count("c") == 0U);
-    loads.call_sent("a");
-    loads.call_sent("b");
+    loads.call_sent("a", start);
+    loads.call_sent("b", start);
     BOOST_TEST(count_picks(picker, candidates, loads, start)["c"] == 1000);
 }
 
@@ -135,6 +135,24 @@
     BOOST_TEST(picker.score(loads.find("dead"), now) == 0.0);
 }
 
+// Guards against an instance that answers nothing and collects calls up to its limit until the
+// heartbeat timeout, and against a lasting penalty for one that answers slowly.
+BOOST_AUTO_TEST_CASE(silent_instance_is_the_last_choice) {
+    upstream_picker picker({.failure_domain = "d1"});
+    std::vector<candidate> candidates = {live("silent", "d1"), live("busy", "d1")};
+    load_table loads;
+    loads.reported("busy", {.running = 11, .queued = 0, .limit = 12}, start);
+    loads.reported("silent", {.running = 0, .queued = 0, .limit = 12}, start);
+    mono_time sent = start + std::chrono::hours(1);
+    loads.call_sent("silent", sent);
+    loads.reported("busy", {.running = 11, .queued = 0, .limit = 12}, sent);
+    BOOST_TEST(count_picks(picker, candidates, loads, sent)["silent"] == 1000);
+    mono_time later = sent + milliseconds(100);
+    BOOST_TEST(count_picks(picker, candidates, loads, later)["busy"] == 1000);
+    loads.call_ended("silent");
+    BOOST_TEST(picker.score(loads.find("silent"), later) == 0.0);
+}
+
 // Guards against an answer that does not tell "all tried" from "none there".
 BOOST_AUTO_TEST_CASE(reason_for_no_choice) {
     upstream_picker picker({.failure_domain = "d1"});
@@ -151,8 +169,8 @@
 // flight.
 BOOST_AUTO_TEST_CASE(load_table_forgets_replaced_instances) {
     load_table loads;
-    loads.call_sent("busy");
-    loads.call_sent("gone");
+    loads.call_sent("busy", start);
+    loads.call_sent("gone", start);
     loads.call_ended("gone");
     loads.call_ended("gone");
     loads.forget_unless([](const std::string&) { return false; });
--- a/packages/routing/upstream_picker.cc
+++ b/packages/routing/upstream_picker.cc
@@ -12,6 +12,7 @@
     auto limit = static_cast<double>(std::max<std::uint32_t>(1, load.report.limit));
     // Counted as full, but not excluded: when all candidates refuse, the best of them is tried.
     double penalty = now < load.avoid_until ? this->options.full_score : 0.0;
+    penalty += this->silence(load, now);
     if (!load.reported_at.has_value()) {
         return penalty + own / limit;
     }
@@ -22,6 +23,15 @@
     return penalty + (own + weight * reported) / limit;
 }
 
+double upstream_picker::silence(const instance_load& load, mono_time now) const {
+    if (load.in_flight == 0 || now <= load.waiting_since) {
+        return 0;
+    }
+    std::chrono::duration<double> silent = now - load.waiting_since;
+    std::chrono::duration<double> full = this->options.full_silence;
+    return this->options.full_score * (silent / full);
+}
+
 bool upstream_picker::recently_failed(const instance_load& load, mono_time now) const {
     return load.connection_failed_at.has_value() &&
            now < *load.connection_failed_at + this->options.failure_memory;
--- a/packages/routing/upstream_picker.h
+++ b/packages/routing/upstream_picker.h
@@ -28,6 +28,10 @@
     std::chrono::milliseconds report_half_life{500};
     // An instance whose connection failed within this time is not chosen.
     std::chrono::milliseconds failure_memory{1000};
+    // An instance that was silent for this time with calls in flight counts as full. Heartbeats
+    // notice a silent connection only after 2 s, and until then it would collect calls up to its
+    // limit from every ingress.
+    std::chrono::milliseconds full_silence{100};
     // A local candidate with at least this score would queue the call; other failure domains are
     // then considered.
     double full_score = 1.0;
@@ -72,6 +76,7 @@
         double score = 0;
     };
 
+    double silence(const instance_load& load, mono_time now) const;
     bool recently_failed(const instance_load& load, mono_time now) const;
     scored better_of_two(const std::vector<scored>& from, random_source& random) const;
 
