Choose refusing instances only when no other candidate is left

Counting a refusing instance as full was not enough: where all other candidates were busy (score 1 or more), ingresses in a domain with dead upstreams still chose those and used up the retry budget.

--- a/packages/routing/testing/upstream_picker_test.cc
+++ b/packages/routing/testing/upstream_picker_test.cc
@@ -120,19 +120,23 @@
     load_table loads;
     loads.reported("busy", {.running = 11, .queued = 0, .limit = 12}, start);
     loads.reported("dead", {.running = 0, .queued = 0, .limit = 1}, start);
+    seeded_random random(2);
     mono_time now = start;
     int refusals = 0;
     for (int call = 0; call < 5000; ++call) {
         now += milliseconds(1);
-        if (picker.score(loads.find("dead"), now) < 1.0) {
+        pick_result result = picker.pick(candidates, {}, loads, now, random);
+        if (std::get<picked_upstream>(result).chosen.instance == "dead") {
             loads.refused("dead", now);
             ++refusals;
         }
     }
     BOOST_TEST(refusals <= 12);
     BOOST_TEST(count_picks(picker, candidates, loads, now)["busy"] == 1000);
+    // Alone it is still tried, and one accepted call ends the backoff.
+    BOOST_TEST(count_picks(picker, {candidates[0]}, loads, now)["dead"] == 1000);
     loads.accepted("dead");
-    BOOST_TEST(picker.score(loads.find("dead"), now) == 0.0);
+    BOOST_TEST(count_picks(picker, candidates, loads, now)["dead"] == 1000);
 }
 
 // Guards against an instance that answers nothing and collects calls up to its limit until the
--- a/packages/routing/upstream_picker.cc
+++ b/packages/routing/upstream_picker.cc
@@ -10,9 +10,7 @@
 double upstream_picker::score(const instance_load& load, mono_time now) const {
     auto own = static_cast<double>(load.in_flight);
     auto limit = static_cast<double>(std::max<std::uint32_t>(1, load.report.limit));
-    // Counted as full, but not excluded: when all candidates refuse, the best of them is tried.
-    double penalty = now < load.avoid_until ? this->options.full_score : 0.0;
-    penalty += this->silence(load, now);
+    double penalty = this->silence(load, now);
     if (!load.reported_at.has_value()) {
         return penalty + own / limit;
     }
@@ -56,6 +54,7 @@
                                   mono_time now, random_source& random) const {
     std::vector<scored> local;
     std::vector<scored> remote;
+    std::vector<scored> avoided;
     bool any_tried = false;
     for (const candidate& each : candidates) {
         if (!each.accepts_work()) {
@@ -69,6 +68,10 @@
         if (this->recently_failed(load, now)) {
             continue;
         }
+        if (now < load.avoid_until) {
+            avoided.push_back({&each, this->score(load, now)});
+            continue;
+        }
         bool same_domain = each.failure_domain == this->options.failure_domain;
         (same_domain ? local : remote).push_back({&each, this->score(load, now)});
     }
@@ -80,6 +83,10 @@
             best = other;
         }
     }
+    // When every candidate refused a call a moment ago, one of them is tried again.
+    if (best.chosen == nullptr) {
+        best = this->better_of_two(avoided, random);
+    }
     if (best.chosen != nullptr) {
         return picked_upstream{.chosen = *best.chosen, .score = best.score};
     }
