--- a/packages/gate/upstream_gate.h
+++ b/packages/gate/upstream_gate.h
@@ -41,7 +41,7 @@
     std::size_t queue = 64;  // Waiting calls, all workspaces together.
     // Longest wait in the queue. Beyond it another upstream or an early refusal serves the caller
     // better, and it bounds how long after its admission a call may start.
-    std::chrono::milliseconds longest_wait{150};
+    std::chrono::milliseconds longest_wait{100};
     duplicate_filter_options duplicates = {};
 };
 
