Release the queue of a gate whose upstream refuses connections

Calls waited for up to 100 ms at an upstream that was down, and their retries then ended late. After each finished call the gate now refuses the queued calls that would expire before the current pause ends, by the same rule as for new calls.

--- a/packages/gate/testing/upstream_gate_test.cc
+++ b/packages/gate/testing/upstream_gate_test.cc
@@ -3,9 +3,11 @@
 #define BOOST_TEST_MODULE gate_upstream_gate
 #include "gate/upstream_gate.h"
 
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <set>
+#include <thread>
 
 #include "base/random.h"
 
@@ -145,6 +147,26 @@
     BOOST_TEST(starts(gate.offer(call_of(5), start)));
 }
 
+// Guards against calls that wait for an upstream that is down although another one could run them.
+BOOST_AUTO_TEST_CASE(failing_upstream_releases_its_queue) {
+    upstream_gate gate({.limit = {.slots = 1}});
+    mono_time now = start;
+    std::size_t released = 0;
+    for (std::uint64_t sequence = 1; released == 0 && sequence < 20; ++sequence) {
+        gate.offer({id_of(2 * sequence), "north", now + milliseconds(1000)}, now);
+        gate.offer({id_of(2 * sequence + 1), "north", now + milliseconds(1000)}, now);
+        gate_changes changes = gate.finish(
+            id_of(2 * sequence), call_result_kind::connection_refused, milliseconds(1), now);
+        for (const refused_call& each : changes.refused) {
+            BOOST_TEST((each.why == refusal{refusal_reason::overloaded, not_run}));
+            ++released;
+        }
+        gate.cancel(id_of(2 * sequence + 1));
+        now += milliseconds(500);
+    }
+    BOOST_TEST(released == 1U);
+}
+
 // Guards against a noisy workspace that uses up the queue of the others.
 BOOST_AUTO_TEST_CASE(full_queue_displaces_the_noisy_workspace) {
     upstream_gate gate({.limit = {.slots = 1}, .queue = 4});
@@ -248,4 +270,41 @@
     }
 }
 
+// Guards against lost or repeated calls when several threads use one gate.
+BOOST_AUTO_TEST_CASE(concurrent_use_loses_no_call) {
+    upstream_gate gate({.limit = {.slots = 8}, .queue = 1000});
+    std::atomic<int> started{0};
+    std::atomic<int> refused{0};
+    std::vector<std::thread> threads;
+    for (std::uint64_t thread = 0; thread < 4; ++thread) {
+        threads.emplace_back([&, thread] {
+            std::vector<call_id> to_finish;
+            auto apply = [&](const gate_changes& changes) {
+                to_finish.insert(to_finish.end(), changes.start.begin(), changes.start.end());
+                refused += static_cast<int>(changes.refused.size());
+            };
+            for (std::uint64_t call = 0; call < 2000; ++call) {
+                offered_call next = call_of(call * 4 + thread);
+                offer_result result = gate.offer(next, start);
+                if (starts(result)) {
+                    to_finish.push_back(next.id);
+                }
+                refused += std::holds_alternative<refusal>(result.decision) ? 1 : 0;
+                apply(result.changes);
+                while (!to_finish.empty()) {
+                    call_id id = to_finish.back();
+                    to_finish.pop_back();
+                    ++started;
+                    apply(gate.finish(id, call_result_kind::good, milliseconds(1), start));
+                }
+            }
+        });
+    }
+    for (std::thread& each : threads) {
+        each.join();
+    }
+    BOOST_TEST(gate.idle());
+    BOOST_TEST(started + refused == 8000);
+}
+
 }  // namespace trefoil::gate
--- a/packages/gate/upstream_gate.cc
+++ b/packages/gate/upstream_gate.cc
@@ -34,7 +34,7 @@
 offer_result upstream_gate::offer(const offered_call& call, mono_time now) {
     absl::MutexLock lock(&this->mutex);
     offer_result result;
-    this->refuse_expired(now, result.changes);
+    this->refuse_expiring(now, now, result.changes);
     this->start_waiting(now, result.changes);
     if (std::optional<refusal> refused = this->refuse_new(call, now)) {
         result.decision = *refused;
@@ -96,7 +96,8 @@
         return changes;
     }
     this->limit->on_result(kind, latency, running_before, now);
-    this->refuse_expired(now, changes);
+    // Calls that would expire before the pause ends can be retried elsewhere at once.
+    this->refuse_expiring(std::max(now, this->limit->paused_until()), now, changes);
     this->start_waiting(now, changes);
     return changes;
 }
@@ -117,7 +118,7 @@
 gate_changes upstream_gate::expire(mono_time now) {
     absl::MutexLock lock(&this->mutex);
     gate_changes changes;
-    this->refuse_expired(now, changes);
+    this->refuse_expiring(now, now, changes);
     this->start_waiting(now, changes);
     return changes;
 }
@@ -161,7 +162,7 @@
     gate_changes changes;
     this->limit->set_slots(slots);
     this->waiting.set_capacity(queue);
-    this->refuse_expired(now, changes);
+    this->refuse_expiring(now, now, changes);
     this->start_waiting(now, changes);
     return changes;
 }
@@ -173,8 +174,8 @@
             .limit = this->limit->limit()};
 }
 
-void upstream_gate::refuse_expired(mono_time now, gate_changes& changes) {
-    for (waiting_call& each : this->waiting.expire(now)) {
+void upstream_gate::refuse_expiring(mono_time until, mono_time now, gate_changes& changes) {
+    for (waiting_call& each : this->waiting.expire(until)) {
         refusal why = expired_refusal(each, now);
         changes.refused.push_back({.id = std::move(each.call.id), .why = why});
     }
--- a/packages/gate/upstream_gate.h
+++ b/packages/gate/upstream_gate.h
@@ -119,7 +119,9 @@
     std::variant<start_now, queued, refusal> place(const offered_call& call, mono_time now,
                                                    gate_changes& changes)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    void refuse_expired(mono_time now, gate_changes& changes) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Refuses the queued calls that expire at or before `until`.
+    void refuse_expiring(mono_time until, mono_time now, gate_changes& changes)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void start_waiting(mono_time now, gate_changes& changes) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     mutable absl::Mutex mutex;
