--- a/packages/gate/upstream_gate.h
+++ b/packages/gate/upstream_gate.h
@@ -41,7 +41,7 @@
     std::size_t queue = 64;  // Waiting calls, all workspaces together.
     // Longest wait in the queue. Beyond it another upstream or an early refusal serves the caller
     // better, and it bounds how long after its admission a call may start.
-    std::chrono::milliseconds longest_wait{150};
+    std::chrono::milliseconds longest_wait{100};
     duplicate_filter_options duplicates = {};
 };
 
@@ -119,7 +119,9 @@
     std::variant<start_now, queued, refusal> place(const offered_call& call, mono_time now,
                                                    gate_changes& changes)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    void refuse_expired(mono_time now, gate_changes& changes) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Refuses the queued calls that expire at or before `until`.
+    void refuse_expiring(mono_time until, mono_time now, gate_changes& changes)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void start_waiting(mono_time now, gate_changes& changes) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     mutable absl::Mutex mutex;
--- a/packages/routing/upstream_picker.cc
+++ b/packages/routing/upstream_picker.cc
@@ -10,8 +10,7 @@
 double upstream_picker::score(const instance_load& load, mono_time now) const {
     auto own = static_cast<double>(load.in_flight);
     auto limit = static_cast<double>(std::max<std::uint32_t>(1, load.report.limit));
-    // Counted as full, but not excluded: when all candidates refuse, the best of them is tried.
-    double penalty = now < load.avoid_until ? this->options.full_score : 0.0;
+    double penalty = this->silence(load, now);
     if (!load.reported_at.has_value()) {
         return penalty + own / limit;
     }
@@ -22,6 +21,15 @@
     return penalty + (own + weight * reported) / limit;
 }
 
+double upstream_picker::silence(const instance_load& load, mono_time now) const {
+    if (load.in_flight == 0 || now <= load.waiting_since) {
+        return 0;
+    }
+    std::chrono::duration<double> silent = now - load.waiting_since;
+    std::chrono::duration<double> full = this->options.full_silence;
+    return this->options.full_score * (silent / full);
+}
+
 bool upstream_picker::recently_failed(const instance_load& load, mono_time now) const {
     return load.connection_failed_at.has_value() &&
            now < *load.connection_failed_at + this->options.failure_memory;
@@ -46,6 +54,7 @@
                                   mono_time now, random_source& random) const {
     std::vector<scored> local;
     std::vector<scored> remote;
+    std::vector<scored> avoided;
     bool any_tried = false;
     for (const candidate& each : candidates) {
         if (!each.accepts_work()) {
@@ -59,6 +68,10 @@
         if (this->recently_failed(load, now)) {
             continue;
         }
+        if (now < load.avoid_until) {
+            avoided.push_back({&each, this->score(load, now)});
+            continue;
+        }
         bool same_domain = each.failure_domain == this->options.failure_domain;
         (same_domain ? local : remote).push_back({&each, this->score(load, now)});
     }
@@ -70,6 +83,10 @@
             best = other;
         }
     }
+    // When every candidate refused a call a moment ago, one of them is tried again.
+    if (best.chosen == nullptr) {
+        best = this->better_of_two(avoided, random);
+    }
     if (best.chosen != nullptr) {
         return picked_upstream{.chosen = *best.chosen, .score = best.score};
     }
