Do not extend a loan to a restarted home

Cause: a lender knew its borrower by name only. A home that restarted within a batch's life took over the loans of its former process and accrued while that process's batches were still in use, up to a whole burst too many.

Change: loan_request carries the sender's incarnation, and a loan belongs to one incarnation. A test with messages set by hand shows the excess when the rule is off.

--- a/packages/admission/limit_options.h
+++ b/packages/admission/limit_options.h
@@ -38,7 +38,8 @@
     bool start_active = false;         // A new process uses its share at once.
     bool count_settled_twice = false;  // Repeated or late settlements are applied again.
     bool ignore_clock_error = false;
-    bool batches_outlive_loans = false;  // Batches may expire after the loans behind them.
+    bool ignore_borrower_restart = false;  // A restarted home takes over its predecessor's loans.
+    bool batches_outlive_loans = false;    // Batches may expire after the loans behind them.
 };
 
 struct limit_options {
--- a/packages/admission/own_share.cc
+++ b/packages/admission/own_share.cc
@@ -8,14 +8,14 @@
 
 void own_share::start_use() {
     this->used = true;
-    this->lent_to.clear();
+    this->lent_to = {};
 }
 
-bool own_share::can_lend(const std::string& borrower) const {
-    return this->used || (!this->lent_to.empty() && this->lent_to == borrower);
+bool own_share::can_lend(const share_borrower& borrower) const {
+    return this->used || (this->lent() && this->lent_to == borrower);
 }
 
-std::uint64_t own_share::lend(const std::string& borrower, std::uint64_t id, mono_time end) {
+std::uint64_t own_share::lend(const share_borrower& borrower, std::uint64_t id, mono_time end) {
     bool extended = !this->used && this->lent_to == borrower;
     if (extended) {
         this->unusable_until = std::max(this->unusable_until, end);
@@ -28,7 +28,7 @@
     return id;
 }
 
-bool own_share::is_lent(const std::string& borrower, std::uint64_t id) const {
+bool own_share::is_lent(const share_borrower& borrower, std::uint64_t id) const {
     return !this->used && this->lent_to == borrower && this->loan_id == id;
 }
 
--- a/packages/admission/own_share.h
+++ b/packages/admission/own_share.h
@@ -3,8 +3,8 @@
 // Example:
 //
 //     admission::own_share share(now + options.loan_time);
-//     if (share.can_lend("station-2")) {
-//         share.lend("station-2", loan_id, now + options.loan_time);
+//     if (share.can_lend(borrower)) {
+//         share.lend(borrower, loan_id, now + options.loan_time);
 //     }
 
 #ifndef TREFOIL_ADMISSION_OWN_SHARE_H_
@@ -17,6 +17,15 @@
 
 namespace trefoil::admission {
 
+// A process that borrows a share. A restarted process is another borrower: batches that its
+// predecessor granted from the share may still be in use.
+struct share_borrower {
+    std::string instance;
+    std::uint64_t incarnation = 0;
+
+    friend bool operator==(const share_borrower&, const share_borrower&) = default;
+};
+
 // Not safe for concurrent use. The share is unusable after the process started, so that loans of a
 // former process in its place have ended, and while it is lent.
 class own_share {
@@ -32,22 +41,22 @@
     void start_use();
 
     // Whether a request of `borrower` can be granted.
-    bool can_lend(const std::string& borrower) const;
+    bool can_lend(const share_borrower& borrower) const;
 
     // Lends the share as loan `id`, or extends the loan to the same borrower, until `end`. Returns
     // the loan's id.
-    std::uint64_t lend(const std::string& borrower, std::uint64_t id, mono_time end);
+    std::uint64_t lend(const share_borrower& borrower, std::uint64_t id, mono_time end);
 
     // Whether the share is lent to `borrower` as loan `id`.
-    bool is_lent(const std::string& borrower, std::uint64_t id) const;
+    bool is_lent(const share_borrower& borrower, std::uint64_t id) const;
 
-    const std::string& borrower() const { return this->lent_to; }
+    bool lent() const { return !this->lent_to.instance.empty(); }
 
 private:
     bool used = false;
     mono_time unusable_until;   // While lent: the end of the newest grant. Never moves back while
                                 // lent, because an earlier grant may still be in use.
-    std::string lent_to;        // Empty when not lent.
+    share_borrower lent_to;     // No instance when not lent.
     std::uint64_t loan_id = 0;  // Meaningful while lent.
 };
 
--- a/packages/admission/rate_limiter.cc
+++ b/packages/admission/rate_limiter.cc
@@ -60,16 +60,19 @@
 
 void rate_limiter::handle(const std::string& from, const messages::loan_request& request,
                           mono_time now, limiter_output& out) {
+    bool ignore_restart = this->options.faults.ignore_borrower_restart;
+    share_borrower borrower{.instance = from,
+                            .incarnation = ignore_restart ? 0 : request.incarnation};
     for (const auto& release : request.releases) {
         this->with_workspace(release.workspace, [&](entry& item) {
-            item.limiter->on_release(from, release, now, out);
+            item.limiter->on_release(borrower, release, now, out);
         });
     }
     messages::loan_grant grant;
     grant.round = request.round;
     for (const std::string& workspace : request.workspaces) {
         this->with_workspace(workspace, [&](entry& item) {
-            auto loan = item.limiter->on_loan_request(from, now);
+            auto loan = item.limiter->on_loan_request(borrower, now);
             if (loan.has_value()) {
                 grant.loans.push_back(std::move(*loan));
             }
@@ -134,6 +137,7 @@
         auto [found, added] = requests.try_emplace(lender);
         if (added) {
             found->second.round = this->rounds.next();
+            found->second.incarnation = this->options.incarnation;
         }
         return found->second;
     };
--- a/packages/admission/testing/limiter_protocol_test.cc
+++ b/packages/admission/testing/limiter_protocol_test.cc
@@ -122,6 +122,29 @@
     return held + lender.drain() + home.drain();
 }
 
+// Tokens that can be spent at once after a home granted its whole cap, died and came back.
+double spendable_after_home_restart(const limit_faults& faults) {
+    hand_driven home("home", 2, faults, 1);
+    hand_driven lender("lender", 2, faults, 2);
+    home.limiter.set_members("home", {"home", "lender"});
+    lender.limiter.set_members("lender", {"home"});
+    home.pass(milliseconds(4010));
+    lender.pass(milliseconds(4010));
+    lender.receive("home", home.last<loan_request>());
+    home.receive("lender", lender.last<loan_grant>());
+    home.pass(seconds(1));
+    double held = home.granted("holder", wants(7, 20));
+    BOOST_TEST(held == 20);
+    lender.pass(seconds(1));
+    hand_driven replacement("home", 2, faults, 3);
+    replacement.limiter.set_members("home", {"home", "lender"});
+    replacement.pass(milliseconds(10));
+    lender.receive("home", replacement.last<loan_request>());
+    replacement.receive("lender", lender.last<loan_grant>());
+    replacement.pass(milliseconds(300));
+    return held + replacement.drain();
+}
+
 // Excess of a home that was full when its loans ended, after the lenders' shares filled again.
 double excess_after_cut(const limit_faults& faults) {
     std::vector<workspace_limit> limits = {{.workspace = "w", .rate = 20, .burst = 40}};
@@ -207,6 +230,12 @@
     BOOST_TEST(spendable_after_loan_end({.batches_outlive_loans = true}) > 20);
 }
 
+// Guards against a restarted home that accrues while batches of its predecessor are in use.
+BOOST_AUTO_TEST_CASE(restarted_home_does_not_take_over_loans) {
+    BOOST_TEST(spendable_after_home_restart({}) <= 20);
+    BOOST_TEST(spendable_after_home_restart({.ignore_borrower_restart = true}) > 20);
+}
+
 // Guards against a former home that keeps tokens of shares that went back.
 BOOST_AUTO_TEST_CASE(tokens_are_cut_when_loans_end) {
     BOOST_TEST(excess_after_cut({}) <= tolerance);
--- a/packages/admission/workspace_home.cc
+++ b/packages/admission/workspace_home.cc
@@ -54,7 +54,7 @@
         this->pool.remove_share();
     }
     if (share_start <= event) {
-        bool copied = this->options.faults.copy_loans && !this->share.borrower().empty();
+        bool copied = this->options.faults.copy_loans && this->share.lent();
         this->share.start_use();
         if (!copied) {
             this->pool.add_share(0);
@@ -174,7 +174,7 @@
     }
 }
 
-std::optional<messages::loan> workspace_home::lend(const std::string& borrower,
+std::optional<messages::loan> workspace_home::lend(const share_borrower& borrower,
                                                    std::uint64_t new_id, mono_time now) {
     if (!this->share.can_lend(borrower)) {
         return std::nullopt;
@@ -199,7 +199,7 @@
     }
 }
 
-void workspace_home::on_release(const std::string& borrower,
+void workspace_home::on_release(const share_borrower& borrower,
                                 const messages::loan_request::release& release) {
     if (!this->share.is_lent(borrower, release.loan)) {
         return;
--- a/packages/admission/workspace_home.h
+++ b/packages/admission/workspace_home.h
@@ -56,13 +56,13 @@
 
     // Lends the own share, or extends the loan, and returns what the grant says.
     // `new_id` identifies a new loan.
-    std::optional<messages::loan> lend(const std::string& borrower, std::uint64_t new_id,
+    std::optional<messages::loan> lend(const share_borrower& borrower, std::uint64_t new_id,
                                        mono_time now);
 
     void on_loan(const std::string& lender, std::uint64_t round, mono_duration duration,
                  const messages::loan& loan, mono_time now);
 
-    void on_release(const std::string& borrower, const messages::loan_request::release& release);
+    void on_release(const share_borrower& borrower, const messages::loan_request::release& release);
 
     // A share to give back because this daemon is no longer the home: the lender and the release.
     std::optional<std::pair<std::string, messages::loan_request::release>> release_one();
--- a/packages/admission/workspace_limiter.cc
+++ b/packages/admission/workspace_limiter.cc
@@ -102,16 +102,16 @@
     this->pump(now, out);
 }
 
-std::optional<messages::loan> workspace_limiter::on_loan_request(const std::string& from,
+std::optional<messages::loan> workspace_limiter::on_loan_request(const share_borrower& from,
                                                                  mono_time time) {
     mono_time now = this->advance(time);
-    if (from != this->home_instance) {
+    if (from.instance != this->home_instance) {
         return std::nullopt;
     }
     return this->pool.lend(from, this->rounds.next(), now);
 }
 
-void workspace_limiter::on_release(const std::string& from,
+void workspace_limiter::on_release(const share_borrower& from,
                                    const messages::loan_request::release& release, mono_time time,
                                    limiter_output& out) {
     mono_time now = this->advance(time);
--- a/packages/admission/workspace_limiter.h
+++ b/packages/admission/workspace_limiter.h
@@ -49,8 +49,8 @@
 
     // Handles one workspace of a loan_request. Only the home that this daemon knows gets the share:
     // lending to another claimant would keep it from the home for loan_time.
-    std::optional<messages::loan> on_loan_request(const std::string& from, mono_time time);
-    void on_release(const std::string& from, const messages::loan_request::release& release,
+    std::optional<messages::loan> on_loan_request(const share_borrower& from, mono_time time);
+    void on_release(const share_borrower& from, const messages::loan_request::release& release,
                     mono_time time, limiter_output& out);
     void on_loan(const std::string& from, std::uint64_t round, mono_duration duration,
                  const messages::loan& loan, mono_time time, limiter_output& out);
--- a/packages/messages/codec.cc
+++ b/packages/messages/codec.cc
@@ -81,7 +81,7 @@
     for (const loan_request::release& each : m.releases) {
         releases.push_back(json::array({each.workspace, each.loan, each.tokens}));
     }
-    return json::array({m.round, m.workspaces, std::move(releases)});
+    return json::array({m.round, m.incarnation, m.workspaces, std::move(releases)});
 }
 
 json fields(const loan_grant& m) {
@@ -196,7 +196,7 @@
     in.read(m.sequence);
 }
 void read_fields(field_reader& in, loan_request& m) {
-    read_all(in, m.round, m.workspaces);
+    read_all(in, m.round, m.incarnation, m.workspaces);
     for (const json& each : in.next()) {
         field_reader entry(each);
         loan_request::release item;
--- a/packages/messages/messages.h
+++ b/packages/messages/messages.h
@@ -161,6 +161,7 @@
     };
 
     std::uint64_t round = 0;
+    std::uint64_t incarnation = 0;  // A loan to a former process of the sender is another's loan.
     std::vector<std::string> workspaces;
     std::vector<release> releases;
 
