Measure a fleet of 40 daemons in the limit benchmark

Change: the benchmark has a fleet of 40 daemons, with 150 calls at once on top of even traffic. The tests by hand ask for the loan right before they use it.

--- a/packages/admission/testing/limit_benchmark.cc
+++ b/packages/admission/testing/limit_benchmark.cc
@@ -70,6 +70,7 @@
     // Daemon of a call at the given seconds after the start.
     std::function<int(seeded_random&, int daemons, double at)> daemon;
     int at_once = 1;  // Calls that arrive together.
+    int surge = 0;    // Calls that arrive together at one daemon every 5 s, on top.
 };
 
 struct outcome {
@@ -122,6 +123,12 @@
         while (this->fleet.now() < end) {
             this->fleet.step();
             double at = std::chrono::duration<double>(this->fleet.now() - start).count();
+            if (++this->steps % 5000 == 0) {
+                int daemon = static_cast<int>(this->random.below(this->place.daemons));
+                for (int i = 0; i < this->load.surge; ++i) {
+                    this->call(daemon);
+                }
+            }
             double arrivals = this->load.demand / 1000 / this->load.at_once;
             if (this->random.uniform() < arrivals) {
                 int daemon = this->load.daemon(this->random, this->place.daemons, at);
@@ -131,7 +138,7 @@
             }
         }
         for (int i = 0; i < 100; ++i) {
-            this->fleet.step();
+            this->fleet.step();  // Lets the last waiting calls finish.
         }
         this->result.waited = this->fleet.counts().waited;
         this->result.admitted = this->fleet.admissions(this->load.limit.workspace).size();
@@ -170,6 +177,7 @@
     };
     std::map<std::uint64_t, open_call> open;  // Waiting calls.
     outcome result;
+    int steps = 0;
 };
 
 int uniform_daemon(seeded_random& random, int daemons, double) {
@@ -236,26 +244,33 @@
 
 // "refused" is the share of calls within the limit that were refused, "admitted" all admissions as
 // a share of those that one bucket would give; under overload only the latter has a meaning.
-void compare_all() {
-    std::vector<deployment> places = {
-        {.name = "Hanbit", .daemons = 10, .delay = std::chrono::microseconds(500)},
-        {.name = "Guantera", .daemons = 12, .delay = std::chrono::microseconds(1500)}};
-    for (const deployment& place : places) {
-        std::printf("%s, %d daemons, 3 seeds of 60 s\n", place.name.c_str(), place.daemons);
-        std::printf("%-25s %7s %15s %15s %7s %13s %7s\n", "", "", "refused %", "admitted %",
-                    "waited", "wait ms", "excess");
-        std::printf("%-25s %7s %7s %7s %7s %7s %7s %6s %6s\n", "traffic", "calls", "even", "loaned",
-                    "even", "loaned", "%", "p50", "p99");
-        for (const traffic& load : traffics()) {
-            outcome sum;
-            for (std::uint64_t seed = 1; seed <= 3; ++seed) {
-                sum = add(std::move(sum), comparison(place, load, seed).run(seconds(60)));
-            }
-            print_row(load.name, sum);
+void compare(const deployment& place, const std::vector<traffic>& loads) {
+    std::printf("%s, %d daemons, 3 seeds of 60 s\n", place.name.c_str(), place.daemons);
+    std::printf("%-25s %7s %15s %15s %7s %13s %7s\n", "", "", "refused %", "admitted %", "waited",
+                "wait ms", "excess");
+    std::printf("%-25s %7s %7s %7s %7s %7s %7s %6s %6s\n", "traffic", "calls", "even", "loaned",
+                "even", "loaned", "%", "p50", "p99");
+    for (const traffic& load : loads) {
+        outcome sum;
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            sum = add(std::move(sum), comparison(place, load, seed).run(seconds(60)));
         }
+        print_row(load.name, sum);
     }
 }
 
+void compare_all() {
+    compare({.name = "Hanbit", .daemons = 10, .delay = std::chrono::microseconds(500)}, traffics());
+    compare({.name = "Guantera", .daemons = 12, .delay = std::chrono::microseconds(1500)},
+            traffics());
+    workspace_limit large = {.workspace = "large", .rate = 800, .burst = 400};
+    compare({.name = "Large fleet", .daemons = 40, .delay = milliseconds(1)},
+            {{"even, 60% of rate", large, 480, uniform_daemon},
+             {"skewed, 80% of rate", large, 640, skewed_daemon},
+             {"moving, 80% of rate", large, 640, moving_daemon},
+             {"even, 60%, and 150 at once", large, 480, uniform_daemon, 1, 150}});
+}
+
 double cpu_seconds() {
     return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
 }
--- a/packages/admission/testing/limiter_protocol_test.cc
+++ b/packages/admission/testing/limiter_protocol_test.cc
@@ -105,10 +105,11 @@
 double spendable_after_loan_end(const limit_faults& faults) {
     hand_driven home("home", 2, faults, 1);
     hand_driven lender("lender", 2, faults, 2);
+    home.pass(milliseconds(4000));
+    lender.pass(milliseconds(4010));
     home.limiter.set_members("home", {"home", "lender"});
     lender.limiter.set_members("lender", {"home"});
-    home.pass(milliseconds(4010));
-    lender.pass(milliseconds(4010));
+    home.pass(milliseconds(10));
     lender.receive("home", home.last<loan_request>());
     home.receive("lender", lender.last<loan_grant>());
     mono_time lent = home.now;
@@ -126,10 +127,11 @@
 double spendable_after_home_restart(const limit_faults& faults) {
     hand_driven home("home", 2, faults, 1);
     hand_driven lender("lender", 2, faults, 2);
+    home.pass(milliseconds(4000));
+    lender.pass(milliseconds(4010));
     home.limiter.set_members("home", {"home", "lender"});
     lender.limiter.set_members("lender", {"home"});
-    home.pass(milliseconds(4010));
-    lender.pass(milliseconds(4010));
+    home.pass(milliseconds(10));
     lender.receive("home", home.last<loan_request>());
     home.receive("lender", lender.last<loan_grant>());
     home.pass(seconds(1));
