Ask a home without spare tokens again after half the time between two calls

Cause: at 120 daemons nearly a quarter of the messages were answers without a token: daemons with rare calls asked every 50 ms for a token ahead of demand that the home did not have to spare.

Change: the next such request waits for half the mean time between two calls, from 50 to 800 ms.

--- a/packages/admission/token_holder.cc
+++ b/packages/admission/token_holder.cc
@@ -24,7 +24,8 @@
 constexpr mono_duration measure_interval = milliseconds(100);
 // Part of a batch's life after which unspent tokens go back.
 constexpr double return_after_part = 0.8;
-constexpr mono_duration ahead_backoff = milliseconds(50);
+constexpr double shortest_ahead_backoff_seconds = 0.05;
+constexpr double longest_ahead_backoff_seconds = 0.8;
 // Until the home knows that a token was spent, it does not accrue another one in its place. All
 // daemons together leave at most this part of the burst unreported.
 constexpr double unreported_part_of_burst = 0.125;
@@ -134,7 +135,7 @@
         this->held += granted;
     }
     if (granted < request.now_count + request.ahead_count) {
-        this->ahead_not_before = now + ahead_backoff;
+        this->ahead_not_before = now + this->ahead_backoff();
     }
     if (granted < request.now_count) {
         this->short_until = now + short_memory;
@@ -169,7 +170,7 @@
     if (report.settlements.empty()) {
         return;
     }
-    this->ahead_not_before = now + ahead_backoff;
+    this->ahead_not_before = now + this->ahead_backoff();
     report.round = rounds.next();
     out.messages.push_back({from, std::move(report)});
     std::erase_if(this->batches, [](const batch& each) { return each.left < 1; });
@@ -288,6 +289,13 @@
     }
 }
 
+// A home without tokens to spare is asked again after half the time between two calls.
+mono_duration token_holder::ahead_backoff() const {
+    double seconds = this->demand > 0 ? 0.5 / this->demand : longest_ahead_backoff_seconds;
+    return std::chrono::duration_cast<mono_duration>(std::chrono::duration<double>(
+        std::clamp(seconds, shortest_ahead_backoff_seconds, longest_ahead_backoff_seconds)));
+}
+
 mono_duration token_holder::settle_interval() const {
     double seconds = longest_settle_seconds;
     if (this->rate > 0) {
--- a/packages/admission/token_holder.h
+++ b/packages/admission/token_holder.h
@@ -98,6 +98,7 @@
     void refuse_waiting(double count, limiter_output& out);
     bool settlement_due(const std::string& home, mono_time now) const;
     double falling_smoothing() const;
+    mono_duration ahead_backoff() const;
     mono_duration settle_interval() const;
     void return_unspent(batch& item);
     std::vector<messages::token_request::settlement> settle(const std::string& home, mono_time now);
