Remove an unused function of the limiter fleet

Cause: no test changes limits in a running fleet; limiter_protocol_test covers such changes by hand.

Change: limiter_fleet has no set_limits() any more.

--- a/packages/admission/testing/limiter_fleet.cc
+++ b/packages/admission/testing/limiter_fleet.cc
@@ -40,8 +40,6 @@
     }
     for (node& item : this->nodes) {
         item.view = this->names();
-        item.limits = settings.limits;
-        item.max_instances = settings.max_instances;
         this->start(item);
     }
 }
@@ -56,7 +54,7 @@
     limit_options limits{.incarnation = ++this->next_incarnation, .faults = this->options.faults};
     item.limiter = std::make_unique<rate_limiter>(limits, this->clock(item));
     item.limiter->set_members(item.name, item.view);
-    item.limiter->set_limits(item.limits, item.max_instances, this->clock(item));
+    item.limiter->set_limits(this->options.limits, this->options.max_instances, this->clock(item));
 }
 
 mono_time limiter_fleet::clock(const node& item) const {
@@ -196,14 +194,6 @@
     this->nodes.at(instance).group = group;
 }
 
-void limiter_fleet::set_limits(int instance, const std::vector<workspace_limit>& limits,
-                               int max_instances) {
-    node& item = this->nodes.at(instance);
-    item.limits = limits;
-    item.max_instances = max_instances;
-    item.limiter->set_limits(limits, max_instances, this->clock(item));
-}
-
 std::vector<std::string> limiter_fleet::names() const {
     std::vector<std::string> all;
     all.reserve(this->nodes.size());
--- a/packages/admission/testing/limiter_fleet.h
+++ b/packages/admission/testing/limiter_fleet.h
@@ -62,7 +62,6 @@
     void restart(int instance);
     void set_view(int instance, const std::vector<std::string>& live);
     void set_group(int instance, int group);  // Messages between groups are lost.
-    void set_limits(int instance, const std::vector<workspace_limit>& limits, int max_instances);
 
     mono_time now() const { return this->true_now; }
     bool paused(int instance) const;
@@ -96,8 +95,6 @@
         mono_time stale_clock;  // Clock reading to use once; epoch when none.
         int group = 0;
         std::vector<std::string> view;
-        std::vector<workspace_limit> limits;
-        int max_instances = 0;
         std::uint64_t bytes = 0;
     };
     struct delivery {
