--- a/packages/membership/view.h
+++ b/packages/membership/view.h
@@ -24,8 +24,8 @@
 enum class instance_state : std::uint8_t {
     live,
     leaving,    // The list or the instance itself says that it is leaving.
-    suspected,  // No contact for 3 s.
-    gone,       // Off the list and no contact for 3 s, or no contact for 30 s.
+    suspected,  // No direct contact for 3 s and no reported contact for 10 s.
+    gone,       // Off the list and no direct contact for 3 s, or no contact for 30 s.
 };
 
 std::string_view to_string(instance_state state);
