--- a/testing/scenario/scenario.cc
+++ b/testing/scenario/scenario.cc
@@ -129,7 +129,10 @@
     }
 }
 
+// The extra load keeps more requests running than a cold upstream can handle.
 void cold_upstream(fleet& run, seeded_random& random) {
+    run.load("heavy", {"--path", "/station/a?service_ms=40", "--rate", "300", "--callers", "40"},
+             8);
     run.control("POST", "http://" + any_member(run, random).upstream + "/control",
                 R"({"cold": true})");
     pause_ms(2000);
@@ -221,10 +224,11 @@
         "readings",
         {"--path", "/station/a?size=300", "--rate", "200", "--callers", "10", "--seed", seed_text},
         chosen.load_seconds);
-    run.load("commands",
-             {"--path", "/station/b", "--path", "/dosing/c", "--method", "POST", "--body-bytes",
-              "500", "--rate", "80", "--callers", "10", "--seed", seed_text},
-             chosen.load_seconds);
+    run.load(
+        "commands",
+        {"--path", "/station/b?service_ms=30", "--path", "/dosing/c?service_ms=30", "--method",
+         "POST", "--body-bytes", "500", "--rate", "80", "--callers", "10", "--seed", seed_text},
+        chosen.load_seconds);
     pause_ms(1000);
     chosen.steps(run, random);
     return judge(chosen, run.finish());
--- a/testing/support/process.h
+++ b/testing/support/process.h
@@ -30,6 +30,7 @@
     // std::runtime_error when the program cannot be started.
     process(std::vector<std::string> arguments, const std::string& output) {
         std::vector<char*> pointers;
+        pointers.reserve(arguments.size() + 1);
         for (std::string& argument : arguments) {
             pointers.push_back(argument.data());
         }
