--- a/testing/scenario/fleet.h
+++ b/testing/scenario/fleet.h
@@ -123,7 +123,8 @@
             target.name + ".upstream",
             {this->options.doubles + "/upstream_double", "--port", detail::port_of(target.upstream),
              "--instance", target.name, "--slots", std::to_string(slots), "--warmup-ms", "3000",
-             "--daemon", target.callers, "--events", this->file(target.name + ".jsonl")});
+             "--service-ms", std::to_string(this->service_ms), "--daemon", target.callers,
+             "--events", this->file(target.name + ".jsonl")});
     }
 
     void start_daemon(member& target) {
@@ -251,6 +252,7 @@
     std::vector<member> members;
     std::set<std::string> revoked_keys, out_domains;
     const std::string platform_url;
+    int service_ms = 5;  // Service time of the upstreams.
 
 private:
     static constexpr int member_count = 6;
--- a/testing/scenario/scenario.cc
+++ b/testing/scenario/scenario.cc
@@ -22,6 +22,7 @@
     int load_seconds;
     std::string must_exercise;  // The check that is void unless the fault takes effect.
     std::function<void(fleet&, seeded_random&)> steps;
+    int service_ms = 5;
 };
 
 member& any_member(fleet& run, seeded_random& random) {
@@ -131,8 +132,8 @@
 
 // The extra load keeps more requests running than a cold upstream can handle.
 void cold_upstream(fleet& run, seeded_random& random) {
-    run.load("heavy", {"--path", "/station/a?service_ms=40", "--rate", "300", "--callers", "40"},
-             8);
+    run.load("heavy", {"--path", "/station/a", "--rate", "300", "--callers", "40"}, 8);
+    pause_ms(2500);
     run.control("POST", "http://" + any_member(run, random).upstream + "/control",
                 R"({"cold": true})");
     pause_ms(2000);
@@ -165,7 +166,7 @@
     {"bad_version", 10, "bad_version_refused", bad_version},
     {"restart_all", 10, "version_never_back", restart_all},
     {"rolling_stop", 10, "graceful_stop", rolling_stop},
-    {"cold_upstream", 10, "cold_start_load", cold_upstream},
+    {"cold_upstream", 10, "cold_start_load", cold_upstream, 40},
     {"noisy_workspace", 8, "rate_and_burst", noisy_workspace},
     {"nested", 8, "workspace_of_key", nested}};
 
@@ -217,6 +218,7 @@
 bool run_scenario(const scenario& chosen, std::uint64_t seed, const fleet_options& options) {
     seeded_random random(seed);
     fleet run(options);
+    run.service_ms = chosen.service_ms;
     run.start();
     pause_ms(share_wait_ms);
     std::string seed_text = std::to_string(seed);
