--- a/testing/scenario/scenario.cc
+++ b/testing/scenario/scenario.cc
@@ -22,7 +22,7 @@
     int load_seconds;
     std::string must_exercise;  // The check that is void unless the fault takes effect.
     std::function<void(fleet&, seeded_random&)> steps;
-    int service_ms = 5;
+    int service_ms = 5;  // Long enough that the fault hits running requests.
 };
 
 member& any_member(fleet& run, seeded_random& random) {
@@ -158,14 +158,14 @@
 
 const std::vector<scenario> scenarios = {
     {"steady", 6, "rate_and_burst", [](fleet&, seeded_random&) {}},
-    {"kill", 10, "at_most_once", kill_and_restart},
-    {"freeze", 10, "at_most_once", freeze},
+    {"kill", 10, "at_most_once", kill_and_restart, 100},
+    {"freeze", 10, "at_most_once", freeze, 100},
     {"platform_outage", 11, "version_never_back", platform_outage},
     {"domain_out", 11, "no_work_after_taken_out", domain_out},
     {"key_revoked", 9, "key_stops", key_revoked},
     {"bad_version", 10, "bad_version_refused", bad_version},
     {"restart_all", 10, "version_never_back", restart_all},
-    {"rolling_stop", 10, "graceful_stop", rolling_stop},
+    {"rolling_stop", 10, "graceful_stop", rolling_stop, 100},
     {"cold_upstream", 10, "cold_start_load", cold_upstream, 40},
     {"noisy_workspace", 8, "rate_and_burst", noisy_workspace},
     {"nested", 8, "workspace_of_key", nested}};
@@ -226,11 +226,10 @@
         "readings",
         {"--path", "/station/a?size=300", "--rate", "200", "--callers", "10", "--seed", seed_text},
         chosen.load_seconds);
-    run.load(
-        "commands",
-        {"--path", "/station/b?service_ms=30", "--path", "/dosing/c?service_ms=30", "--method",
-         "POST", "--body-bytes", "500", "--rate", "80", "--callers", "10", "--seed", seed_text},
-        chosen.load_seconds);
+    run.load("commands",
+             {"--path", "/station/b", "--path", "/dosing/c", "--method", "POST", "--body-bytes",
+              "500", "--rate", "160", "--callers", "20", "--seed", seed_text},
+             chosen.load_seconds);
     pause_ms(1000);
     chosen.steps(run, random);
     return judge(chosen, run.finish());
