--- a/testing/scenario/scenario.cc
+++ b/testing/scenario/scenario.cc
@@ -22,6 +22,7 @@
     int load_seconds;
     std::string must_exercise;  // The check that is void unless the fault takes effect.
     std::function<void(fleet&, seeded_random&)> steps;
+    int service_ms = 5;  // Long enough that the fault hits running requests.
 };
 
 member& any_member(fleet& run, seeded_random& random) {
@@ -129,7 +130,10 @@
     }
 }
 
+// The extra load keeps more requests running than a cold upstream can handle.
 void cold_upstream(fleet& run, seeded_random& random) {
+    run.load("heavy", {"--path", "/station/a", "--rate", "300", "--callers", "40"}, 8);
+    pause_ms(2500);
     run.control("POST", "http://" + any_member(run, random).upstream + "/control",
                 R"({"cold": true})");
     pause_ms(2000);
@@ -154,15 +158,15 @@
 
 const std::vector<scenario> scenarios = {
     {"steady", 6, "rate_and_burst", [](fleet&, seeded_random&) {}},
-    {"kill", 10, "at_most_once", kill_and_restart},
-    {"freeze", 10, "at_most_once", freeze},
+    {"kill", 10, "at_most_once", kill_and_restart, 100},
+    {"freeze", 10, "at_most_once", freeze, 100},
     {"platform_outage", 11, "version_never_back", platform_outage},
     {"domain_out", 11, "no_work_after_taken_out", domain_out},
     {"key_revoked", 9, "key_stops", key_revoked},
     {"bad_version", 10, "bad_version_refused", bad_version},
     {"restart_all", 10, "version_never_back", restart_all},
-    {"rolling_stop", 10, "graceful_stop", rolling_stop},
-    {"cold_upstream", 10, "cold_start_load", cold_upstream},
+    {"rolling_stop", 10, "graceful_stop", rolling_stop, 100},
+    {"cold_upstream", 10, "cold_start_load", cold_upstream, 40},
     {"noisy_workspace", 8, "rate_and_burst", noisy_workspace},
     {"nested", 8, "workspace_of_key", nested}};
 
@@ -214,6 +218,7 @@
 bool run_scenario(const scenario& chosen, std::uint64_t seed, const fleet_options& options) {
     seeded_random random(seed);
     fleet run(options);
+    run.service_ms = chosen.service_ms;
     run.start();
     pause_ms(share_wait_ms);
     std::string seed_text = std::to_string(seed);
@@ -223,7 +228,7 @@
         chosen.load_seconds);
     run.load("commands",
              {"--path", "/station/b", "--path", "/dosing/c", "--method", "POST", "--body-bytes",
-              "500", "--rate", "80", "--callers", "10", "--seed", seed_text},
+              "500", "--rate", "160", "--callers", "20", "--seed", seed_text},
              chosen.load_seconds);
     pause_ms(1000);
     chosen.steps(run, random);
