--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -31,6 +31,12 @@
            status == status_gateway_timeout;
 }
 
+// Reasons for which the next calls would be refused at the same upstream as well.
+bool avoids_upstream(std::string_view reason) {
+    return reason == reasons::overloaded || reason == reasons::no_upstream ||
+           reason == reasons::stopping;
+}
+
 std::string_view reason_of_give_up(const routing::give_up& decision, std::string_view last) {
     return decision.reason == routing::give_up_reason::deadline_exceeded
                ? reasons::deadline_exceeded
@@ -274,7 +280,7 @@
     }
     call->tried.push_back(target.instance);
     this->attempts.update(sequence, [&](std::shared_ptr<attempt>& slot) { slot = started; });
-    this->load.call_sent(target.instance);
+    this->load.call_sent(target.instance, now);
     if (target.instance == this->options.instance) {
         this->send_local(sequence, call);
     } else {
@@ -328,9 +334,13 @@
     this->load.reported((*found)->instance, result.load, now);
     switch (result.outcome) {
         case messages::call_outcome::answered:
+            this->load.accepted((*found)->instance);
             this->deliver(call, std::move(result));
             break;
         case messages::call_outcome::not_run:
+            if (avoids_upstream(result.reason)) {
+                this->load.refused((*found)->instance, now);
+            }
             this->after_failure(call, routing::attempt_end::not_run_reply,
                                 known_reason(result.reason));
             break;
