Refuse connections as soon as a stopping server no longer accepts

Cause: after MHD_quiesce_daemon the listening socket stayed open until the server ended, so the kernel completed further connections, nobody accepted them, and closing the socket reset them. A caller could not tell whether its request had run. Ruled out: requests that the ingress or egress held were cut off (no reset request had a start, and the drain waits for them); the load client's reuse of connections (most reset calls used new ones). Change: the listening socket is shut down at once; it is still closed after the library's threads.

--- a/packages/edge/http_server.cc
+++ b/packages/edge/http_server.cc
@@ -132,6 +132,10 @@
         if (this->daemon != nullptr && !this->quiesced) {
             this->quiesced = true;
             this->listen_socket = MHD_quiesce_daemon(this->daemon);
+            // Threads of the library may still watch the socket, so it is closed later. Without the
+            // shutdown the kernel would go on completing connections that nobody accepts, and reset
+            // them when the socket is closed.
+            shutdown(this->listen_socket, SHUT_RDWR);
         }
     }
 
