Report the last reason when a retry finds no other upstream

Cause: when every upstream of a service had been tried, the call was refused with no_upstream instead of the reason of its last attempt, which hid overload and could pair no_upstream with the outcome unknown. Ruled out: candidates missing from the list (/explain showed the upstream as accepting work). Change: the last reason is passed to the choice and used when nothing is left.

--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -118,13 +118,13 @@
     this->budget.count_call(call->arrived);
     if (call->nested || call->message.workspace.empty()) {
         call->admitted = true;
-        this->dispatch(call);
+        this->dispatch(call, reasons::no_upstream);
         return;
     }
     this->limits.admit(call->message.workspace, [this, call](bool admitted) {
         call->admitted = admitted;
         if (admitted) {
-            this->dispatch(call);
+            this->dispatch(call, reasons::no_upstream);
         } else {
             this->respond_refused(call, {.reason = reasons::rate_limited});
         }
@@ -239,7 +239,7 @@
     return std::nullopt;
 }
 
-void ingress::dispatch(const call_ptr& call) {
+void ingress::dispatch(const call_ptr& call, std::string_view last_reason) {
     mono_time now = this->clock.now();
     if (now >= call->history.deadline) {
         this->respond_refused(call, {.reason = reasons::deadline_exceeded,
@@ -256,8 +256,8 @@
         this->send_attempt(call, picked->chosen);
         return;
     }
-    this->respond_refused(call, {.reason = reasons::no_upstream,
-                                 .outcome = routing::retry_policy::outcome(call->history)});
+    this->respond_refused(
+        call, {.reason = last_reason, .outcome = routing::retry_policy::outcome(call->history)});
 }
 
 // An idempotent call keeps half of its time for another upstream, so that one silent peer does not
@@ -358,7 +358,7 @@
                             std::string_view reason) {
     auto decision = this->policy.decide(call->history, end, this->budget, this->clock.now());
     if (std::holds_alternative<routing::retry_elsewhere>(decision)) {
-        this->dispatch(call);
+        this->dispatch(call, reason);
         return;
     }
     const auto& given_up = std::get<routing::give_up>(decision);
@@ -373,7 +373,7 @@
                                             this->budget, this->clock.now());
         if (std::holds_alternative<routing::retry_elsewhere>(decision)) {
             call->history = history;
-            this->dispatch(call);
+            this->dispatch(call, reasons::upstream_failed);
             return;
         }
     }
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -96,7 +96,9 @@
     std::optional<call_refusal> set_deadline(entry_call& call, const edge::http_request& request);
     void set_idempotence(entry_call& call, const edge::http_request& request) const;
 
-    void dispatch(const call_ptr& call);
+    // Chooses an upstream and sends the call there. When none is left, the call is refused with
+    // `last_reason`, the reason of its last attempt.
+    void dispatch(const call_ptr& call, std::string_view last_reason);
     void send_attempt(const call_ptr& call, const routing::candidate& target);
     void send_local(std::uint64_t sequence, const call_ptr& call);
     void send_remote(std::uint64_t sequence, const call_ptr& call,
