Separate request acceptance from the ingress; retry when a peer misses heartbeats

Besides, an idempotent attempt was given up after half of its time even at a healthy peer, so a response that takes more than half of the deadline could never arrive. Change: acceptance has its own class; an idempotent attempt is given up early only when its connection has been silent for 750 ms, one and a half heartbeats.

--- a/packages/daemon/control_loop.cc
+++ b/packages/daemon/control_loop.cc
@@ -281,9 +281,9 @@
         action);
 }
 
-// A connection that calls or limits opened serves gossip as well. It becomes a gossip peer only when
-// the core asks for it: otherwise the homes of limits, to which everyone is connected, would be
-// everyone's gossip peers, and nobody would hear of the others.
+// A connection that calls or limits opened serves gossip as well. It becomes a gossip peer only
+// when the core asks for it: otherwise the homes of limits, to which everyone is connected, would
+// be everyone's gossip peers, and nobody would hear of the others.
 void control_loop::open_peer(const std::string& address) {
     bool connected = false;
     this->feed([&](mono_time now) {
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -3,17 +3,16 @@
 #include "daemon/ingress.h"
 
 #include <algorithm>
-#include <charconv>
 #include <optional>
 #include <utility>
 
-#include "admission/key_check.h"
 #include "base/random.h"
 
 namespace trefoil::daemon {
 
 namespace {
 
+constexpr std::chrono::milliseconds silence_limit{750};
 constexpr unsigned status_too_large = 413;
 constexpr unsigned status_headers_too_large = 431;
 constexpr unsigned status_unavailable = 503;
@@ -47,15 +46,10 @@
 
 // One request from its arrival to its response. Used by one thread at a time: each step hands it to
 // the next.
-struct ingress::entry_call {
+struct ingress::entry_call : accepted_request {
     std::shared_ptr<edge::responder> responder;
     mono_time arrived;
-    bool nested = false;
     bool admitted = false;
-    std::shared_ptr<const config::snapshot> snapshot;  // Keeps `route` valid.
-    const config::route* route = nullptr;
-    messages::call message;  // What is sent to the egress, without sequence and stamps.
-    routing::call_attempts history;
     std::vector<std::string> tried;
 };
 
@@ -73,6 +67,7 @@
 
     call_ptr call;
     std::string instance;
+    mono_time sent_at;
     mono_time expires;
     std::atomic<transport::connection_id> connection{not_sent_yet};
 };
@@ -83,7 +78,7 @@
     : options(std::move(given)),
       board(shared),
       limits(limiter),
-      contexts(handles),
+      acceptance({.confirmation_limit = this->options.confirmation_limit}, shared, handles),
       local(own_egress),
       observer(watcher),
       clock(time),
@@ -110,15 +105,11 @@
     ++this->in_progress;
     call->responder = std::move(responder);
     call->arrived = this->clock.now();
-    if (auto refusal = this->accept(*call, request)) {
+    auto refusal = this->acceptance.accept(request, call->arrived, *call);
+    if (refusal.has_value()) {
         this->respond_refused(call, *refusal);
         return;
     }
-    call->message.method = std::move(request.method);
-    call->message.target = std::move(request.path);
-    if (!request.query.empty()) {
-        call->message.target += "?" + request.query;
-    }
     call->message.headers = edge::forwardable(request.headers);
     call->message.body = std::move(request.body);
     this->budget.count_call(call->arrived);
@@ -137,114 +128,6 @@
     });
 }
 
-std::optional<call_refusal> ingress::accept(entry_call& call, const edge::http_request& request) {
-    auto control = this->board.control.read();
-    call.snapshot = this->board.snapshot.read();
-    if (auto refusal = this->check_daemon(control.get())) {
-        return refusal;
-    }
-    auto found = call.snapshot->find_route(request.method, request.path);
-    if (std::holds_alternative<config::no_route>(found)) {
-        return call_refusal{.reason = reasons::no_route};
-    }
-    if (std::holds_alternative<config::method_not_allowed>(found)) {
-        return call_refusal{.reason = reasons::method_not_allowed};
-    }
-    call.route = std::get<const config::route*>(found);
-    call.message.route = call.route->name;
-    call.message.service = call.route->service;
-    call.message.base_revision = call.snapshot->base_revision();
-    if (auto refusal = this->identify(call, request)) {
-        return refusal;
-    }
-    if (auto refusal = this->check_confirmation(call, *control)) {
-        return refusal;
-    }
-    this->set_idempotence(call, request);
-    return this->set_deadline(call, request);
-}
-
-std::optional<call_refusal> ingress::check_daemon(const control_state* control) const {
-    if (control == nullptr || !control->ready || this->board.snapshot.read() == nullptr) {
-        return call_refusal{.reason = reasons::not_ready};
-    }
-    return std::nullopt;
-}
-
-// A valid context handle acts for its workspace. An invalid one counts as absent, so a caller from
-// outside gains nothing with it.
-std::optional<call_refusal> ingress::identify(entry_call& call, const edge::http_request& request) {
-    if (auto handle = edge::find_header(request.headers, "Trefoil-Context")) {
-        auto context = this->contexts.nested(*handle, call.arrived);
-        if (auto* valid = std::get_if<admission::call_context>(&context)) {
-            call.nested = true;
-            call.message.workspace = valid->workspace;
-            call.message.depth = valid->depth;
-            call.history.deadline = valid->deadline;
-            return std::nullopt;
-        }
-        if (std::holds_alternative<admission::depth_exceeded>(context)) {
-            return call_refusal{.reason = reasons::depth_exceeded};
-        }
-        if (std::holds_alternative<admission::deadline_passed>(context)) {
-            return call_refusal{.reason = reasons::deadline_exceeded};
-        }
-    }
-    if (call.route->open) {
-        return std::nullopt;
-    }
-    auto header = edge::find_header(request.headers, "Authorization");
-    auto digest = admission::bearer_key_digest(header.value_or(""));
-    if (!digest.has_value()) {
-        return call_refusal{.reason = reasons::key_missing};
-    }
-    const config::workspace* owner = call.snapshot->find_workspace_by_digest(*digest);
-    if (owner == nullptr) {
-        return call_refusal{.reason = reasons::key_unknown};
-    }
-    call.message.workspace = owner->name;
-    return std::nullopt;
-}
-
-std::optional<call_refusal> ingress::check_confirmation(const entry_call& call,
-                                                        const control_state& control) const {
-    bool confirmed = control.confirmed_at.has_value() &&
-                     call.arrived - *control.confirmed_at <= this->options.confirmation_limit;
-    if (confirmed || call.route->when_unconfirmed == config::unconfirmed_policy::serve) {
-        return std::nullopt;
-    }
-    return call_refusal{.reason = reasons::unconfirmed};
-}
-
-void ingress::set_idempotence(entry_call& call, const edge::http_request& request) const {
-    bool idempotent = call.route->idempotent_for(request.method);
-    auto marker = edge::find_header(request.headers, "Trefoil-Idempotent");
-    if (marker == "false") {
-        idempotent = false;
-    } else if (marker == "true" && call.route->idempotent.value_or(true)) {
-        idempotent = true;  // A route that says "not idempotent" is believed over its callers.
-    }
-    call.message.idempotent = idempotent;
-    call.history.idempotent = idempotent;
-}
-
-std::optional<call_refusal> ingress::set_deadline(entry_call& call,
-                                                  const edge::http_request& request) {
-    const config::service* service = call.snapshot->find_service(call.route->service);
-    std::int64_t budget_ms = service->timeout.count();
-    if (auto header = edge::find_header(request.headers, "Trefoil-Deadline-Ms")) {
-        const char* end = header->data() + header->size();
-        auto parsed = std::from_chars(header->data(), end, budget_ms);
-        if (parsed.ec != std::errc() || parsed.ptr != end || budget_ms < 1) {
-            return call_refusal{.reason = reasons::bad_request};
-        }
-        budget_ms = std::min<std::int64_t>(budget_ms, service->timeout.count());
-    }
-    mono_time deadline = call.arrived + std::chrono::milliseconds(budget_ms);
-    call.history.deadline = call.nested ? std::min(call.history.deadline, deadline) : deadline;
-    return std::nullopt;
-}
-
 void ingress::dispatch(const call_ptr& call, std::string_view last_reason) {
     mono_time now = this->clock.now();
     if (now >= call->history.deadline) {
@@ -266,8 +149,6 @@
         call, {.reason = last_reason, .outcome = routing::retry_policy::outcome(call->history)});
 }
 
-// An idempotent call keeps half of its time for another upstream, so that one silent peer does not
-// use up the whole deadline.
 void ingress::send_attempt(const call_ptr& call, const routing::candidate& target) {
     mono_time now = this->clock.now();
     std::uint64_t sequence = this->next_sequence.fetch_add(1, std::memory_order_relaxed);
@@ -275,9 +156,7 @@
     started->call = call;
     started->instance = target.instance;
     started->expires = call->history.deadline;
-    if (call->history.idempotent) {
-        started->expires = now + (call->history.deadline - now) / 2;
-    }
+    started->sent_at = now;
     call->tried.push_back(target.instance);
     this->attempts.update(sequence, [&](std::shared_ptr<attempt>& slot) { slot = started; });
     this->load.call_sent(target.instance, now);
@@ -431,7 +310,7 @@
     mono_time now = this->clock.now();
     std::vector<std::pair<std::uint64_t, std::shared_ptr<attempt>>> expired;
     this->attempts.for_each([&](std::uint64_t sequence, const std::shared_ptr<attempt>& each) {
-        if (each->expires <= now) {
+        if (each->expires <= now || this->peer_is_silent(*each, now)) {
             expired.emplace_back(sequence, each);
         }
     });
@@ -440,6 +319,18 @@
     }
 }
 
+// Heartbeats arrive every 500 ms. An idempotent call at a peer that misses them is better sent
+// elsewhere at once, because finding the connection dead takes longer than most callers can wait.
+bool ingress::peer_is_silent(const attempt& each, mono_time now) const {
+    transport::connection_id connection = each.connection;
+    bool sent = connection != attempt::not_sent_yet && connection != attempt::abandoned;
+    if (!sent || !each.call->history.idempotent || now - each.sent_at < silence_limit) {
+        return false;
+    }
+    auto heard = this->links->last_received(connection);
+    return heard.has_value() && now - *heard >= silence_limit;
+}
+
 void ingress::give_up_attempt(std::uint64_t sequence, attempt& given_up) {
     if (given_up.instance == this->options.instance) {
         this->local.cancel({.instance = this->options.instance,
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -24,6 +24,7 @@
 #include "daemon/limit_service.h"
 #include "daemon/peer_links.h"
 #include "daemon/refusal.h"
+#include "daemon/request_acceptance.h"
 #include "edge/http_server.h"
 #include "routing/load_table.h"
 #include "routing/retry_budget.h"
@@ -87,23 +88,13 @@
     struct attempt;
     using call_ptr = std::shared_ptr<entry_call>;
 
-    // Each step returns a refusal, or nothing when the call may go on.
-    std::optional<call_refusal> check_daemon(const control_state* control) const;
-    std::optional<call_refusal> identify(entry_call& call, const edge::http_request& request);
-    std::optional<call_refusal> check_confirmation(const entry_call& call,
-                                                   const control_state& control) const;
-    std::optional<call_refusal> accept(entry_call& call, const edge::http_request& request);
-    std::optional<call_refusal> set_deadline(entry_call& call, const edge::http_request& request);
-    void set_idempotence(entry_call& call, const edge::http_request& request) const;
-
-    // Chooses an upstream and sends the call there. When none is left, the call is refused with
-    // `last_reason`, the reason of its last attempt.
     void dispatch(const call_ptr& call, std::string_view last_reason);
     void send_attempt(const call_ptr& call, const routing::candidate& target);
     void send_local(std::uint64_t sequence, const call_ptr& call);
     void send_remote(std::uint64_t sequence, const call_ptr& call,
                      const routing::candidate& target);
     void finish_attempt(std::uint64_t sequence, messages::call_result result);
+    bool peer_is_silent(const attempt& each, mono_time now) const;
     void give_up_attempt(std::uint64_t sequence, attempt& given_up);
     void end_attempt(std::uint64_t sequence, routing::attempt_end end, std::string_view reason);
     void after_failure(const call_ptr& call, routing::attempt_end end, std::string_view reason);
@@ -114,7 +105,7 @@
     const ingress_options options;
     blackboard& board;
     limit_service& limits;
-    admission::context_table& contexts;
+    const request_acceptance acceptance;
     egress& local;
     request_observer& observer;
     const time_source& clock;
--- a/packages/daemon/peer_links.h
+++ b/packages/daemon/peer_links.h
@@ -95,6 +95,11 @@
         return this->endpoint.send(connection, message);
     }
 
+    // When the last frame arrived on an open connection.
+    std::optional<mono_time> last_received(transport::connection_id connection) const {
+        return this->endpoint.last_received(connection);
+    }
+
     // Keeps connections to these instances although they are idle.
     void set_kept(std::vector<std::string> instances);
 
--- /dev/null
+++ b/packages/daemon/request_acceptance.h
@@ -0,0 +1,63 @@
+// Decides whether a request may enter: route, workspace, confirmation of the configuration,
+// deadline. Limits come afterwards.
+//
+// Example:
+//
+//     daemon::accepted_request accepted;
+//     if (auto refusal = acceptance.accept(request, clock.now(), accepted)) { ... }
+
+#ifndef TREFOIL_DAEMON_REQUEST_ACCEPTANCE_H_
+#define TREFOIL_DAEMON_REQUEST_ACCEPTANCE_H_
+
+#include <chrono>
+#include <optional>
+
+#include "admission/context_table.h"
+#include "base/time.h"
+#include "config/snapshot.h"
+#include "daemon/blackboard.h"
+#include "daemon/refusal.h"
+#include "edge/http_types.h"
+#include "messages/messages.h"
+#include "routing/retry_policy.h"
+
+namespace trefoil::daemon {
+
+// What is known of a request that may enter. After a refusal it holds what was found out before.
+struct accepted_request {
+    bool nested = false;     // Sent by the local upstream with a valid context handle.
+    messages::call message;  // Without headers, body, sequence and stamps.
+    routing::call_attempts history;
+};
+
+struct request_acceptance_options {
+    std::chrono::milliseconds confirmation_limit{4000};
+};
+
+// Safe for concurrent use.
+class request_acceptance {
+public:
+    request_acceptance(request_acceptance_options options, const blackboard& board,
+                       const admission::context_table& contexts);
+
+    // Returns nothing when the request may enter.
+    std::optional<call_refusal> accept(const edge::http_request& request, mono_time arrived,
+                                       accepted_request& accepted) const;
+
+private:
+    std::optional<call_refusal> identify(const config::snapshot& snapshot,
+                                         const config::route& route,
+                                         const edge::http_request& request, mono_time arrived,
+                                         accepted_request& accepted) const;
+    std::optional<call_refusal> check_confirmation(const config::route& route,
+                                                   const control_state& control,
+                                                   mono_time arrived) const;
+
+    const request_acceptance_options options;
+    const blackboard& board;
+    const admission::context_table& contexts;
+};
+
+}  // namespace trefoil::daemon
+
+#endif  // TREFOIL_DAEMON_REQUEST_ACCEPTANCE_H_
--- a/packages/edge/upstream_client.h
+++ b/packages/edge/upstream_client.h
@@ -54,7 +54,8 @@
     friend bool operator==(const response_lost&, const response_lost&) = default;
 };
 
-using upstream_result = std::variant<http_response, not_started, connection_refused, interrupted, response_lost>;
+using upstream_result =
+    std::variant<http_response, not_started, connection_refused, interrupted, response_lost>;
 using upstream_callback = std::function<void(upstream_result)>;
 
 struct upstream_client_options {
--- a/packages/transport/peer_endpoint.cc
+++ b/packages/transport/peer_endpoint.cc
@@ -123,6 +123,14 @@
     this->socket.drop(id);
 }
 
+std::optional<mono_time> peer_endpoint::last_received(connection_id id) const {
+    auto found = this->sessions.find(id);
+    if (!found.has_value()) {
+        return std::nullopt;
+    }
+    return from_microseconds((*found)->last_received_us);
+}
+
 traffic_totals peer_endpoint::totals() const {
     return {.frames_sent = this->frames_sent,
             .bytes_sent = this->bytes_sent,
--- a/packages/transport/peer_endpoint.h
+++ b/packages/transport/peer_endpoint.h
@@ -16,6 +16,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -96,6 +97,9 @@
 
     void close(connection_id id);
 
+    // When the last frame arrived, also a heartbeat; nothing for a closed connection.
+    std::optional<mono_time> last_received(connection_id id) const;
+
     traffic_totals totals() const;
 
 private:
