Build the simulated fleet with the sanitizers

At -O1 g++ 12 reports the copy of a temporary variant in the fleet as maybe uninitialised, which stopped the sanitizer build. The answer is a constant now. dissemination_core_test passes under AddressSanitizer and UndefinedBehaviorSanitizer in 15.9 s.

--- a/packages/dissemination/testing/fleet.cc
+++ b/packages/dissemination/testing/fleet.cc
@@ -250,14 +250,18 @@
         this->schedule(after, [this, index, incarnation, id, result] {
             // An answer that a partition holds back becomes the adapter's timeout.
             bool lost = this->nodes[index]->group != 0 && succeeded_read(result);
-            platform_answer seen = lost ? platform_answer(platform_unavailable{}) : result;
+            platform_answer seen = result;
+            if (lost) {
+                seen.emplace<platform_unavailable>();
+            }
             this->deliver(index, incarnation, [this, id, seen](node& target) {
                 target.decision->platform_answered(this->time, id, seen);
             });
         });
     };
     if (this->nodes[index]->group != 0) {
-        answer(platform_unavailable{}, platform_timeout);
+        static const platform_answer unavailable = platform_unavailable{};
+        answer(unavailable, platform_timeout);
         return;
     }
     this->schedule(this->delay(), [this, request, answer] {
