Report the list revision and document conflicts, and keep an upstream's own 503

Found by reading the code for the operators' guide: trefoilctl status showed no list revision; document conflicts had no metric; refused connections counted as unknown outcomes; calls beyond the early-call limit of a connection got no reply; and a 502, 503 or 504 of an upstream was replaced by upstream_failed when no other upstream was left for a retry.

--- a/packages/daemon/admin.cc
+++ b/packages/daemon/admin.cc
@@ -48,6 +48,8 @@
         }
         list.push_back(std::move(entry));
     }
+    json list_revision = control.list_revision == 0 ? json() : json(control.list_revision);
+    list.push_back({{"name", "instances"}, {"newest", list_revision}, {"in_force", list_revision}});
     return list;
 }
 
@@ -154,6 +156,8 @@
         add("platform_reads_total", control->platform_reads, "Calls to the platform.");
         add("platform_stale_answers_total", control->stale_answers,
             "Answers of the platform with an older revision.");
+        add("document_conflicts_total", control->checksum_conflicts,
+            "Revisions seen with two different bodies.");
         add("documents_received_total", control->documents_received, "Documents from peers.");
         add("documents_sent_total", control->documents_sent, "Documents sent to peers.");
     }
--- a/packages/daemon/blackboard.h
+++ b/packages/daemon/blackboard.h
@@ -30,9 +30,11 @@
     std::string waiting_for;                // Why the start rule is not met; empty when ready.
     std::optional<mono_time> confirmed_at;  // The snapshot in force was the newest at this time.
     std::vector<config::held_versions> versions;
+    std::uint64_t list_revision = 0;  // Instance list in force; 0 before the first one.
     std::optional<config::rejected_pair> rejected;
     std::uint64_t platform_reads = 0;
     std::uint64_t stale_answers = 0;
+    std::uint64_t checksum_conflicts = 0;  // One revision seen with two different bodies.
     std::uint64_t documents_received = 0;
     std::uint64_t documents_sent = 0;
 };
--- a/packages/daemon/control_loop.cc
+++ b/packages/daemon/control_loop.cc
@@ -240,10 +240,12 @@
     state->waiting_for = state->ready ? "" : this->core.waiting_for();
     state->confirmed_at = this->core.confirmed_at();
     state->versions = this->store.configuration().versions();
+    state->list_revision = this->published_view->list_revision();
     state->rejected = this->store.configuration().last_failure();
     const dissemination::core_counts& counts = this->core.counts();
     state->platform_reads = counts.platform_reads;
     state->stale_answers = counts.stale_answers;
+    state->checksum_conflicts = counts.checksum_conflicts;
     state->documents_received = counts.documents_received;
     state->documents_sent = counts.documents_sent;
     this->board.control.publish(std::move(state));
--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -169,6 +169,8 @@
     answer.load = this->gate.load();
     if (answer.outcome == messages::call_outcome::answered) {
         ++this->answered;
+    } else if (answer.outcome == messages::call_outcome::not_run) {
+        ++this->refused;
     } else {
         ++this->unknown;
     }
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -51,6 +51,9 @@
     mono_time arrived;
     bool admitted = false;
     std::vector<std::string> tried;
+    // An upstream's 502, 503 or 504 for which a retry was made. The caller gets it when no retry
+    // brings a better response.
+    std::optional<edge::http_response> earlier_response;
 };
 
 // One attempt of a call. `connection` leaves `not_sent_yet` once: to the connection right before
@@ -256,24 +259,28 @@
 }
 
 void ingress::deliver(const call_ptr& call, messages::call_result result) {
+    edge::http_response response{.status = result.status,
+                                 .headers = edge::forwardable(result.headers),
+                                 .body = std::move(result.body)};
     if (suggests_retry(result.status) && call->history.idempotent) {
         routing::call_attempts history = call->history;
         auto decision = this->policy.decide(history, routing::attempt_end::unknown_reply,
                                             this->budget, this->clock.now());
         if (std::holds_alternative<routing::retry_elsewhere>(decision)) {
             call->history = history;
+            call->earlier_response = std::move(response);
             this->dispatch(call, reasons::upstream_failed);
             return;
         }
     }
-    this->respond(call,
-                  {.status = result.status,
-                   .headers = edge::forwardable(result.headers),
-                   .body = std::move(result.body)},
-                  {});
+    this->respond(call, std::move(response), {});
 }
 
 void ingress::respond_refused(const call_ptr& call, const call_refusal& refusal) {
+    if (call->earlier_response.has_value()) {
+        this->respond(call, std::move(*call->earlier_response), {});
+        return;
+    }
     this->respond(call, make_refusal(refusal), refusal.reason);
 }
 
--- a/packages/daemon/peer_links.cc
+++ b/packages/daemon/peer_links.cc
@@ -260,18 +260,27 @@
 
 void peer_links::on_call_message(link& from, messages::call call, mono_time received) {
     mono_time sent;
+    bool refused = false;
     {
         absl::MutexLock lock(&from.mutex);
         auto estimate = from.offset.earliest_send(call.sent_us, received);
         if (const auto* time = std::get_if<mono_time>(&estimate)) {
             sent = *time;
         } else {
-            if (from.early_calls.size() < early_call_capacity) {
+            refused = from.early_calls.size() >= early_call_capacity;
+            if (!refused) {
                 from.early_calls.emplace_back(std::move(call), received);
+                return;
             }
-            return;
         }
     }
+    if (refused) {
+        this->endpoint.send(from.id,
+                            messages::call_result{.sequence = call.sequence,
+                                                  .outcome = messages::call_outcome::not_run,
+                                                  .reason = "overloaded"});
+        return;
+    }
     this->receiver.on_call({.connection = from.id, .peer = &from.peer, .received = received},
                            std::move(call), sent);
 }
