Move the home of limits as soon as its daemon leaves or cannot be reached

Cause: a home that the list marks as leaving went on counting itself as home. Lenders refused to renew its loans, but it did not release them, so the new home waited up to 4 s for them. Likewise a killed home stayed the home until membership suspected it. Ruled out: the loan protocol itself (its test of a leaving home has no refusals). Change: a daemon that leaves by the list excludes itself, and an address that refuses connections is no home.

--- a/packages/daemon/limit_service.cc
+++ b/packages/daemon/limit_service.cc
@@ -2,10 +2,18 @@
 
 #include "daemon/limit_service.h"
 
+#include <chrono>
 #include <utility>
 
 namespace trefoil::daemon {
 
+namespace {
+
+// Often enough for a change of home, and rarely enough that a list of 1,400 costs little.
+constexpr std::chrono::milliseconds member_check_interval{100};
+
+}  // namespace
+
 limit_service::limit_service(const admission::limit_options& options, std::string own,
                              blackboard& shared, const time_source& time)
     : self(std::move(own)), board(shared), clock(time), limiter(options, time.now()) {}
@@ -49,20 +57,36 @@
         this->limiter.set_limits(limits, static_cast<int>(snapshot->fleet().max_instances),
                                  this->clock.now());
     }
+    mono_time now = this->clock.now();
     auto view = this->board.members.read();
+    if (view == nullptr || now < this->next_member_check) {
+        return;
+    }
+    this->next_member_check = now + member_check_interval;
+    std::vector<std::string> live = this->possible_homes(*view);
+    if (live != this->applied_live) {
+        this->limiter.set_members(this->self, live);
+        this->applied_live = std::move(live);
+    }
+}
+
+// A daemon that leaves, by its own stop or by the list, must not count itself, so that it gives
+// back the shares that it borrowed. An instance to which no connection can be opened is left out
+// before the membership suspects it, because calls would be refused for as long as it counts as a
+// home.
+std::vector<std::string> limit_service::possible_homes(const membership::view& view) const {
     bool draining = this->board.phase.load() != lifecycle::running;
-    if (view != nullptr && (view != this->applied_view || draining != this->applied_draining)) {
-        this->applied_view = view;
-        this->applied_draining = draining;
-        std::vector<std::string> live;
-        for (const membership::member& each : view->listed()) {
-            bool own = each.record->id == this->self;
-            if (own ? !draining : each.state == membership::instance_state::live) {
-                live.push_back(each.record->id);
-            }
+    std::set<std::string> unreachable = this->links->unreachable_addresses();
+    std::vector<std::string> live;
+    for (const membership::member& each : view.listed()) {
+        bool own = each.record->id == this->self;
+        bool stays = each.state == membership::instance_state::live ||
+                     (own && each.state != membership::instance_state::leaving);
+        if (stays && !(own && draining) && !unreachable.contains(each.record->address)) {
+            live.push_back(each.record->id);
         }
-        this->limiter.set_members(this->self, live);
     }
+    return live;
 }
 
 void limit_service::execute(const admission::limiter_output& output) {
--- a/packages/daemon/limit_service.h
+++ b/packages/daemon/limit_service.h
@@ -10,7 +10,9 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "admission/rate_limiter.h"
 #include "base/sharded_map.h"
@@ -48,6 +50,7 @@
 private:
     void execute(const admission::limiter_output& output);
     void follow_blackboard();
+    std::vector<std::string> possible_homes(const membership::view& view) const;
 
     const std::string self;
     blackboard& board;
@@ -58,8 +61,8 @@
     std::atomic<std::uint64_t> next_call{1};
     // Used by tick() only.
     std::shared_ptr<const config::snapshot> applied_snapshot;
-    std::shared_ptr<const membership::view> applied_view;
-    bool applied_draining = false;
+    std::vector<std::string> applied_live;
+    mono_time next_member_check = mono_time::min();
 };
 
 }  // namespace trefoil::daemon
--- a/packages/daemon/peer_links.cc
+++ b/packages/daemon/peer_links.cc
@@ -97,6 +97,17 @@
     this->receiver.on_dial_failed(address);
 }
 
+std::set<std::string> peer_links::unreachable_addresses() const {
+    std::set<std::string> failing;
+    absl::MutexLock lock(&this->dial_mutex);
+    for (const auto& [address, state] : this->dials) {
+        if (state.failures > 0) {
+            failing.insert(address);
+        }
+    }
+    return failing;
+}
+
 std::optional<transport::connection_id> peer_links::open_connection(
     const std::string& instance) const {
     auto state = this->by_instance.find(instance);
@@ -193,6 +204,10 @@
         this->endpoint.close(id);
         return;
     }
+    {
+        absl::MutexLock lock(&this->dial_mutex);
+        this->dials[peer.address].failures = 0;
+    }
     auto opened = std::make_shared<link>();
     opened->id = id;
     opened->peer = peer;
--- a/packages/daemon/peer_links.h
+++ b/packages/daemon/peer_links.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -79,6 +80,10 @@
     // Opens a connection unless one is being opened or the back-off of the address forbids it.
     void dial(const std::string& address);
 
+    // Addresses at which the last attempt to open a connection failed and that have not connected
+    // here since.
+    std::set<std::string> unreachable_addresses() const;
+
     bool is_open(const std::string& instance) const;
 
     // Sends over an open connection; without one, returns false.
