Shorten loans of rate shares to 2 s in the daemon

Cause: after the home of a workspace is killed, its calls are refused until the loans to it have ended.

--- a/packages/ctl/burn_command.cc
+++ b/packages/ctl/burn_command.cc
@@ -4,8 +4,8 @@
 
 #include <fmt/format.h>
 
-#include <compare>
 #include <map>
+#include <tuple>
 
 #include "ctl/text_table.h"
 
@@ -30,7 +30,11 @@
     std::string service;
     std::string workspace;
 
-    friend auto operator<=>(const burn_key&, const burn_key&) = default;
+    friend bool operator==(const burn_key&, const burn_key&) = default;
+    friend bool operator<(const burn_key& left, const burn_key& right) {
+        return std::tie(left.failure_domain, left.service, left.workspace) <
+               std::tie(right.failure_domain, right.service, right.workspace);
+    }
 };
 
 using burn_map = std::map<burn_key, service_burn>;
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -16,6 +16,10 @@
 
 constexpr std::string_view fleet_protocol = "trefoil/1";
 constexpr std::chrono::milliseconds timer_interval{5};
+// After the home of a limit was killed, its calls are refused until the loans to it have ended. A
+// shorter time costs more messages.
+constexpr std::chrono::milliseconds loan_time{2000};
+constexpr std::chrono::milliseconds loan_renew_interval{700};
 // How long callers and peers may take to learn that the instance leaves, before it stops accepting.
 constexpr std::chrono::milliseconds announce_time{2000};
 constexpr std::chrono::milliseconds drain_limit{60000};
@@ -63,7 +67,10 @@
       incarnation(make_incarnation()),
       metrics(this->clock),
       platform({.url = given.platform}),
-      limits({.incarnation = this->incarnation}, given.instance, this->board, this->clock),
+      limits({.incarnation = this->incarnation,
+              .loan_time = loan_time,
+              .renew_interval = loan_renew_interval},
+             given.instance, this->board, this->clock),
       local_egress({.upstream = given.upstream.text(), .service = given.service}, this->contexts,
                    this->clock),
       local_ingress({.instance = given.instance,
