Carry the answer to a ping in the next ping

Cause: each connection carried four heartbeat frames in half a second, two pings and two pongs, which is the largest part of an idle daemon's control traffic once frame headers count. Change: a ping echoes the peer's last ping and says when it was read; only a ping without an echo, on a new connection, is answered at once. The receiver takes the time that the peer held the answer off the round trip.

--- a/packages/messages/codec.cc
+++ b/packages/messages/codec.cc
@@ -29,7 +29,7 @@
     return json::array({m.hmac});
 }
 json fields(const ping& m) {
-    return json::array({m.sent_us});
+    return json::array({m.sent_us, m.echo_us, m.clock_us});
 }
 json fields(const pong& m) {
     return json::array({m.echo_us, m.clock_us});
@@ -145,7 +145,7 @@
     in.read(m.hmac);
 }
 void read_fields(field_reader& in, ping& m) {
-    in.read(m.sent_us);
+    read_all(in, m.sent_us, m.echo_us, m.clock_us);
 }
 void read_fields(field_reader& in, pong& m) {
     read_all(in, m.echo_us, m.clock_us);
--- a/packages/messages/messages.h
+++ b/packages/messages/messages.h
@@ -37,12 +37,18 @@
     friend bool operator==(const proof&, const proof&) = default;
 };
 
+// A heartbeat. It carries the answer to the receiver's last ping, so that a connection needs one
+// frame for each interval and direction.
 struct ping {
     std::int64_t sent_us = 0;  // Sender's monotonic clock.
+    std::int64_t echo_us =
+        0;  // The `sent_us` of the last ping that the sender read; 0 before that.
+    std::int64_t clock_us = 0;  // Sender's monotonic clock when it read that ping.
 
     friend bool operator==(const ping&, const ping&) = default;
 };
 
+// Answers at once a ping that echoes none.
 struct pong {
     std::int64_t echo_us = 0;   // The `sent_us` of the ping.
     std::int64_t clock_us = 0;  // Responder's monotonic clock when it read the ping.
--- a/packages/messages/testing/codec_test.cc
+++ b/packages/messages/testing/codec_test.cc
@@ -24,7 +24,7 @@
 BOOST_AUTO_TEST_CASE(every_message_round_trips) {
     BOOST_TEST(round_trips(hello{"p", "i", 5, "d", "s", "svc", "127.0.0.1:1", "n"}));
     BOOST_TEST(round_trips(proof{"ab"}));
-    BOOST_TEST(round_trips(ping{-3}));
+    BOOST_TEST(round_trips(ping{-3, 4, 5}));
     BOOST_TEST(round_trips(pong{1, 2}));
     BOOST_TEST(round_trips(digest{true, 9, true, {{"base", 3, 4, 2}}, 100, 8, {0, 255}}));
     BOOST_TEST(round_trips(document_request{"base", 4}));
--- a/packages/transport/peer_endpoint.cc
+++ b/packages/transport/peer_endpoint.cc
@@ -2,6 +2,7 @@
 
 #include "transport/peer_endpoint.h"
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 #include <vector>
@@ -64,6 +65,16 @@
     std::atomic<std::int64_t> connected_us{0};
     std::atomic<std::int64_t> last_received_us{0};
     std::atomic<std::int64_t> last_ping_us{0};
+    // The peer's last ping and when it was read here. Both are 0 before the first one.
+    absl::Mutex echo_mutex;
+    std::int64_t peer_ping_us = 0;       // Guarded by echo_mutex.
+    std::int64_t peer_ping_read_us = 0;  // Guarded by echo_mutex.
+
+    messages::ping make_ping(std::int64_t now_us) {
+        absl::MutexLock lock(&this->echo_mutex);
+        return {
+            .sent_us = now_us, .echo_us = this->peer_ping_us, .clock_us = this->peer_ping_read_us};
+    }
 };
 
 peer_endpoint::peer_endpoint(peer_endpoint_options given, peer_events& receiver,
@@ -207,10 +218,31 @@
     peer.opened = true;
     std::int64_t now = to_microseconds(this->clock.now());
     peer.last_ping_us = now;
-    this->send(id, messages::ping{.sent_us = now});
+    this->send(id, peer.make_ping(now));
     this->events.on_open(id, *peer.peer, peer.outgoing);
 }
 
+// The time that the peer held our ping before it answered is taken off, so that the answer counts
+// as one that came at once. It cannot have come before our ping was sent: the clocks' rates differ.
+void peer_endpoint::on_ping(connection_id id, session& peer, const messages::ping& ping,
+                            mono_time received) {
+    {
+        absl::MutexLock lock(&peer.echo_mutex);
+        peer.peer_ping_us = ping.sent_us;
+        peer.peer_ping_read_us = to_microseconds(received);
+    }
+    if (ping.echo_us == 0) {
+        this->send(id,
+                   messages::pong{.echo_us = ping.sent_us, .clock_us = to_microseconds(received)});
+        return;
+    }
+    auto held = std::chrono::microseconds(ping.sent_us - ping.clock_us);
+    mono_time answered = std::max(received - held, from_microseconds(ping.echo_us));
+    this->events.on_message(id, *peer.peer,
+                            messages::pong{.echo_us = ping.echo_us, .clock_us = ping.clock_us},
+                            answered);
+}
+
 void peer_endpoint::on_disconnected(connection_id id) {
     auto found = this->sessions.take(id);
     if (this->stopping) {
@@ -255,22 +287,22 @@
     const std::int64_t heartbeat_us =
         std::chrono::microseconds(this->options.heartbeat_interval).count();
     std::vector<connection_id> silent;
-    std::vector<connection_id> due;
+    std::vector<std::pair<connection_id, std::shared_ptr<session>>> due;
     this->sessions.for_each([&](connection_id id, const std::shared_ptr<session>& each) {
         bool handshake_late = !each->opened && now_us - each->connected_us > silence_us;
         if (handshake_late || now_us - each->last_received_us > silence_us) {
             silent.push_back(id);
         } else if (each->opened && now_us - each->last_ping_us >= heartbeat_us) {
             each->last_ping_us = now_us;
-            due.push_back(id);
+            due.emplace_back(id, each);
         }
     });
     for (connection_id id : silent) {
         log(log_level::info, "peer_connection_silent", {{"connection", std::to_string(id)}});
         this->socket.drop(id);
     }
-    for (connection_id id : due) {
-        this->send(id, messages::ping{.sent_us = now_us});
+    for (const auto& [id, each] : due) {
+        this->send(id, each->make_ping(now_us));
     }
 }
 
--- a/packages/transport/peer_endpoint.h
+++ b/packages/transport/peer_endpoint.h
@@ -36,7 +36,8 @@
 public:
     virtual ~peer_events() = default;
     virtual void on_open(connection_id id, const messages::hello& peer, bool outgoing) = 0;
-    // Delivers every message except hello, proof and ping.
+    // Delivers every message except hello, proof and ping. The answer that a ping carries is
+    // delivered as a pong, with `received` less the time that the peer held it back.
     virtual void on_message(connection_id id, const messages::hello& peer,
                             messages::peer_message message, mono_time received) = 0;
     // `peer` is null when the connection never opened.
@@ -110,6 +111,7 @@
     void on_disconnected(connection_id id) override;
 
     void on_hello(connection_id id, session& peer, const messages::hello& hello);
+    void on_ping(connection_id id, session& peer, const messages::ping& ping, mono_time received);
     void on_proof(connection_id id, session& peer, const messages::proof& proof);
     void reject(connection_id id, const char* cause);
     void transmit(connection_id id, const messages::peer_message& message);
--- a/packages/transport/testing/peer_endpoint_test.cc
+++ b/packages/transport/testing/peer_endpoint_test.cc
@@ -5,6 +5,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <vector>
@@ -22,9 +23,11 @@
         this->opened.push_back(peer.instance);
     }
     void on_message(connection_id, const messages::hello&, messages::peer_message message,
-                    mono_time) override {
+                    mono_time time) override {
         absl::MutexLock lock(&this->mutex);
-        if (!std::holds_alternative<messages::pong>(message)) {
+        if (const auto* pong = std::get_if<messages::pong>(&message)) {
+            this->round_trips.push_back(time - from_microseconds(pong->echo_us));
+        } else {
             this->received.push_back(std::move(message));
         }
     }
@@ -45,6 +48,7 @@
     std::vector<connection_id> open_ids;
     std::vector<std::string> opened;
     std::vector<messages::peer_message> received;
+    std::vector<mono_duration> round_trips;  // As the answers to pings show them.
     int closed = 0;
 };
 
@@ -93,6 +97,24 @@
     }
 }
 
+// Guards against heartbeats that answer no ping, or whose interval counts as part of the round
+// trip: without a tight estimate of the peer's clock, calls would be refused or start after their
+// deadline.
+BOOST_AUTO_TEST_CASE(heartbeats_answer_pings_without_their_own_interval) {
+    node left("left", "a-shared-fleet-secret", 8);
+    node right("right", "a-shared-fleet-secret", 9);
+    left.endpoint.connect(right.address());
+    constexpr std::chrono::milliseconds half_interval{250};
+    for (recorder* side : {&left.events, &right.events}) {
+        BOOST_TEST(side->wait([&] {
+            auto tight = [&](mono_duration each) {
+                return each >= each.zero() && each < half_interval;
+            };
+            return std::count_if(side->round_trips.begin(), side->round_trips.end(), tight) >= 4;
+        }));
+    }
+}
+
 // Guards against a sender that does not know the fleet secret and is believed.
 BOOST_AUTO_TEST_CASE(peer_with_another_secret_is_rejected) {
     node left("left", "a-shared-fleet-secret", 2);
