Answer pings in the next ping, as intended

Ruled out: other senders (two endpoints alone sent 22 frames in 5 s). The test now also bounds the frames.

--- a/packages/daemon/admin.cc
+++ b/packages/daemon/admin.cc
@@ -167,6 +167,7 @@
     }
     transport::traffic_totals traffic = this->sources.links.totals();
     add("peer_connections", gauge(this->sources.links.open_count()), "Open peer connections.");
+    add("peer_frames_sent_total", traffic.frames_sent, "Frames sent to peers.");
     add("peer_bytes_sent_total", traffic.bytes_sent, "Bytes of all frames sent to peers.");
     add("peer_bytes_received_total", traffic.bytes_received, "Bytes of all frames from peers.");
     add("control_bytes_sent_total", traffic.control_bytes_sent, "Bytes sent, without calls.");
--- a/packages/transport/peer_endpoint.cc
+++ b/packages/transport/peer_endpoint.cc
@@ -185,8 +185,7 @@
     } else if (!peer.opened) {
         this->reject(id, "message_before_proof");
     } else if (auto* ping = std::get_if<messages::ping>(message)) {
-        this->send(id,
-                   messages::pong{.echo_us = ping->sent_us, .clock_us = to_microseconds(received)});
+        this->on_ping(id, peer, *ping, received);
     } else {
         this->events.on_message(id, *peer.peer, std::move(*message), received);
     }
--- a/packages/transport/testing/peer_endpoint_test.cc
+++ b/packages/transport/testing/peer_endpoint_test.cc
@@ -110,9 +110,13 @@
             auto tight = [&](mono_duration each) {
                 return each >= each.zero() && each < half_interval;
             };
-            return std::count_if(side->round_trips.begin(), side->round_trips.end(), tight) >= 4;
+            return std::count_if(side->round_trips.begin(), side->round_trips.end(), tight) >= 12;
         }));
     }
+    constexpr std::uint64_t handshake_and_in_flight = 8;
+    absl::MutexLock lock(&left.events.mutex);
+    BOOST_TEST(left.endpoint.totals().frames_sent <=
+               left.events.round_trips.size() + handshake_and_in_flight);
 }
 
 // Guards against a sender that does not know the fleet secret and is believed.
