--- a/cmake/trefoil.cmake
+++ b/cmake/trefoil.cmake
@@ -8,6 +8,9 @@
 
 # trefoil_test(NAME SOURCES... DEPENDS...) builds one Boost.Test program and registers it with CTest.
 function(trefoil_test name)
+  if(NOT TREFOIL_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(arg "" "" "SOURCES;DEPENDS" ${ARGN})
   add_executable(${name} ${arg_SOURCES})
   target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK)
--- a/packages/config/build_snapshot.cc
+++ b/packages/config/build_snapshot.cc
@@ -16,7 +16,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 3> fleet_wide_sections = {"fleet", "workspaces", "keys"};
+constexpr std::array<std::string_view, 4> fleet_wide_sections = {"version", "fleet", "workspaces",
+                                                                 "keys"};
 
 document_version version_of(const document& source) {
     return document_version{source.name, source.revision, source.checksum};
--- a/packages/config/difference.cc
+++ b/packages/config/difference.cc
@@ -18,8 +18,13 @@
     std::string name;
     std::string value;
     bool hidden = false;
+    bool optional = false;  // Left out of the summary of an entry while the value says "none".
 };
 
+field_text optional_field(std::string name, std::string value) {
+    return {.name = std::move(name), .value = std::move(value), .optional = true};
+}
+
 // The fields of one entry. All entries of a section have the same fields in the same order.
 using field_list = std::vector<field_text>;
 
@@ -28,21 +33,59 @@
 }
 
 field_list fields_of(const fleet& each) {
-    return {{"max_instances", fmt::to_string(each.max_instances)}};
+    return {{"max_instances", each.counts_list ? "listed" : fmt::to_string(each.max_instances)}};
+}
+
+std::string milliseconds_text(const std::optional<std::chrono::milliseconds>& value) {
+    return value ? fmt::format("{} ms", value->count()) : "none";
+}
+
+template <class Value>
+std::string text_or_none(const std::optional<Value>& value) {
+    return value ? fmt::to_string(*value) : "none";
+}
+
+std::string regions_text(const std::vector<std::string>& regions) {
+    return regions.empty() ? "none" : fmt::format("{}", fmt::join(regions, " "));
+}
+
+field_list fields_of(const caller_limits& each) {
+    return {{"max_header_bytes", fmt::to_string(each.max_header_bytes)},
+            {"max_body_bytes", fmt::to_string(each.max_body_bytes)},
+            {"header_timeout", milliseconds_text(each.header_timeout)},
+            {"idle_timeout", milliseconds_text(each.idle_timeout)}};
 }
 
 field_list fields_of(const service& each) {
     std::string availability = "none";
     std::string latency = "none";
+    std::string cold = "none";
+    if (each.cold) {
+        cold = fmt::format("{} a second for {} ms", each.cold->rate, each.cold->duration.count());
+    }
     if (each.objective) {
         availability = fmt::to_string(each.objective->availability);
         latency = fmt::format("{} ms", each.objective->latency.count());
     }
-    return {{"slots", fmt::to_string(each.slots)},
+    return {{"slots", each.slots_listed ? "listed" : fmt::to_string(each.slots)},
             {"timeout", fmt::format("{} ms", each.timeout.count())},
             {"queue", fmt::to_string(each.queue)},
             {"objective availability", availability},
-            {"objective latency", latency}};
+            {"objective latency", latency},
+            optional_field("health_path", each.health_path.empty() ? "none" : each.health_path),
+            optional_field("max_connections", text_or_none(each.max_connections)),
+            optional_field("cold", cold)};
+}
+
+std::string targets_text(const route& each) {
+    if (each.split.empty()) {
+        return each.service;
+    }
+    std::vector<std::string> parts;
+    for (const weighted_service& part : each.split) {
+        parts.push_back(fmt::format("{} {}", part.service, part.weight));
+    }
+    return fmt::format("{}", fmt::join(parts, " / "));
 }
 
 field_list fields_of(const route& each) {
@@ -50,13 +93,25 @@
         each.methods.empty() ? "all" : fmt::format("{}", fmt::join(each.methods, " "));
     std::string idempotent = each.idempotent ? yes_or_no(*each.idempotent) : "by method";
     bool serves = each.when_unconfirmed == unconfirmed_policy::serve;
-    return {{"path_prefix", each.path_prefix}, {"methods", methods},
-            {"service", each.service},         {"idempotent", idempotent},
-            {"open", yes_or_no(each.open)},    {"when_unconfirmed", serves ? "serve" : "refuse"}};
+    return {optional_field("host", each.host.empty() ? "none" : each.host),
+            {"path_prefix", each.path_prefix},
+            {"methods", methods},
+            {"service", targets_text(each)},
+            {"idempotent", idempotent},
+            {"open", yes_or_no(each.open)},
+            {"when_unconfirmed", serves ? "serve" : "refuse"},
+            optional_field("timeout", milliseconds_text(each.timeout)),
+            optional_field("latency objective", milliseconds_text(each.latency_objective)),
+            {"priority", fmt::to_string(each.priority)},
+            optional_field("attempts", text_or_none(each.attempts)),
+            optional_field("regions", regions_text(each.regions))};
 }
 
 field_list fields_of(const workspace& each) {
-    return {{"rate", fmt::to_string(each.rate)}, {"burst", fmt::to_string(each.burst)}};
+    return {{"rate", each.limited ? fmt::to_string(each.rate) : "unlimited"},
+            {"burst", each.limited ? fmt::to_string(each.burst) : "unlimited"},
+            optional_field("priority", text_or_none(each.priority)),
+            optional_field("regions", regions_text(each.regions))};
 }
 
 field_list fields_of(const access_key& each) {
@@ -88,7 +143,8 @@
                        const field_list& fields) {
     std::vector<std::string> shown;
     for (const field_text& each : fields) {
-        if (!each.hidden) {
+        bool unset = each.optional && each.value == "none";
+        if (!each.hidden && !unset) {
             shown.push_back(fmt::format("{} {}", each.name, each.value));
         }
     }
@@ -144,6 +200,8 @@
     const snapshot_contents& right = after.contents();
     std::vector<difference> differences;
     compare_fields("fleet", "", fields_of(left.fleet), fields_of(right.fleet), differences);
+    compare_fields("caller limits", "", fields_of(left.caller_limits),
+                   fields_of(right.caller_limits), differences);
     compare_entries("service", left.services, right.services, differences);
     compare_entries("route", routes_by_name(left), routes_by_name(right), differences);
     compare_entries("workspace", left.workspaces, right.workspaces, differences);
--- /dev/null
+++ b/packages/config/json_reader.cc
@@ -0,0 +1,134 @@
+// Reads documents that are JSON into the same tree as YAML ones. JSON is valid YAML, and documents
+// that programs write are usually JSON; nlohmann::json reads them many times faster than yaml-cpp.
+
+#include "config/json_reader.h"
+
+#include <nlohmann/json.hpp>
+#include <unordered_set>
+#include <utility>
+
+namespace trefoil::config::detail {
+
+namespace {
+
+using json = nlohmann::json;
+
+// Builds the tree from the events of nlohmann::json's SAX parser, which fixes the signatures.
+class tree_events final : public nlohmann::json_sax<json> {
+public:
+    explicit tree_events(const document& given) : source(given) {}
+
+    bool null() override { return this->add(this->make(yaml_kind::null)); }
+    bool boolean(bool value) override { return this->add_scalar(value ? "true" : "false", false); }
+    bool number_integer(number_integer_t value) override {
+        return this->add_scalar(std::to_string(value), false);
+    }
+    bool number_unsigned(number_unsigned_t value) override {
+        return this->add_scalar(std::to_string(value), false);
+    }
+    bool number_float(number_float_t, const string_t& text) override {
+        return this->add_scalar(text, false);
+    }
+    bool string(string_t& value) override { return this->add_scalar(std::move(value), true); }
+    bool binary(binary_t&) override { return false; }
+
+    bool start_object(std::size_t) override { return this->open_node(yaml_kind::map); }
+    bool key(string_t& name) override {
+        frame& parent = this->open.back();
+        parent.key = std::move(name);
+        if (!parent.keys.insert(parent.key).second) {
+            this->failures.emplace_back(
+                duplicate_key{{this->source.name, 1, child_path(this->parent_path(), parent.key)}});
+        }
+        return true;
+    }
+    bool end_object() override { return this->close_node(); }
+    bool start_array(std::size_t) override { return this->open_node(yaml_kind::sequence); }
+    bool end_array() override { return this->close_node(); }
+    bool parse_error(std::size_t, const std::string&, const json::exception&) override {
+        return false;
+    }
+
+    yaml_node root;
+    validation_failures failures;
+
+private:
+    struct frame {
+        yaml_node node;
+        std::string key;  // In a map: of the value that comes next.
+        std::unordered_set<std::string> keys;
+    };
+
+    yaml_node make(yaml_kind kind) const {
+        yaml_node made;
+        made.kind = kind;
+        made.document = this->source.name;
+        return made;
+    }
+
+    bool add_scalar(std::string text, bool quoted) {
+        yaml_node scalar = this->make(yaml_kind::scalar);
+        scalar.text = std::move(text);
+        scalar.quoted = quoted;
+        return this->add(std::move(scalar));
+    }
+
+    bool open_node(yaml_kind kind) {
+        this->open.push_back({.node = this->make(kind), .key = {}, .keys = {}});
+        return true;
+    }
+
+    bool close_node() {
+        yaml_node done = std::move(this->open.back().node);
+        this->open.pop_back();
+        return this->add(std::move(done));
+    }
+
+    bool add(yaml_node value) {
+        if (this->open.empty()) {
+            this->root = std::move(value);
+            return true;
+        }
+        frame& parent = this->open.back();
+        if (parent.node.kind == yaml_kind::sequence) {
+            parent.node.items.push_back(std::move(value));
+        } else {
+            parent.node.entries.push_back({parent.key, std::move(value)});
+        }
+        return true;
+    }
+
+    // Path of the innermost open map.
+    std::string parent_path() const {
+        std::string path;
+        for (std::size_t i = 0; i + 1 < this->open.size(); ++i) {
+            const frame& each = this->open[i];
+            path = each.node.kind == yaml_kind::sequence
+                       ? element_path(path, each.node.items.size())
+                       : child_path(path, each.key);
+        }
+        return path;
+    }
+
+    const document& source;
+    std::vector<frame> open;  // From the root inwards.
+};
+
+}  // namespace
+
+std::optional<result<yaml_node, validation_failures>> read_json(const document& source) {
+    std::size_t first = source.body.find_first_not_of(" \t\r\n");
+    if (first == std::string::npos || source.body[first] != '{') {
+        return std::nullopt;
+    }
+    tree_events events(source);
+    if (!json::sax_parse(source.body, &events)) {
+        return std::nullopt;
+    }
+    if (!events.failures.empty()) {
+        return std::move(events.failures);
+    }
+    return std::move(events.root);
+}
+
+}  // namespace trefoil::config::detail
--- /dev/null
+++ b/packages/config/route_section.cc
@@ -0,0 +1,188 @@
+// Reads the section `routes`.
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "base/text.h"
+#include "config/section_context.h"
+
+namespace trefoil::config::detail {
+
+namespace {
+
+constexpr std::size_t path_prefix_bytes_max = 1024;
+constexpr std::size_t host_bytes_max = 255;
+constexpr std::uint32_t attempts_max = 100;
+constexpr double weight_min = 1e-6;
+constexpr double weight_max = 1e9;
+
+class route_reader {
+public:
+    explicit route_reader(section_context& shared) : context(shared) {}
+
+    void read(const std::string& name, map_reader& entry) {
+        route each{.name = name};
+        each.host = this->read_host(entry.optional("host"));
+        yaml_field prefix = entry.required("path_prefix", "a path that starts with \"/\"");
+        each.path_prefix = this->read_path_prefix(prefix);
+        each.methods = this->read_methods(entry.optional("methods"));
+        this->read_targets(entry, each);
+        each.idempotent = read_boolean(entry.optional("idempotent"), this->context.sink);
+        each.open = read_boolean(entry.optional("open"), this->context.sink).value_or(false);
+        each.when_unconfirmed = this->read_policy(entry.optional("when_unconfirmed"));
+        each.timeout = this->context.read_milliseconds(entry.optional("timeout_ms"));
+        each.latency_objective =
+            this->context.read_milliseconds(entry.optional("latency_objective_ms"));
+        each.priority =
+            this->context.read_priority(entry.optional("priority")).value_or(default_priority);
+        each.attempts =
+            read_integer(entry.optional("attempts"), 1, attempts_max, this->context.sink);
+        each.regions =
+            this->context.read_names(entry.optional("regions"), "a list of names of regions");
+        this->check_overlap(each, prefix);
+        this->routes.push_back(std::move(each));
+    }
+
+    std::vector<route> take() { return std::move(this->routes); }
+
+private:
+    std::string read_host(const yaml_field& field) {
+        constexpr std::string_view expected = "a host name without a port";
+        std::string text = lower_case(read_text(field, expected, this->context.sink).value_or(""));
+        bool allowed =
+            text.size() <= host_bytes_max && std::all_of(text.begin(), text.end(), [](char c) {
+                return c > ' ' && c != 0x7f && c != '/' && c != ':';
+            });
+        if (!allowed) {
+            reject_value(field, expected, this->context.sink);
+        }
+        return text;
+    }
+
+    std::string read_path_prefix(const yaml_field& field) {
+        constexpr std::string_view expected =
+            "a path that starts with \"/\", without spaces, \"?\", \"#\" and dot segments";
+        std::string text = read_text(field, expected, this->context.sink).value_or("/");
+        bool printable =
+            std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c != 0x7f; });
+        bool has_dot_segment = (text + "/").find("/./") != std::string::npos ||
+                               (text + "/").find("/../") != std::string::npos;
+        bool allowed = !text.empty() && text.front() == '/' && printable && !has_dot_segment &&
+                       text.find_first_of("?#") == std::string::npos &&
+                       text.size() <= path_prefix_bytes_max;
+        if (!allowed) {
+            reject_value(field, expected, this->context.sink);
+        }
+        return text;
+    }
+
+    std::vector<std::string> read_methods(const yaml_field& field) {
+        constexpr std::string_view expected = "a method in capitals";
+        std::set<std::string> methods;
+        for (const yaml_field& element :
+             read_list(field, "a list of methods", this->context.sink)) {
+            std::optional<std::string> text = read_text(element, expected, this->context.sink);
+            if (!text) {
+                continue;
+            }
+            bool capitals = !text->empty() && std::all_of(text->begin(), text->end(), [](char c) {
+                return c >= 'A' && c <= 'Z';
+            });
+            if (!capitals) {
+                reject_value(element, expected, this->context.sink);
+            }
+            methods.insert(*text);
+        }
+        return {methods.begin(), methods.end()};
+    }
+
+    // A route names either one service or a split.
+    void read_targets(map_reader& entry, route& each) {
+        yaml_field split = entry.optional("split");
+        if (split.value == nullptr) {
+            each.service = this->read_service_reference(entry.required("service", "a name"));
+            return;
+        }
+        yaml_field service = entry.optional("service");
+        if (service.value != nullptr) {
+            this->context.sink.emplace_back(
+                conflicting_entries{service.where(), "either service or split"});
+        }
+        for (const yaml_field& element :
+             read_list(split, "a list of services with weights", this->context.sink)) {
+            this->read_part(element, each);
+        }
+        if (each.split.empty()) {
+            reject_value(split, "at least one service", this->context.sink);
+        }
+    }
+
+    void read_part(const yaml_field& element, route& each) {
+        map_reader part(element, this->context.sink);
+        yaml_field service = part.required("service", "a name");
+        yaml_field weight = part.required("weight", "a number");
+        std::string name = this->read_service_reference(service);
+        auto share = read_number(weight, 0, weight_max, this->context.sink);
+        part.reject_unknown();
+        if (share && *share >= weight_min) {
+            each.split.push_back({.service = std::move(name), .weight = *share});
+        }
+    }
+
+    std::string read_service_reference(const yaml_field& field) {
+        auto name = read_text(field, "the name of a service", this->context.sink);
+        if (name && !this->context.contents.services.contains(*name)) {
+            this->context.reject_reference(field, "the name of a service");
+        }
+        return name.value_or("");
+    }
+
+    unconfirmed_policy read_policy(const yaml_field& field) {
+        std::string text =
+            read_text(field, "refuse or serve", this->context.sink).value_or("refuse");
+        if (text != "refuse" && text != "serve") {
+            reject_value(field, "refuse or serve", this->context.sink);
+        }
+        return text == "serve" ? unconfirmed_policy::serve : unconfirmed_policy::refuse;
+    }
+
+    // With two routes for one request, the order of names would decide whether a key is needed.
+    void check_overlap(const route& added, const yaml_field& prefix) {
+        auto& earlier = this->by_place[{added.host, added.path_prefix}];
+        for (std::size_t index : earlier) {
+            const route& other = this->routes[index];
+            bool overlap = other.methods.empty() || added.methods.empty() ||
+                           std::any_of(added.methods.begin(), added.methods.end(),
+                                       [&](const auto& method) { return other.accepts(method); });
+            if (overlap && prefix.value != nullptr) {
+                this->context.sink.emplace_back(conflicting_entries{
+                    prefix.where(),
+                    fmt::format("a path prefix and methods that differ from route \"{}\"",
+                                other.name)});
+                break;
+            }
+        }
+        earlier.push_back(this->routes.size());
+    }
+
+    section_context& context;
+    std::vector<route> routes;
+    // Positions in `routes` by host and path prefix.
+    std::map<std::pair<std::string, std::string>, std::vector<std::size_t>> by_place;
+};
+
+}  // namespace
+
+void read_routes(section_context& context) {
+    route_reader reader(context);
+    context.for_each_entry(
+        context.sections.optional("routes"),
+        [&reader](const std::string& name, map_reader& entry) { reader.read(name, entry); });
+    context.contents.routes = route_table(reader.take());
+}
+
+}  // namespace trefoil::config::detail
--- a/packages/config/route_table.cc
+++ b/packages/config/route_table.cc
@@ -9,6 +9,8 @@
 #include <set>
 #include <utility>
 
+#include "base/text.h"
+
 namespace trefoil::config {
 
 namespace {
@@ -59,30 +61,37 @@
     return false;
 }
 
+// The host in lower case. An IPv6 address keeps its brackets.
+std::string host_without_port(std::string_view host) {
+    std::size_t bracket = host.rfind(']');
+    std::size_t colon = host.find(':', bracket == std::string_view::npos ? 0 : bracket);
+    return lower_case(host.substr(0, colon));
+}
+
 }  // namespace
 
 route_table::route_table(std::vector<route> routes) : entries(std::move(routes)) {
     std::sort(this->entries.begin(), this->entries.end(),
               [](const route& left, const route& right) { return left.name < right.name; });
-    std::set<std::size_t, std::greater<>> lengths;
+    std::unordered_map<std::string, std::set<std::size_t, std::greater<>>> lengths;
     for (std::size_t i = 0; i < this->entries.size(); ++i) {
-        const std::string& prefix = this->entries[i].path_prefix;
-        this->by_prefix[prefix].push_back(i);
-        lengths.insert(prefix.size());
+        const route& each = this->entries[i];
+        this->by_host[each.host].by_prefix[each.path_prefix].push_back(i);
+        lengths[each.host].insert(each.path_prefix.size());
+    }
+    for (const auto& [host, sizes] : lengths) {
+        this->by_host[host].prefix_lengths.assign(sizes.begin(), sizes.end());
     }
-    this->prefix_lengths.assign(lengths.begin(), lengths.end());
 }
 
-route_lookup route_table::find(std::string_view method, std::string_view target) const {
-    std::string_view path = target.substr(0, target.find('?'));
-    if (has_dot_segment(path)) {
-        return no_route{};
-    }
-    std::set<std::string> allowed;
-    for (std::size_t length : this->prefix_lengths) {
-        auto found = length <= path.size() ? this->by_prefix.find(path.substr(0, length))
-                                           : this->by_prefix.end();
-        if (found == this->by_prefix.end()) {
+// Returns the route of the longest prefix that accepts the method, or null after adding the methods
+// of the routes that match otherwise.
+const route* route_table::find_at(const host_routes& host, std::string_view method,
+                                  std::string_view path, std::set<std::string>& allowed) const {
+    for (std::size_t length : host.prefix_lengths) {
+        auto found = length <= path.size() ? host.by_prefix.find(path.substr(0, length))
+                                           : host.by_prefix.end();
+        if (found == host.by_prefix.end()) {
             continue;
         }
         for (std::size_t index : found->second) {
@@ -93,6 +102,26 @@
             allowed.insert(candidate.methods.begin(), candidate.methods.end());
         }
     }
+    return nullptr;
+}
+
+route_lookup route_table::find(std::string_view host, std::string_view method,
+                               std::string_view target) const {
+    std::string_view path = target.substr(0, target.find('?'));
+    if (has_dot_segment(path)) {
+        return no_route{};
+    }
+    std::set<std::string> allowed;
+    std::string named = host_without_port(host);
+    for (std::string_view key : {std::string_view(named), std::string_view()}) {
+        auto routes = this->by_host.find(key);
+        if (routes == this->by_host.end()) {
+            continue;
+        }
+        if (const route* found = this->find_at(routes->second, method, path, allowed)) {
+            return found;
+        }
+    }
     if (allowed.empty()) {
         return no_route{};
     }
--- a/packages/config/route_table.h
+++ b/packages/config/route_table.h
@@ -11,6 +11,7 @@
 #define TREFOIL_CONFIG_ROUTE_TABLE_H_
 
 #include <cstddef>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -45,7 +46,12 @@
     // Finds the route for a method and a target; a query ("?...") is not considered. A path with
     // "." or ".." segments, also percent-encoded ones, has no route, because the upstream could
     // resolve it to a path that belongs to another route, and so bypass the key check.
-    route_lookup find(std::string_view method, std::string_view target) const;
+    route_lookup find(std::string_view method, std::string_view target) const {
+        return this->find("", method, target);
+    }
+    // Routes of the named host go before routes without a host. A port in `host` is not considered.
+    route_lookup find(std::string_view host, std::string_view method,
+                      std::string_view target) const;
 
     const std::vector<route>& routes() const { return this->entries; }
 
@@ -54,11 +60,20 @@
     }
 
 private:
+    template <class Value>
+    using text_map = std::unordered_map<std::string, Value, detail::string_hash, std::equal_to<>>;
+
+    struct host_routes {
+        // Positions in `entries`, never pointers, so that a copied table is independent.
+        text_map<std::vector<std::size_t>> by_prefix;
+        std::vector<std::size_t> prefix_lengths;  // Unique and descending.
+    };
+
+    const route* find_at(const host_routes& host, std::string_view method, std::string_view path,
+                         std::set<std::string>& allowed) const;
+
     std::vector<route> entries;  // Sorted by name.
-    // Positions in `entries`, never pointers, so that a copied table is independent.
-    std::unordered_map<std::string, std::vector<std::size_t>, detail::string_hash, std::equal_to<>>
-        by_prefix;
-    std::vector<std::size_t> prefix_lengths;  // Unique and descending.
+    text_map<host_routes> by_host;
 };
 
 }  // namespace trefoil::config
--- a/packages/config/snapshot.h
+++ b/packages/config/snapshot.h
@@ -36,8 +36,10 @@
 // invariants stated in values.h.
 struct snapshot_contents {
     document_version base;
-    document_version overlay;  // Revision 0 when there is no overlay.
+    document_version overlay;   // Revision 0 when there is no overlay.
+    std::uint64_t version = 0;  // Given by the operators; 0 when the base document has none.
     config::fleet fleet;
+    config::caller_limits caller_limits{};
     std::map<std::string, service, std::less<>> services{};
     route_table routes;
     std::map<std::string, workspace, std::less<>> workspaces{};
@@ -58,6 +60,11 @@
     route_lookup find_route(std::string_view method, std::string_view path) const {
         return this->values.routes.find(method, path);
     }
+    // `host` is the value of the header Host, with or without a port.
+    route_lookup find_route(std::string_view host, std::string_view method,
+                            std::string_view path) const {
+        return this->values.routes.find(host, method, path);
+    }
 
     // Returns null when there is no such entry.
     const service* find_service(std::string_view name) const;
@@ -74,7 +81,9 @@
     // Whether operators took out the instance or its failure domain.
     bool is_taken_out(std::string_view instance, std::string_view failure_domain) const;
 
+    std::uint64_t version() const { return this->values.version; }
     const config::fleet& fleet() const { return this->values.fleet; }
+    const config::caller_limits& caller_limits() const { return this->values.caller_limits; }
     const snapshot_contents& contents() const { return this->values; }
 
     friend bool operator==(const snapshot& left, const snapshot& right) {
--- a/packages/config/testing/build_snapshot_test.cc
+++ b/packages/config/testing/build_snapshot_test.cc
@@ -164,7 +164,7 @@
 BOOST_AUTO_TEST_CASE(bad_values_are_reported_with_place) {
     expect_failure("slots: 4", "slots: 4, slot: 5",
                    "base:4: services.dosing.slot: unknown field, expected one of slots, "
-                   "timeout_ms, queue, objective");
+                   "timeout_ms, queue, objective, health_path, max_connections, cold");
     expect_failure("slots: 4", "slots: \"4\"",
                    "base:4: services.dosing.slots: expected an integer from 1 to 100000, found a "
                    "quoted text");
@@ -189,8 +189,9 @@
                    "without spaces, \"?\", \"#\" and dot segments, found \"dosing/\"");
     expect_failure("fleet: {max_instances: 12}", "flee: {max_instances: 12}",
                    "base:1: fleet: missing field, expected a map with max_instances\n"
-                   "base:1: flee: unknown field, expected one of fleet, services, routes, "
-                   "workspaces, keys, failure_domains, instances");
+                   "base:1: flee: unknown field, expected one of version, fleet, "
+                   "caller_limits, services, routes, workspaces, keys, failure_domains, "
+                   "instances");
 }
 
 // Guards against one of two routes being chosen by accident, which could skip the key check.
--- a/packages/config/values.cc
+++ b/packages/config/values.cc
@@ -1,4 +1,4 @@
-// Implements the decisions that a route takes by method.
+// Implements what a route decides by its own fields.
 
 #include "config/values.h"
 
@@ -15,4 +15,11 @@
     return this->idempotent.value_or(method == "GET" || method == "HEAD");
 }
 
+std::vector<weighted_service> route::targets() const {
+    if (!this->split.empty()) {
+        return this->split;
+    }
+    return {{.service = this->service, .weight = 1}};
+}
+
 }  // namespace trefoil::config
--- a/packages/config/yaml_reader.cc
+++ b/packages/config/yaml_reader.cc
@@ -11,6 +11,8 @@
 #include <unordered_set>
 #include <utility>
 
+#include "config/json_reader.h"
+
 #include "config/yaml_node.h"
 
 namespace trefoil::config {
@@ -218,6 +220,9 @@
         return validation_failures{
             malformed_document{{source.name, 1, ""}, "a document of at most 1 MiB"}};
     }
+    if (auto tree = detail::read_json(source)) {
+        return std::move(*tree);
+    }
     tree_builder builder(source, options);
     parse(source, builder);
     if (!builder.failures.empty()) {
--- a/packages/daemon/control_loop.cc
+++ b/packages/daemon/control_loop.cc
@@ -20,19 +20,19 @@
 // The three documents can be watched at once, and one thread is left for a read between watches.
 constexpr int platform_threads = 4;
 
-dissemination::platform_answer to_answer(platform::read_result result) {
+dissemination::platform_answer to_answer(source::read_result result) {
     return std::visit(
-        overloaded{[](platform::document& found) -> dissemination::platform_answer {
+        overloaded{[](source::document& found) -> dissemination::platform_answer {
                        return dissemination::platform_document{.revision = found.revision,
                                                                .body = std::move(found.body)};
                    },
-                   [](platform::unchanged& same) -> dissemination::platform_answer {
+                   [](source::unchanged& same) -> dissemination::platform_answer {
                        return dissemination::platform_unchanged{.revision = same.revision};
                    },
-                   [](platform::absent&) -> dissemination::platform_answer {
+                   [](source::absent&) -> dissemination::platform_answer {
                        return dissemination::platform_absent{};
                    },
-                   [](platform::unavailable&) -> dissemination::platform_answer {
+                   [](source::unavailable&) -> dissemination::platform_answer {
                        return dissemination::platform_unavailable{};
                    }},
         result);
@@ -91,9 +91,12 @@
 
 }  // namespace
 
-control_loop::control_loop(const dissemination::core_options& given, blackboard& shared,
-                           platform::configuration_service& service, const time_source& time)
+control_loop::control_loop(const dissemination::core_options& given, const messages::hello& self,
+                           blackboard& shared, source::configuration_service& service,
+                           const time_source& time)
     : options(given),
+      own_record(record_of(self)),
+      incarnation(self.incarnation),
       board(shared),
       platform(service),
       clock(time),
@@ -143,7 +146,10 @@
 
 void control_loop::run() {
     while (!this->stopping) {
-        this->feed([this](mono_time now) { this->core.tick(now); });
+        this->feed([this](mono_time now) {
+            this->tracker.contact(now, this->own_record, this->incarnation);
+            this->core.tick(now);
+        });
         this->links->tick();
         std::this_thread::sleep_for(tick_interval);
     }
@@ -319,9 +325,9 @@
 }
 
 void control_loop::read_platform(const dissemination::read_document& read) {
-    platform::read_result result =
+    source::read_result result =
         this->platform.read({.name = read.name, .after = read.after, .wait = read.wait});
-    bool no_overlay = std::holds_alternative<platform::absent>(result) &&
+    bool no_overlay = std::holds_alternative<source::absent>(result) &&
                       read.name == config::overlay_document_name(this->options.site);
     dissemination::platform_answer answer = to_answer(std::move(result));
     this->feed([&](mono_time now) {
--- a/packages/daemon/control_loop.h
+++ b/packages/daemon/control_loop.h
@@ -27,15 +27,17 @@
 #include "daemon/peer_links.h"
 #include "dissemination/core.h"
 #include "membership/tracker.h"
-#include "platform/configuration_service.h"
+#include "source/configuration_service.h"
 
 namespace trefoil::daemon {
 
 // Safe for concurrent use.
 class control_loop {
 public:
-    control_loop(const dissemination::core_options& options, blackboard& board,
-                 platform::configuration_service& platform, const time_source& clock);
+    // `self` is how this daemon introduces itself to peers.
+    control_loop(const dissemination::core_options& options, const messages::hello& self,
+                 blackboard& board, source::configuration_service& platform,
+                 const time_source& clock);
     ~control_loop();
     control_loop(const control_loop&) = delete;
     control_loop& operator=(const control_loop&) = delete;
@@ -69,8 +71,11 @@
     bool has_reads_or_stops() const { return this->stopping || !this->reads.empty(); }
 
     const dissemination::core_options options;
+    // A daemon is in contact with itself, also when it hears no peer.
+    const membership::instance_record own_record;
+    const std::uint64_t incarnation;
     blackboard& board;
-    platform::configuration_service& platform;
+    source::configuration_service& platform;
     const time_source& clock;
     peer_links* links = nullptr;
 
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -20,9 +20,6 @@
 // shorter time costs more messages.
 constexpr std::chrono::milliseconds loan_time{2000};
 constexpr std::chrono::milliseconds loan_renew_interval{700};
-// How long callers and peers may take to learn that the instance leaves, before it stops accepting.
-constexpr std::chrono::milliseconds announce_time{2000};
-constexpr std::chrono::milliseconds drain_limit{60000};
 
 // Start time in microseconds with random low bits, so that two starts in one microsecond differ and
 // a later start is greater.
@@ -44,7 +41,18 @@
             .address = options.listen.peers.text()};
 }
 
-dissemination::core_options make_core_options(const settings& options) {
+// Reads of a mirror cost nothing, so every daemon is a reader and asks again at once.
+void use_mirror(dissemination::core_options& core) {
+    constexpr std::size_t every_daemon = 1'000'000;
+    constexpr std::chrono::milliseconds short_interval{200};
+    core.readers_per_domain = every_daemon;
+    core.read_interval = short_interval;
+    core.longest_backoff = short_interval;
+    core.first_read_spread = short_interval;
+    core.start_patience = std::chrono::milliseconds(500);
+}
+
+dissemination::core_options make_core_options(const settings& options, bool mirrors) {
     dissemination::core_options core{.instance = options.instance,
                                      .failure_domain = options.failure_domain,
                                      .site = options.site,
@@ -52,6 +60,9 @@
     for (const socket_address& seed : options.seeds) {
         core.seeds.push_back(seed.text());
     }
+    if (mirrors) {
+        use_mirror(core);
+    }
     return core;
 }
 
@@ -62,23 +73,29 @@
 
 }  // namespace
 
-daemon::daemon(const settings& given)
+daemon::daemon(const settings& given, platform_binding bound)
     : options(given),
+      platform(std::move(bound)),
       incarnation(make_incarnation()),
       metrics(this->clock),
-      platform({.url = given.platform}),
       limits({.incarnation = this->incarnation,
               .loan_time = loan_time,
               .renew_interval = loan_renew_interval},
              given.instance, this->board, this->clock),
-      local_egress({.upstream = given.upstream.text(), .service = given.service}, this->contexts,
-                   this->clock),
+      local_egress({.upstream = given.upstream.text(),
+                    .service = given.service,
+                    .headers = this->platform.headers},
+                   this->contexts, this->clock),
       local_ingress({.instance = given.instance,
                      .incarnation = this->incarnation,
-                     .failure_domain = given.failure_domain},
+                     .failure_domain = given.failure_domain,
+                     .service = given.service,
+                     .headers = this->platform.headers},
                     this->board, this->limits, this->contexts, this->local_egress, this->metrics,
                     this->clock),
-      control(make_core_options(given), this->board, this->platform, this->clock),
+      control(make_core_options(given, this->platform.mirrors),
+              make_hello(given, this->incarnation), this->board, *this->platform.service,
+              this->clock),
       links({.endpoint = {.self = make_hello(given, this->incarnation),
                           .fleet_secret = given.fleet_secret}},
             *this, this->clock),
@@ -143,13 +160,13 @@
     this->local_egress.drain();
     this->control.begin_leaving();
     this->callers_server.begin_close();
-    std::this_thread::sleep_for(announce_time);
+    std::this_thread::sleep_for(this->options.stop.announce);
     this->callers_server.stop_accepting();
-    this->wait_until_idle(drain_limit);
+    this->wait_until_idle(this->options.stop.limit);
     this->stopping = true;
     this->callers_server.stop();
     this->admin_server.stop();
-    this->platform.stop();
+    this->platform.service->stop();
     this->control.stop();
     if (this->timer.joinable()) {
         this->timer.join();
@@ -192,9 +209,7 @@
     this->applied_snapshot = snapshot;
     this->applied_view = view;
     this->metrics.set_objectives(*snapshot);
-    if (const config::service* own = snapshot->find_service(this->options.service)) {
-        this->local_egress.configure(own->slots, own->queue);
-    }
+    this->follow_own_record(*snapshot, view.get());
     auto availability = gate::upstream_availability::available;
     if (snapshot->is_taken_out(this->options.instance, this->options.failure_domain)) {
         availability = gate::upstream_availability::taken_out;
@@ -204,6 +219,22 @@
     this->local_egress.set_availability(availability);
 }
 
+// Takes over what the configuration and the list say of the upstream beside this daemon.
+void daemon::follow_own_record(const config::snapshot& snapshot, const membership::view* view) {
+    const membership::member* own = view == nullptr ? nullptr : view->find(this->options.instance);
+    const membership::instance_record* record =
+        own != nullptr && own->listed ? own->record.get() : nullptr;
+    if (record != nullptr) {
+        this->local_egress.set_upstream(record->upstream);
+    }
+    const config::service* service = snapshot.find_service(this->options.service);
+    if (service == nullptr) {
+        return;
+    }
+    bool listed = service->slots_listed && record != nullptr && record->slots > 0;
+    this->local_egress.configure(listed ? record->slots : service->slots, service->queue);
+}
+
 void daemon::on_link_open(const messages::hello& peer, bool first) {
     this->control.on_link_open(peer, first);
 }
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -2,7 +2,7 @@
 //
 // Example:
 //
-//     daemon::daemon process(settings);
+//     daemon::daemon process(settings, daemon::bind_documents(settings));
 //     auto outcome = process.start();
 //     ... wait for SIGTERM ...
 //     process.drain_and_stop();
@@ -26,10 +26,11 @@
 #include "daemon/ingress.h"
 #include "daemon/limit_service.h"
 #include "daemon/peer_links.h"
+#include "daemon/platform_binding.h"
 #include "daemon/request_metrics.h"
 #include "daemon/settings.h"
 #include "edge/http_server.h"
-#include "platform/http_configuration_service.h"
+#include "membership/view.h"
 
 namespace trefoil::daemon {
 
@@ -47,7 +48,7 @@
 
 class daemon final : private link_receiver {
 public:
-    explicit daemon(const settings& given);
+    daemon(const settings& given, platform_binding bound);
     ~daemon() override;
     daemon(const daemon&) = delete;
     daemon& operator=(const daemon&) = delete;
@@ -68,15 +69,16 @@
 
     void run_timer();
     void follow_blackboard();
+    void follow_own_record(const config::snapshot& snapshot, const membership::view* view);
     void wait_until_idle(std::chrono::milliseconds limit);
 
     const settings options;
+    const platform_binding platform;
     const std::uint64_t incarnation;
     steady_time_source clock;
     blackboard board;
     admission::context_table contexts;
     request_metrics metrics;
-    platform::http_configuration_service platform;
     limit_service limits;
     egress local_egress;
     ingress local_ingress;
--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -15,6 +15,7 @@
 constexpr unsigned status_bad_gateway = 502;
 constexpr unsigned status_gateway_timeout = 504;
 constexpr unsigned status_server_error = 500;
+constexpr unsigned status_misdirected = 421;
 
 gate::call_result_kind kind_of_status(unsigned status) {
     if (status == status_shed || status == status_rate_limited) {
@@ -42,9 +43,49 @@
                                                     : gate::call_result_kind::failed;
 }
 
-messages::call_result result_of(edge::upstream_result result) {
+// The reason of a response with which the upstream says that it did not run the request.
+std::string reason_of_rejection(unsigned status) {
+    return status == status_misdirected ? "no_upstream" : "overloaded";
+}
+
+// Whether the response cannot be the upstream's own to this request.
+bool is_foreign(const edge::header_profile& names, const edge::http_response& response,
+                const std::string& request_id) {
+    auto echoed = edge::find_header(response.headers, names.request_id);
+    if (!request_id.empty() && echoed.has_value() && *echoed != request_id) {
+        return true;
+    }
+    bool success = response.status >= 200 && response.status < 300;
+    return success && !names.signature.empty() &&
+           !edge::find_header(response.headers, names.signature).has_value();
+}
+
+// Replaces responses that say something else than what they seem to.
+edge::upstream_result check_response(const edge::header_profile& names,
+                                     edge::upstream_result result, const std::string& request_id) {
+    auto* response = std::get_if<edge::http_response>(&result);
+    if (response == nullptr) {
+        return result;
+    }
+    if (is_foreign(names, *response, request_id)) {
+        return edge::response_lost{.detail = "the response belongs to another request"};
+    }
+    return result;
+}
+
+bool is_rejection(const edge::header_profile& names, const edge::http_response& response) {
+    return response.status == status_misdirected ||
+           edge::find_header(response.headers, names.not_run).has_value();
+}
+
+messages::call_result result_of(const edge::header_profile& names, edge::upstream_result result) {
     messages::call_result answer;
     if (auto* response = std::get_if<edge::http_response>(&result)) {
+        if (is_rejection(names, *response)) {
+            answer.outcome = messages::call_outcome::not_run;
+            answer.reason = reason_of_rejection(response->status);
+            return answer;
+        }
         answer.outcome = messages::call_outcome::answered;
         answer.status = response->status;
         answer.headers = edge::forwardable(response->headers);
@@ -130,9 +171,19 @@
                                    .deadline = call.deadline,
                                    .idempotent = call.call.idempotent,
                                    .cancelled = call.cancelled};
-    request.headers.push_back({.name = "Trefoil-Context", .value = handle});
-    request.headers.push_back({.name = "Trefoil-Deadline-Ms",
-                               .value = std::to_string(std::max<std::int64_t>(left.count(), 1))});
+    const edge::header_profile& names = this->options.headers;
+    auto add = [&request](const std::string& name, std::string value) {
+        if (!name.empty() && !value.empty()) {
+            request.headers.push_back({.name = name, .value = std::move(value)});
+        }
+    };
+    auto upstream = this->upstream_id.read();
+    add(names.request_id, call.call.request_id);
+    add(names.context, handle);
+    add(names.deadline, std::to_string(std::max<std::int64_t>(left.count(), 1)));
+    add(names.workspace, call.call.workspace);
+    add(names.caller_service, call.call.caller_service);
+    add(names.expected_upstream, upstream == nullptr ? "" : *upstream);
     return request;
 }
 
@@ -163,8 +214,10 @@
     mono_duration latency = now - call.started;
     this->upstream_busy_us += static_cast<std::uint64_t>(
         std::chrono::duration_cast<std::chrono::microseconds>(latency).count());
+    const edge::header_profile& names = this->options.headers;
+    result = check_response(names, std::move(result), call.call.request_id);
     gate::gate_changes changes = this->gate.finish(id, kind_of(result), latency, now);
-    messages::call_result answer = result_of(std::move(result));
+    messages::call_result answer = result_of(names, std::move(result));
     answer.sequence = id.sequence;
     answer.load = this->gate.load();
     if (answer.outcome == messages::call_outcome::answered) {
@@ -240,6 +293,10 @@
     this->apply(this->gate.configure(slots, queue, this->clock.now()));
 }
 
+void egress::set_upstream(std::string id) {
+    this->upstream_id.publish(std::make_shared<const std::string>(std::move(id)));
+}
+
 egress_totals egress::totals() const {
     return {.started = this->started,
             .answered = this->answered,
--- a/packages/daemon/egress.h
+++ b/packages/daemon/egress.h
@@ -15,8 +15,10 @@
 #include <string>
 
 #include "admission/context_table.h"
+#include "base/board_slot.h"
 #include "base/sharded_map.h"
 #include "base/time.h"
+#include "edge/header_profile.h"
 #include "edge/upstream_client.h"
 #include "gate/upstream_gate.h"
 #include "messages/messages.h"
@@ -26,6 +28,7 @@
 struct egress_options {
     std::string upstream;  // "ip:port".
     std::string service;   // Calls for another service are refused.
+    edge::header_profile headers = {};
 };
 
 using result_callback = std::function<void(messages::call_result)>;
@@ -68,6 +71,8 @@
 
     bool idle() const { return this->gate.idle() && this->calls.size() == 0; }
     void set_availability(gate::upstream_availability availability);
+    // The identity that requests name as the expected upstream; empty when it is not known.
+    void set_upstream(std::string id);
     void configure(std::uint32_t slots, std::size_t queue);
     messages::load_report load() const { return this->gate.load(); }
     egress_totals totals() const;
@@ -96,6 +101,7 @@
     const time_source& clock;
     gate::upstream_gate gate;
     sharded_map<gate::call_id, std::shared_ptr<held_call>> calls;
+    board_slot<std::string> upstream_id;
     std::atomic<std::uint64_t> started{0};
     std::atomic<std::uint64_t> answered{0};
     std::atomic<std::uint64_t> refused{0};
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -81,7 +81,9 @@
     : options(std::move(given)),
       board(shared),
       limits(limiter),
-      acceptance({.confirmation_limit = this->options.confirmation_limit}, shared, handles),
+      acceptance({.confirmation_limit = this->options.confirmation_limit,
+                  .headers = this->options.headers},
+                 shared, handles, this->splits),
       local(own_egress),
       observer(watcher),
       clock(time),
@@ -113,7 +115,8 @@
         this->respond_refused(call, *refusal);
         return;
     }
-    call->message.headers = edge::forwardable(request.headers);
+    call->message.caller_service = this->options.service;
+    call->message.headers = edge::forwardable_request(this->options.headers, request.headers);
     call->message.body = std::move(request.body);
     this->budget.count_call(call->arrived);
     if (call->nested || call->message.workspace.empty()) {
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -25,10 +25,12 @@
 #include "daemon/peer_links.h"
 #include "daemon/refusal.h"
 #include "daemon/request_acceptance.h"
+#include "edge/header_profile.h"
 #include "edge/http_server.h"
 #include "routing/load_table.h"
 #include "routing/retry_budget.h"
 #include "routing/retry_policy.h"
+#include "routing/traffic_split.h"
 #include "routing/upstream_picker.h"
 
 namespace trefoil::daemon {
@@ -56,7 +58,9 @@
     std::string instance;
     std::uint64_t incarnation = 0;
     std::string failure_domain;
+    std::string service;  // Of the upstream beside the daemon.
     std::chrono::milliseconds confirmation_limit{4000};
+    edge::header_profile headers = {};
 };
 
 // Safe for concurrent use.
@@ -105,6 +109,7 @@
     const ingress_options options;
     blackboard& board;
     limit_service& limits;
+    routing::traffic_split splits;
     const request_acceptance acceptance;
     egress& local;
     request_observer& observer;
--- a/packages/daemon/limit_service.cc
+++ b/packages/daemon/limit_service.cc
@@ -52,7 +52,9 @@
         this->applied_snapshot = snapshot;
         std::vector<admission::workspace_limit> limits;
         for (const auto& [name, each] : snapshot->contents().workspaces) {
-            limits.push_back({.workspace = name, .rate = each.rate, .burst = each.burst});
+            if (each.limited) {
+                limits.push_back({.workspace = name, .rate = each.rate, .burst = each.burst});
+            }
         }
         this->limiter.set_limits(limits, static_cast<int>(snapshot->fleet().max_instances),
                                  this->clock.now());
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -5,12 +5,14 @@
 #include <boost/program_options.hpp>
 #include <csignal>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <variant>
 
 #include "base/log.h"
 #include "daemon/daemon.h"
 #include "daemon/settings.h"
+#include "platform/binding.h"
 
 namespace {
 
@@ -32,10 +34,28 @@
     return signals;
 }
 
+// The adapters that this build knows.
+std::optional<trefoil::daemon::platform_binding> bind_platform(
+    const trefoil::daemon::settings& settings) {
+    if (settings.platform_protocol == "documents") {
+        return trefoil::daemon::bind_documents(settings);
+    }
+    if (settings.platform_protocol == "metadata_store") {
+        return trefoil::metadata_store::bind(settings);
+    }
+    return std::nullopt;
+}
+
 int run(const trefoil::daemon::settings& settings) {
     sigset_t signals = block_end_signals();
     trefoil::set_log_level(settings.log_level);
-    trefoil::daemon::daemon process(settings);
+    auto binding = bind_platform(settings);
+    if (!binding.has_value()) {
+        std::cerr << "trefoild: platform_protocol: expected documents or metadata_store, found \""
+                  << settings.platform_protocol << "\"\n";
+        return exit_usage;
+    }
+    trefoil::daemon::daemon process(settings, std::move(*binding));
     auto outcome = process.start();
     if (const auto* failure = std::get_if<trefoil::daemon::start_failure>(&outcome)) {
         std::cerr << "trefoild: " << failure->field << ": cannot listen on " << failure->address
--- a/packages/daemon/request_acceptance.cc
+++ b/packages/daemon/request_acceptance.cc
@@ -11,11 +11,15 @@
 
 namespace trefoil::daemon {
 
-namespace {
+request_acceptance::request_acceptance(request_acceptance_options given, const blackboard& shared,
+                                       const admission::context_table& handles,
+                                       routing::traffic_split& shares)
+    : options(std::move(given)), board(shared), contexts(handles), splits(shares) {}
 
 // A route that says "not idempotent" is believed over its callers.
-bool is_idempotent(const config::route& route, const edge::http_request& request) {
-    auto marker = edge::find_header(request.headers, "Trefoil-Idempotent");
+bool request_acceptance::is_idempotent(const config::route& route,
+                                       const edge::http_request& request) const {
+    auto marker = edge::find_header(request.headers, this->options.headers.idempotent);
     if (marker == "false") {
         return false;
     }
@@ -25,12 +29,16 @@
     return route.idempotent_for(request.method);
 }
 
-// The caller's time limit, at most that of the service; nothing when the header is malformed.
-std::optional<std::chrono::milliseconds> time_limit(const config::service& service,
-                                                    const edge::http_request& request) {
-    auto header = edge::find_header(request.headers, "Trefoil-Deadline-Ms");
+// The caller's time limit, at most that of the route and its service; nothing when the header is
+// malformed.
+std::optional<std::chrono::milliseconds> request_acceptance::time_limit(
+    const config::snapshot& snapshot, const config::route& route,
+    const edge::http_request& request) const {
+    const config::service* service = snapshot.find_service(route.targets().front().service);
+    std::chrono::milliseconds longest = route.timeout.value_or(service->timeout);
+    auto header = edge::find_header(request.headers, this->options.headers.deadline);
     if (!header.has_value()) {
-        return service.timeout;
+        return longest;
     }
     std::int64_t limit_ms = 0;
     const char* end = header->data() + header->size();
@@ -38,14 +46,18 @@
     if (parsed.ec != std::errc() || parsed.ptr != end || limit_ms < 1) {
         return std::nullopt;
     }
-    return std::min(std::chrono::milliseconds(limit_ms), service.timeout);
+    return std::min(std::chrono::milliseconds(limit_ms), longest);
 }
 
-}  // namespace
+namespace {
 
-request_acceptance::request_acceptance(request_acceptance_options given, const blackboard& shared,
-                                       const admission::context_table& handles)
-    : options(given), board(shared), contexts(handles) {}
+std::uint32_t priority_of(const config::snapshot& snapshot, const config::route& route,
+                          const std::string& workspace) {
+    const config::workspace* owner = snapshot.find_workspace(workspace);
+    return owner == nullptr ? route.priority : owner->priority.value_or(route.priority);
+}
+
+}  // namespace
 
 std::optional<call_refusal> request_acceptance::accept(const edge::http_request& request,
                                                        mono_time arrived,
@@ -55,7 +67,8 @@
     if (control == nullptr || !control->ready || snapshot == nullptr) {
         return call_refusal{.reason = reasons::not_ready};
     }
-    auto found = snapshot->find_route(request.method, request.path);
+    std::string host = edge::find_header(request.headers, "Host").value_or("");
+    auto found = snapshot->find_route(host, request.method, request.path);
     if (std::holds_alternative<config::no_route>(found)) {
         return call_refusal{.reason = reasons::no_route};
     }
@@ -66,12 +79,13 @@
     accepted.message.method = request.method;
     accepted.message.target =
         request.query.empty() ? request.path : request.path + "?" + request.query;
+    accepted.message.request_id =
+        edge::find_header(request.headers, this->options.headers.request_id).value_or("");
     accepted.message.route = route.name;
-    accepted.message.service = route.service;
     accepted.message.base_revision = snapshot->base_revision();
-    accepted.message.idempotent = is_idempotent(route, request);
+    accepted.message.idempotent = this->is_idempotent(route, request);
     accepted.history.idempotent = accepted.message.idempotent;
-    auto limit = time_limit(*snapshot->find_service(route.service), request);
+    auto limit = this->time_limit(*snapshot, route, request);
     if (!limit.has_value()) {
         return call_refusal{.reason = reasons::bad_request};
     }
@@ -79,7 +93,13 @@
     if (auto refusal = this->identify(*snapshot, route, request, arrived, accepted)) {
         return refusal;
     }
-    return this->check_confirmation(route, *control, arrived);
+    if (auto refusal = this->check_confirmation(route, *control, arrived)) {
+        return refusal;
+    }
+    accepted.message.priority = priority_of(*snapshot, route, accepted.message.workspace);
+    // Chosen once for all attempts, so that a part that is short of room keeps its share.
+    accepted.message.service = this->splits.choose(route);
+    return std::nullopt;
 }
 
 // A valid context handle acts for its workspace. An invalid one counts as absent, so a caller from
@@ -89,7 +109,7 @@
                                                          const edge::http_request& request,
                                                          mono_time arrived,
                                                          accepted_request& accepted) const {
-    if (auto handle = edge::find_header(request.headers, "Trefoil-Context")) {
+    if (auto handle = edge::find_header(request.headers, this->options.headers.context)) {
         auto context = this->contexts.nested(*handle, arrived);
         if (const auto* valid = std::get_if<admission::call_context>(&context)) {
             accepted.nested = true;
@@ -109,7 +129,7 @@
         return std::nullopt;
     }
     auto header = edge::find_header(request.headers, "Authorization");
-    auto digest = admission::bearer_key_digest(header.value_or(""));
+    auto digest = admission::key_digest(this->options.headers.key_scheme, header.value_or(""));
     if (!digest.has_value()) {
         return call_refusal{.reason = reasons::key_missing};
     }
--- a/packages/daemon/request_acceptance.h
+++ b/packages/daemon/request_acceptance.h
@@ -17,9 +17,11 @@
 #include "config/snapshot.h"
 #include "daemon/blackboard.h"
 #include "daemon/refusal.h"
+#include "edge/header_profile.h"
 #include "edge/http_types.h"
 #include "messages/messages.h"
 #include "routing/retry_policy.h"
+#include "routing/traffic_split.h"
 
 namespace trefoil::daemon {
 
@@ -32,13 +34,14 @@
 
 struct request_acceptance_options {
     std::chrono::milliseconds confirmation_limit{4000};
+    edge::header_profile headers = {};
 };
 
 // Safe for concurrent use.
 class request_acceptance {
 public:
     request_acceptance(request_acceptance_options options, const blackboard& board,
-                       const admission::context_table& contexts);
+                       const admission::context_table& contexts, routing::traffic_split& splits);
 
     // Returns nothing when the request may enter.
     std::optional<call_refusal> accept(const edge::http_request& request, mono_time arrived,
@@ -53,9 +56,15 @@
                                                    const control_state& control,
                                                    mono_time arrived) const;
 
+    bool is_idempotent(const config::route& route, const edge::http_request& request) const;
+    std::optional<std::chrono::milliseconds> time_limit(const config::snapshot& snapshot,
+                                                        const config::route& route,
+                                                        const edge::http_request& request) const;
+
     const request_acceptance_options options;
     const blackboard& board;
     const admission::context_table& contexts;
+    routing::traffic_split& splits;
 };
 
 }  // namespace trefoil::daemon
--- a/packages/daemon/settings.cc
+++ b/packages/daemon/settings.cc
@@ -22,6 +22,7 @@
 namespace {
 
 constexpr std::size_t secret_characters_min = 16;
+constexpr std::uint32_t milliseconds_max = 600'000;
 constexpr std::string_view expected_address =
     "an IP address with a port, such as 127.0.0.1:6001 or [::1]:6001";
 constexpr std::string_view expected_secret = "a secret of at least 16 characters";
@@ -49,6 +50,9 @@
 
     result<settings, settings_failures> read() {
         this->parsed.instance = this->read_name("instance");
+        this->parsed.name =
+            config::read_name(this->fields.optional("name"), "a name", this->invalid)
+                .value_or(this->parsed.instance);
         this->parsed.failure_domain = this->read_name("failure_domain");
         this->parsed.site = this->read_name("site");
         this->parsed.service = this->read_name("service");
@@ -56,6 +60,9 @@
         this->parsed.upstream =
             this->read_address(this->fields.required("upstream", expected_address));
         this->read_platform();
+        this->read_platform_protocol();
+        this->read_regions();
+        this->read_stop();
         this->read_seeds();
         this->read_secret();
         this->read_log_level();
@@ -131,6 +138,36 @@
         this->parsed.platform = std::move(*text);
     }
 
+    void read_platform_protocol() {
+        config::yaml_field field = this->fields.optional("platform_protocol");
+        if (auto name = config::read_name(field, "a name", this->invalid)) {
+            this->parsed.platform_protocol = std::move(*name);
+        }
+    }
+
+    void read_regions() {
+        config::yaml_field section = this->fields.optional("regions");
+        for (auto& [domain, field] : config::read_entries(section, this->invalid)) {
+            if (auto region = config::read_name(field, "the name of a region", this->invalid)) {
+                this->parsed.regions.emplace(domain, std::move(*region));
+            }
+        }
+    }
+
+    void read_stop() {
+        config::map_reader map(this->fields.optional("stop"), this->invalid);
+        stop_settings& stop = this->parsed.stop;
+        stop.announce = this->read_milliseconds(map.optional("announce_ms"), stop.announce);
+        stop.limit = this->read_milliseconds(map.optional("limit_ms"), stop.limit);
+        map.reject_unknown();
+    }
+
+    std::chrono::milliseconds read_milliseconds(const config::yaml_field& field,
+                                                std::chrono::milliseconds otherwise) {
+        auto value = config::read_integer(field, 0, milliseconds_max, this->invalid);
+        return value ? std::chrono::milliseconds(*value) : otherwise;
+    }
+
     void read_seeds() {
         config::yaml_field field = this->fields.optional("seeds");
         for (const auto& element : config::read_list(field, "a list of addresses", this->invalid)) {
@@ -144,6 +181,10 @@
         }
         config::yaml_field text = this->fields.secret("fleet_secret");
         config::yaml_field file = this->fields.optional("fleet_secret_file");
+        auto trusted = config::read_boolean(this->fields.optional("trust_network"), this->invalid);
+        if (trusted.value_or(false) && text.value == nullptr && file.value == nullptr) {
+            return;
+        }
         bool has_text = text.value != nullptr;
         bool has_file = file.value != nullptr;
         if (has_text == has_file) {
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -14,6 +14,8 @@
 #ifndef TREFOIL_DAEMON_SETTINGS_H_
 #define TREFOIL_DAEMON_SETTINGS_H_
 
+#include <chrono>
+#include <map>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -34,16 +36,34 @@
     friend bool operator==(const listen_addresses&, const listen_addresses&) = default;
 };
 
+// How a stop proceeds.
+struct stop_settings {
+    // How long callers and peers may take to learn that the instance leaves, before it stops
+    // accepting.
+    std::chrono::milliseconds announce{2'000};
+    // Longest time for requests that are held, from the end of the announcement.
+    std::chrono::milliseconds limit{60'000};
+
+    friend bool operator==(const stop_settings&, const stop_settings&) = default;
+};
+
 struct settings {
     std::string instance{};
+    std::string name{};  // For logs; the instance's id when not given.
     std::string failure_domain{};
     std::string site{};
     std::string service{};
     listen_addresses listen{};  // Three different addresses.
     socket_address upstream{};
     std::string platform{};  // URL without a trailing slash.
+    // Names the adapter that reads the platform.
+    std::string platform_protocol{"documents"};
+    std::map<std::string, std::string> regions{};  // By failure domain; others have no region.
+    stop_settings stop{};
     std::vector<socket_address> seeds{};
-    std::string fleet_secret{};  // At least 16 characters; never logged.
+    // At least 16 characters; never logged. Empty when the network is trusted: then any process
+    // that reaches the peer address can act as a daemon.
+    std::string fleet_secret{};
     trefoil::log_level log_level = trefoil::log_level::info;
 
     friend bool operator==(const settings&, const settings&) = default;
--- a/packages/edge/http_types.cc
+++ b/packages/edge/http_types.cc
@@ -6,14 +6,12 @@
 #include <array>
 #include <charconv>
 
+#include "base/text.h"
+
 namespace trefoil::edge {
 
 namespace {
 
-char lower(char c) {
-    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-}
-
 constexpr std::array<std::string_view, 10> hop_headers = {"connection",
                                                           "keep-alive",
                                                           "proxy-authenticate",
@@ -46,15 +44,10 @@
 
 }  // namespace
 
-bool same_header_name(std::string_view left, std::string_view right) {
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
-                      [](char a, char b) { return lower(a) == lower(b); });
-}
-
 std::optional<std::string> find_header(const std::vector<messages::header>& headers,
                                        std::string_view name) {
     for (const messages::header& each : headers) {
-        if (same_header_name(each.name, name)) {
+        if (equal_ignoring_case(each.name, name)) {
             return each.value;
         }
     }
@@ -63,13 +56,12 @@
 
 bool is_hop_header(std::string_view name) {
     return std::any_of(hop_headers.begin(), hop_headers.end(),
-                       [name](std::string_view hop) { return same_header_name(hop, name); });
+                       [name](std::string_view hop) { return equal_ignoring_case(hop, name); });
 }
 
 bool is_mesh_header(std::string_view name) {
-    return same_header_name(name, "authorization") ||
-           (name.size() >= mesh_prefix.size() &&
-            same_header_name(name.substr(0, mesh_prefix.size()), mesh_prefix));
+    return equal_ignoring_case(name, "authorization") ||
+           starts_with_ignoring_case(name, mesh_prefix);
 }
 
 std::vector<messages::header> forwardable(const std::vector<messages::header>& headers) {
--- a/packages/edge/http_types.h
+++ b/packages/edge/http_types.h
@@ -39,9 +39,6 @@
     friend bool operator==(const http_response&, const http_response&) = default;
 };
 
-// Compares header names, ignoring ASCII case.
-bool same_header_name(std::string_view left, std::string_view right);
-
 // Returns the value of the first header called `name`.
 std::optional<std::string> find_header(const std::vector<messages::header>& headers,
                                        std::string_view name);
--- a/packages/membership/instance_list.cc
+++ b/packages/membership/instance_list.cc
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -41,6 +42,36 @@
     return std::nullopt;
 }
 
+// Reads an optional integer field that is not negative.
+std::optional<list_field_failure> read_count(const json& entry, std::size_t index, const char* name,
+                                             std::uint32_t& value) {
+    auto found = entry.find(name);
+    if (found == entry.end()) {
+        return std::nullopt;
+    }
+    if (!found->is_number_unsigned() ||
+        found->get<std::uint64_t>() > std::numeric_limits<std::uint32_t>::max()) {
+        return list_field_failure{.path = fmt::format("instances[{}].{}", index, name),
+                                  .expected = "a non-negative integer"};
+    }
+    value = found->get<std::uint32_t>();
+    return std::nullopt;
+}
+
+// Reads the fields that not every platform states.
+std::optional<list_field_failure> read_optional_fields(const json& entry, std::size_t index,
+                                                       instance_record& record) {
+    if (entry.contains("upstream")) {
+        if (auto failure = read_text(entry, index, "upstream", record.upstream)) {
+            return failure;
+        }
+    }
+    if (auto failure = read_count(entry, index, "slots", record.slots)) {
+        return failure;
+    }
+    return read_count(entry, index, "cold_left_ms", record.cold_left_ms);
+}
+
 std::optional<list_field_failure> read_entry(const json& entry, std::size_t index,
                                              instance_record& record) {
     if (!entry.is_object()) {
@@ -59,7 +90,10 @@
             return failure;
         }
     }
-    return read_state(entry, index, record.state);
+    if (auto failure = read_state(entry, index, record.state)) {
+        return failure;
+    }
+    return read_optional_fields(entry, index, record);
 }
 
 }  // namespace
--- a/packages/membership/instance_record.h
+++ b/packages/membership/instance_record.h
@@ -22,6 +22,11 @@
     std::string site;
     std::string service;  // The service of the upstream beside the daemon.
     listed_state state = listed_state::live;
+    // The present start of the upstream; empty when the platform does not tell starts apart.
+    std::string upstream;
+    std::uint32_t slots = 0;  // Concurrent requests at the upstream; 0 when not stated.
+    // How long the upstream stayed cold when the entry was written, in milliseconds.
+    std::uint32_t cold_left_ms = 0;
 
     friend bool operator==(const instance_record&, const instance_record&) = default;
 };
--- a/packages/messages/messages.h
+++ b/packages/messages/messages.h
@@ -108,10 +108,14 @@
     std::uint64_t sequence = 0;  // Unique within the ingress's incarnation.
     std::int64_t sent_us = 0;    // Ingress's monotonic clock when the call was sent.
     std::int64_t budget_us = 0;  // Time left for the whole call at `sent_us`.
+    std::string request_id;      // Given by the caller; empty when it gave none.
+    std::string caller_service;  // Service of the upstream beside the ingress.
     std::string service;
     std::string route;
     std::string workspace;  // Empty on open routes.
     bool idempotent = false;
+    std::uint32_t priority = 0;       // Rank when capacity is short; 0 is served first.
+    std::int64_t objective_us = 0;    // Latency objective, counted from the ingress; 0: none.
     std::uint32_t depth = 0;          // 0 for a call from outside, 1 for the first nested call.
     std::uint64_t base_revision = 0;  // Configuration under which the ingress admitted the call.
     std::string method;
--- a/packages/messages/testing/codec_test.cc
+++ b/packages/messages/testing/codec_test.cc
@@ -29,8 +29,23 @@
     BOOST_TEST(round_trips(digest{true, 9, true, {{"base", 3, 4, 2}}, 100, 8, {0, 255}}));
     BOOST_TEST(round_trips(document_request{"base", 4}));
     BOOST_TEST(round_trips(document{"base", 4, 99, std::string("a\0\xff", 3)}));
-    BOOST_TEST(
-        round_trips(call{1, 2, 3, "s", "r", "w", true, 2, 7, "GET", "/x", {{"a", "\xe9"}}, "b"}));
+    BOOST_TEST(round_trips(call{.sequence = 1,
+                                .sent_us = 2,
+                                .budget_us = 3,
+                                .request_id = "q\xe9",
+                                .caller_service = "cs",
+                                .service = "s",
+                                .route = "r",
+                                .workspace = "w",
+                                .idempotent = true,
+                                .priority = 4,
+                                .objective_us = 5,
+                                .depth = 2,
+                                .base_revision = 7,
+                                .method = "GET",
+                                .target = "/x",
+                                .headers = {{"a", "\xe9"}},
+                                .body = "b"}));
     BOOST_TEST(round_trips(
         call_result{1, call_outcome::not_run, "overloaded", 503, {{"a", "b"}}, "x", {1, 2, 3}}));
     BOOST_TEST(round_trips(cancel{4}));
--- a/packages/platform/configuration_service.h
+++ b/packages/source/configuration_service.h
@@ -2,12 +2,12 @@
 //
 // Example:
 //
-//     platform::read_result answer =
+//     source::read_result answer =
 //         service.read({.name = "base", .after = 7, .wait = std::chrono::milliseconds(2000)});
-//     if (auto* found = std::get_if<platform::document>(&answer)) { ... }
+//     if (auto* found = std::get_if<source::document>(&answer)) { ... }
 
-#ifndef TREFOIL_PLATFORM_CONFIGURATION_SERVICE_H_
-#define TREFOIL_PLATFORM_CONFIGURATION_SERVICE_H_
+#ifndef TREFOIL_SOURCE_CONFIGURATION_SERVICE_H_
+#define TREFOIL_SOURCE_CONFIGURATION_SERVICE_H_
 
 #include <chrono>
 #include <cstdint>
@@ -15,7 +15,7 @@
 
 #include "base/result.h"
 
-namespace trefoil::platform {
+namespace trefoil::source {
 
 struct read_request {
     std::string name;         // "base", "site/<site>" or "instances".
@@ -60,8 +60,11 @@
     // Blocks for at most the wait plus the implementation's timeouts. Safe for concurrent use;
     // never throws.
     virtual read_result read(const read_request& request) = 0;
+
+    // Ends calls that wait and makes later calls return unavailable, for shutdown.
+    virtual void stop() = 0;
 };
 
-}  // namespace trefoil::platform
+}  // namespace trefoil::source
 
-#endif  // TREFOIL_PLATFORM_CONFIGURATION_SERVICE_H_
+#endif  // TREFOIL_SOURCE_CONFIGURATION_SERVICE_H_
--- /dev/null
+++ b/packages/source/http_configuration_service.h
@@ -0,0 +1,60 @@
+// Reads documents over HTTP with libcurl:
+// `GET /documents/<name>?after=<revision>&wait_ms=<milliseconds>`.
+//
+// Example:
+//
+//     source::http_configuration_service service({.url = "http://127.0.0.1:5000"});
+//     source::read_result answer = service.read({.name = "instances"});
+
+#ifndef TREFOIL_SOURCE_HTTP_CONFIGURATION_SERVICE_H_
+#define TREFOIL_SOURCE_HTTP_CONFIGURATION_SERVICE_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "source/configuration_service.h"
+#include "source/http_reader.h"
+
+namespace trefoil::source {
+
+struct http_configuration_service_options {
+    std::string url;  // Without a slash at the end.
+    std::chrono::milliseconds connect_timeout{1000};
+    // Limit of one call beyond the wait that it asks for.
+    std::chrono::milliseconds response_timeout{2000};
+    // The platform's documents are at most 1 MB; a larger response is refused as unavailable.
+    std::size_t max_body_bytes = 1U << 20U;
+};
+
+class http_configuration_service final : public configuration_service {
+public:
+    explicit http_configuration_service(http_configuration_service_options settings);
+
+    read_result read(const read_request& request) override;
+    void stop() override { this->reader.stop(); }
+
+    struct call_counts {
+        std::uint64_t started = 0;
+        std::uint64_t unavailable = 0;
+        std::uint64_t body_bytes = 0;
+
+        friend bool operator==(const call_counts&, const call_counts&) = default;
+    };
+    call_counts counts() const;
+
+private:
+    read_result perform(const read_request& request);
+
+    const http_configuration_service_options options;
+    std::atomic<std::uint64_t> started{0};
+    std::atomic<std::uint64_t> failed{0};
+    std::atomic<std::uint64_t> received_bytes{0};
+    http_reader reader;
+};
+
+}  // namespace trefoil::source
+
+#endif  // TREFOIL_SOURCE_HTTP_CONFIGURATION_SERVICE_H_
--- a/packages/platform/testing/http_configuration_service_test.cc
+++ b/packages/source/testing/http_configuration_service_test.cc
@@ -1,7 +1,7 @@
 // Tests of the libcurl client against a small HTTP server on the loopback address.
 
-#define BOOST_TEST_MODULE platform_http_configuration_service
-#include "platform/http_configuration_service.h"
+#define BOOST_TEST_MODULE source_http_configuration_service
+#include "source/http_configuration_service.h"
 
 #include <microhttpd.h>
 #include <netinet/in.h>
@@ -12,7 +12,7 @@
 #include <map>
 #include <thread>
 
-namespace trefoil::platform {
+namespace trefoil::source {
 
 namespace {
 
@@ -181,4 +181,4 @@
     BOOST_TEST(good.load() == 200);
 }
 
-}  // namespace trefoil::platform
+}  // namespace trefoil::source
