Give all slots at once where the platform states them, and bound cold upstreams by rate

Cause: the adaptive gate starts at one call and needs 10 s to reach all slots, beside a warm upstream too. Ruled out: routing (busiest/mean 1.25) and processor time (0.04 of 0.2 cores). Change: slot_limit for upstreams whose entry states slots and coldness; a call waits for up to half of its objective.

--- /dev/null
+++ b/packages/config/testing/json_reader_test.cc
@@ -0,0 +1,121 @@
+// Tests of documents written as JSON: they must mean the same as YAML.
+
+#define BOOST_TEST_MODULE config_json_reader
+#include "config/json_reader.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "config/build_snapshot.h"
+
+namespace trefoil::config {
+
+namespace {
+
+snapshot valid(const std::string& body) {
+    auto outcome = build_snapshot(make_document("base", 3, body), empty_overlay("north"));
+    BOOST_TEST_REQUIRE(std::holds_alternative<snapshot>(outcome));
+    return std::get<snapshot>(std::move(outcome));
+}
+
+std::string failures_of(const std::string& body) {
+    auto outcome = build_snapshot(make_document("base", 3, body), empty_overlay("north"));
+    std::string texts;
+    if (auto* failures = std::get_if<validation_failures>(&outcome)) {
+        for (const validation_failure& each : *failures) {
+            texts += describe(each) + "\n";
+        }
+    }
+    return texts;
+}
+
+}  // namespace
+
+// Guards against a difference between the two readers in any kind of value.
+BOOST_AUTO_TEST_CASE(json_and_yaml_give_the_same_configuration) {
+    snapshot from_json = valid(R"({"version": 7, "fleet": {"max_instances": "listed"},
+        "caller_limits": {"max_body_bytes": 4096, "idle_timeout_ms": 15000},
+        "services": {"a": {"slots": "listed", "cold": {"duration_ms": 3000, "rate": 6.2},
+                           "health_path": "/healthz", "max_connections": 110},
+                     "b": {"slots": 4}},
+        "routes": {"r": {"host": "X.example", "path_prefix": "/r/", "idempotent": true,
+                         "open": false, "timeout_ms": 1000, "latency_objective_ms": 300,
+                         "priority": 2, "attempts": 2, "regions": ["one"],
+                         "split": [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]}},
+        "workspaces": {"w": {"rate": "unlimited", "priority": 0}, "v": {"rate": 1.5, "burst": 3}}})");
+    snapshot from_yaml = valid(R"(
+version: 7
+fleet: {max_instances: listed}
+caller_limits: {max_body_bytes: 4096, idle_timeout_ms: 15000}
+services:
+  a: {slots: listed, cold: {duration_ms: 3000, rate: 6.2}, health_path: /healthz,
+      max_connections: 110}
+  b: {slots: 4}
+routes:
+  r:
+    host: x.example
+    path_prefix: /r/
+    idempotent: true
+    timeout_ms: 1000
+    latency_objective_ms: 300
+    priority: 2
+    attempts: 2
+    regions: [one]
+    split: [{service: a, weight: 90}, {service: b, weight: 10}]
+workspaces:
+  w: {rate: unlimited, priority: 0}
+  v: {rate: 1.5, burst: 3}
+)");
+    BOOST_TEST((from_json.contents().routes == from_yaml.contents().routes));
+    BOOST_TEST((from_json.contents().services == from_yaml.contents().services));
+    BOOST_TEST((from_json.contents().workspaces == from_yaml.contents().workspaces));
+    BOOST_TEST((from_json.caller_limits() == from_yaml.caller_limits()));
+    BOOST_TEST((from_json.fleet() == from_yaml.fleet()));
+    BOOST_TEST(from_json.version() == 7U);
+}
+
+// Guards against quoted numbers that count as numbers, and against one of two equal keys being
+// lost.
+BOOST_AUTO_TEST_CASE(json_is_as_strict_as_yaml) {
+    BOOST_TEST(failures_of(R"({"fleet": {"max_instances": "4"}})") ==
+               "base:1: fleet.max_instances: expected an integer from 1 to 100000, found a quoted "
+               "text\n");
+    BOOST_TEST(failures_of(R"({"fleet": {"max_instances": 4, "max_instances": 5}})") ==
+               "base:1: fleet.max_instances: expected each key once in a map\n");
+    BOOST_TEST(failures_of(R"({"fleet": {"max_instances": 4}, "flet": {}})") != "");
+}
+
+// Guards against a route that names neither or both of service and split.
+BOOST_AUTO_TEST_CASE(a_route_needs_service_or_split) {
+    std::string services = R"("fleet": {"max_instances": 4}, "services": {"a": {"slots": 1}})";
+    std::string both =
+        R"({"path_prefix": "/", "service": "a", "split": [{"service": "a", "weight": 1}]})";
+    BOOST_TEST(failures_of("{" + services + R"(, "routes": {"r": )" + both + "}}") ==
+               "base:1: routes.r.service: expected either service or split\n");
+    BOOST_TEST(failures_of("{" + services + R"(, "routes": {"r": {"path_prefix": "/"}}})") ==
+               "base:1: routes.r.service: missing field, expected a name\n");
+    BOOST_TEST(
+        failures_of("{" + services + R"(, "routes": {"r": {"path_prefix": "/", "split": []}}})") ==
+        "base:1: routes.r.split: expected at least one service\n");
+}
+
+// Guards against a request that is routed by another host's routes.
+BOOST_AUTO_TEST_CASE(routes_are_chosen_by_host_and_longest_prefix) {
+    snapshot built = valid(R"({"fleet": {"max_instances": 4}, "services": {"a": {"slots": 1}},
+        "routes": {"one": {"host": "one.example", "path_prefix": "/x/", "service": "a"},
+                   "deep": {"host": "one.example", "path_prefix": "/x/y/", "service": "a"},
+                   "two": {"host": "two.example", "path_prefix": "/x/", "service": "a"},
+                   "any": {"path_prefix": "/z/", "service": "a"}}})");
+    auto name = [&built](std::string_view host, std::string_view path) {
+        auto found = built.find_route(host, "GET", path);
+        auto* route = std::get_if<const config::route*>(&found);
+        return route == nullptr ? std::string("none") : (*route)->name;
+    };
+    BOOST_TEST(name("one.example", "/x/1") == "one");
+    BOOST_TEST(name("ONE.example:8080", "/x/y/1") == "deep");
+    BOOST_TEST(name("two.example", "/x/y/1") == "two");
+    BOOST_TEST(name("three.example", "/x/1") == "none");
+    BOOST_TEST(name("three.example", "/z/1") == "any");
+    BOOST_TEST(name("", "/x/1") == "none");
+}
+
+}  // namespace trefoil::config
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -232,7 +232,15 @@
         return;
     }
     bool listed = service->slots_listed && record != nullptr && record->slots > 0;
+    if (listed && !this->slots_trusted) {
+        this->slots_trusted = true;
+        this->local_egress.trust_slots(record->slots);
+    }
     this->local_egress.configure(listed ? record->slots : service->slots, service->queue);
+    if (record != nullptr && service->cold.has_value() && record->cold_left_ms > 0) {
+        mono_time until = this->clock.now() + std::chrono::milliseconds(record->cold_left_ms);
+        this->local_egress.set_cold({.until = until, .rate = service->cold->rate});
+    }
 }
 
 void daemon::on_link_open(const messages::hello& peer, bool first) {
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -93,6 +93,7 @@
     // Used by the timer thread only.
     std::shared_ptr<const config::snapshot> applied_snapshot;
     std::shared_ptr<const membership::view> applied_view;
+    bool slots_trusted = false;
 };
 
 }  // namespace trefoil::daemon
--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <utility>
 
+#include "gate/slot_limit.h"
+
 namespace trefoil::daemon {
 
 namespace {
@@ -106,6 +108,14 @@
     return answer;
 }
 
+// A call that waits for more than half of its latency objective would probably miss it.
+std::optional<mono_duration> longest_wait(const messages::call& call) {
+    if (call.objective_us == 0) {
+        return std::nullopt;
+    }
+    return std::chrono::microseconds(call.objective_us / 2);
+}
+
 }  // namespace
 
 egress::egress(egress_options given, admission::context_table& handles, const time_source& time)
@@ -142,8 +152,11 @@
                           .outcome = messages::call_outcome::not_run});
         return;
     }
-    gate::offer_result offered = this->gate.offer(
-        {.id = id, .workspace = held->call.workspace, .deadline = deadline}, this->clock.now());
+    gate::offer_result offered = this->gate.offer({.id = id,
+                                                   .workspace = held->call.workspace,
+                                                   .deadline = deadline,
+                                                   .longest_wait = longest_wait(held->call)},
+                                                  this->clock.now());
     if (std::holds_alternative<gate::start_now>(offered.decision)) {
         this->start(id);
     } else if (auto* why = std::get_if<gate::refusal>(&offered.decision)) {
@@ -289,6 +302,16 @@
     this->apply(this->gate.set_availability(availability));
 }
 
+void egress::trust_slots(std::uint32_t slots) {
+    this->apply(this->gate.use_rule(
+        std::make_unique<gate::slot_limit>(gate::slot_limit_options{.slots = slots}),
+        this->clock.now()));
+}
+
+void egress::set_cold(const gate::cold_period& period) {
+    this->apply(this->gate.set_cold(period, this->clock.now()));
+}
+
 void egress::configure(std::uint32_t slots, std::size_t queue) {
     this->apply(this->gate.configure(slots, queue, this->clock.now()));
 }
--- a/packages/daemon/egress.h
+++ b/packages/daemon/egress.h
@@ -74,6 +74,10 @@
     // The identity that requests name as the expected upstream; empty when it is not known.
     void set_upstream(std::string id);
     void configure(std::uint32_t slots, std::size_t queue);
+    // The platform states the slots and whether the upstream is cold, so the gate need not find
+    // out.
+    void trust_slots(std::uint32_t slots);
+    void set_cold(const gate::cold_period& period);
     messages::load_report load() const { return this->gate.load(); }
     egress_totals totals() const;
 
--- a/packages/daemon/request_acceptance.cc
+++ b/packages/daemon/request_acceptance.cc
@@ -96,6 +96,9 @@
     if (auto refusal = this->check_confirmation(route, *control, arrived)) {
         return refusal;
     }
+    if (route.latency_objective.has_value()) {
+        accepted.message.objective_us = std::chrono::microseconds(*route.latency_objective).count();
+    }
     accepted.message.priority = priority_of(*snapshot, route, accepted.message.workspace);
     // Chosen once for all attempts, so that a part that is short of room keeps its share.
     accepted.message.service = this->splits.choose(route);
--- a/packages/gate/gate_types.h
+++ b/packages/gate/gate_types.h
@@ -10,6 +10,7 @@
 #define TREFOIL_GATE_GATE_TYPES_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -40,6 +41,8 @@
     call_id id;
     std::string workspace;  // Empty on open routes; these calls form one workspace of their own.
     mono_time deadline;     // On the local clock; the call never starts at or after this time.
+    // Longest wait in the queue; the gate's own bound when absent.
+    std::optional<mono_duration> longest_wait = std::nullopt;
 
     friend bool operator==(const offered_call&, const offered_call&) = default;
 };
--- a/packages/gate/start_limit.h
+++ b/packages/gate/start_limit.h
@@ -17,6 +17,14 @@
 
 namespace trefoil::gate {
 
+// An upstream that bears only `rate` starts a second until `until`.
+struct cold_period {
+    mono_time until = mono_time::min();
+    double rate = 0;
+
+    friend bool operator==(const cold_period&, const cold_period&) = default;
+};
+
 // Implementations are not synchronised; the owner holds a lock.
 class start_limit {
 public:
@@ -28,6 +36,9 @@
     // Whether another call may start while `running` calls run.
     virtual bool may_start(std::size_t running, mono_time now) const = 0;
 
+    // A call starts now; may_start() allowed it.
+    virtual void on_start(mono_time /*now*/) {}
+
     // The time before which nothing starts, whatever the limit.
     virtual mono_time paused_until() const = 0;
 
@@ -35,6 +46,9 @@
     virtual void on_result(call_result_kind kind, mono_duration latency, std::size_t running,
                            mono_time now) = 0;
 
+    // The platform says that the upstream is cold. Rules that find out by themselves ignore it.
+    virtual void set_cold(const cold_period& /*period*/, mono_time /*now*/) {}
+
     // Changes the upper bound, for example after a change of configuration.
     virtual void set_slots(std::uint32_t slots) = 0;
 };
--- a/packages/gate/upstream_gate.cc
+++ b/packages/gate/upstream_gate.cc
@@ -67,9 +67,11 @@
                                                               gate_changes& changes) {
     if (this->waiting.empty() && this->limit->may_start(this->running.size(), now)) {
         this->running.insert(call.id);
+        this->limit->on_start(now);
         return start_now{};
     }
-    mono_time expires = std::min(call.deadline, now + this->longest_wait);
+    mono_duration patience = call.longest_wait.value_or(this->longest_wait);
+    mono_time expires = std::min(call.deadline, now + patience);
     // While the upstream fails, waiting for a start that cannot come only delays the retry
     // elsewhere.
     if (expires <= this->limit->paused_until()) {
@@ -157,6 +159,22 @@
     return changes;
 }
 
+gate_changes upstream_gate::use_rule(std::unique_ptr<start_limit> rule, mono_time now) {
+    absl::MutexLock lock(&this->mutex);
+    gate_changes changes;
+    this->limit = std::move(rule);
+    this->start_waiting(now, changes);
+    return changes;
+}
+
+gate_changes upstream_gate::set_cold(const cold_period& period, mono_time now) {
+    absl::MutexLock lock(&this->mutex);
+    gate_changes changes;
+    this->limit->set_cold(period, now);
+    this->start_waiting(now, changes);
+    return changes;
+}
+
 gate_changes upstream_gate::configure(std::uint32_t slots, std::size_t queue, mono_time now) {
     absl::MutexLock lock(&this->mutex);
     gate_changes changes;
@@ -185,6 +203,7 @@
     while (!this->waiting.empty() && this->limit->may_start(this->running.size(), now)) {
         call_id next = std::move(this->waiting.pop()->call.id);
         this->running.insert(next);
+        this->limit->on_start(now);
         changes.start.push_back(std::move(next));
     }
 }
--- a/packages/gate/upstream_gate.h
+++ b/packages/gate/upstream_gate.h
@@ -108,6 +108,12 @@
     // Refusals, if any, are of queued calls.
     gate_changes set_availability(upstream_availability next);
 
+    // Replaces the rule that decides how many calls run.
+    gate_changes use_rule(std::unique_ptr<start_limit> rule, mono_time now);
+
+    // The upstream is cold for some time.
+    gate_changes set_cold(const cold_period& period, mono_time now);
+
     // Applies a configuration change. Waiting calls beyond a smaller queue are kept.
     gate_changes configure(std::uint32_t slots, std::size_t queue, mono_time now);
 
