Let shares of workspace limits follow demand where the instance list is counted

An even share refuses most requests of a workspace whose callers sit at few daemons. Change: daemons report demand to a collector of their failure domain, collectors exchange sums, each daemon admits its part of the fleet's rate at once and without a message; all keep the level of one bucket for the fleet. Daemons that are not heard keep their even share on both sides of a cut. The loans stay where the configuration states max_instances.

--- /dev/null
+++ b/packages/admission/demand_limiter.h
@@ -0,0 +1,167 @@
+// Keeps a workspace within its rate over a fleet whose size is not fixed: each daemon admits from a
+// share that follows what callers ask of it, as a part of what they ask of the whole fleet.
+//
+// Example:
+//
+//     admission::demand_limiter limiter;
+//     limiter.set_limits(limits, now);
+//     auto outcome = limiter.try_admit("north", now);      // At once, without a message.
+//     send(collector, limiter.report(now));                // About every report_interval.
+//     limiter.apply(totals, now);
+//
+// Each daemon keeps its own estimate of one bucket for the fleet, which it fills with the
+// admissions that the totals tell: its level rises with them and falls with the rate R. The rate
+// that the fleet may use until the next totals is
+//
+//     fleet_rate = R + (capacity - level) / spread_time,
+//
+// and a daemon with its own demand d, the fleet's demand D, `heard` daemons in D and `missing` ones
+// that exist but were not heard has the share
+//
+//     available = fleet_rate * heard / (heard + missing)
+//     share = d + (available - D) * (1 / heard + d / D) / 2     when D <= available,
+//             d * available / D                                 otherwise.
+//
+// Half of what is free goes to where the callers are, because arrivals vary in proportion to their
+// number; the other half lets callers come to any daemon.
+//
+// Both d and D come from the same answer of a collector, so that a rise of demand that nobody has
+// added up yet enlarges no share. Daemons that are not heard keep R / (heard + missing) each, which
+// is what such a daemon gives itself: so the shares of a fleet in two parts that do not hear each
+// other add up to R.
+
+#ifndef TREFOIL_ADMISSION_DEMAND_LIMITER_H_
+#define TREFOIL_ADMISSION_DEMAND_LIMITER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/synchronization/mutex.h"
+#include "admission/limit_options.h"
+#include "base/time.h"
+#include "messages/messages.h"
+
+namespace trefoil::admission {
+
+// How far the admissions of a workspace may exceed its limit, when they are counted over any
+// `window`: at most (rate * window + burst) * (1 + overage) + slack.
+struct limit_tolerance {
+    std::chrono::milliseconds window{5000};
+    double overage = 0;  // Share of the limit.
+    double slack = 0;    // Requests.
+
+    friend bool operator==(const limit_tolerance&, const limit_tolerance&) = default;
+};
+
+struct demand_limiter_options {
+    limit_tolerance tolerance = {};
+    // Part of the overage that is used on purpose. The rest covers what is admitted between totals.
+    double used_overage = 0.9;
+    std::chrono::milliseconds report_interval{250};
+    // Weight of the latest interval in the measured demand. With intervals of 250 ms the demand
+    // follows a step within half a second.
+    double latest_weight = 0.5;
+    // Demand that a daemon without requests reports, in requests per second, so that its first
+    // requests find a share.
+    double least_demand = 0.5;
+    // Time over which the free part of the fleet's bucket is handed out. Three times the age of
+    // totals, so that the level is known before it passes the capacity.
+    std::chrono::milliseconds spread_time{1000};
+    // A daemon's own bucket holds this time at its share, and one request.
+    std::chrono::milliseconds bucket_time{300};
+    // Least part of the rate that the fleet uses while its bucket is over its capacity.
+    double least_rate = 0.5;
+    // Age at which totals say nothing any more. Twice the longest gap of an exchange with one loss.
+    std::chrono::milliseconds totals_life{1500};
+    // Bounds of the time after which a refused caller may come back.
+    std::chrono::milliseconds shortest_return{100};
+    std::chrono::milliseconds longest_return{2000};
+};
+
+struct request_admitted {
+    friend bool operator==(const request_admitted&, const request_admitted&) = default;
+};
+
+// The workspace has used up its rate here.
+struct request_over_limit {
+    std::chrono::milliseconds retry_after{0};
+
+    friend bool operator==(const request_over_limit&, const request_over_limit&) = default;
+};
+
+using demand_decision = std::variant<request_admitted, request_over_limit>;
+
+// What an operator may want to know of one workspace.
+struct demand_state {
+    double demand = 0;  // Of this daemon, requests per second.
+    double total = 0;   // Of the fleet; 0 when not known.
+    double level = 0;   // Of the fleet's bucket, requests.
+    double share = 0;   // Requests per second that this daemon admits.
+    double tokens = 0;
+
+    friend bool operator==(const demand_state&, const demand_state&) = default;
+};
+
+// Safe for concurrent use.
+class demand_limiter {
+public:
+    explicit demand_limiter(demand_limiter_options initial = {}) : options(initial) {}
+
+    // Replaces the limits. Workspaces without one are admitted always.
+    void set_limits(const std::vector<workspace_limit>& limits, mono_time now);
+
+    // Number of daemons that exist as far as is known, for shares without valid totals.
+    void set_fleet_size(std::uint32_t daemons);
+
+    demand_decision try_admit(const std::string& workspace, mono_time now);
+
+    // Measures the demand since the last report, and what to tell the collector.
+    messages::demand_report report(mono_time now);
+
+    // Takes over a collector's answer to the latest report.
+    void apply(const messages::demand_totals& totals, mono_time now);
+
+    std::optional<demand_state> inspect(const std::string& workspace, mono_time now);
+
+private:
+    struct bucket {
+        workspace_limit limit;
+        std::uint64_t arrived = 0;   // Requests since the last report.
+        std::uint64_t admitted = 0;  // Likewise.
+        double demand = 0;           // Per second, as reported last.
+        double total = 0;            // As in the latest totals.
+        double own_in_total = 0;     // This daemon's demand in these totals.
+        // Of the fleet's bucket; above the capacity after admissions that the totals told late.
+        double level = 0;
+        double tokens = 0;
+        mono_time counted_at;
+    };
+
+    double window_s() const;
+    double fleet_rate(const workspace_limit& limit) const;
+    double fleet_capacity(const workspace_limit& limit) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    std::uint32_t known_daemons() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    bool totals_valid(mono_time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    double share_of(const bucket& each, mono_time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void refill(bucket& each, mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+
+    const demand_limiter_options options;
+    absl::Mutex mutex;
+    // Guarded by mutex.
+    absl::flat_hash_map<std::string, bucket> buckets;  // By workspace, limited ones only.
+    std::uint32_t fleet_size = 1;
+    std::uint32_t heard = 0;
+    std::uint32_t missing = 0;
+    mono_time totals_at = mono_time::min();
+    mono_time reported_at = mono_time::min();
+    std::uint64_t round = 0;  // Of the latest report.
+};
+
+}  // namespace trefoil::admission
+
+#endif  // TREFOIL_ADMISSION_DEMAND_LIMITER_H_
--- /dev/null
+++ b/packages/admission/testing/demand_limiter_test.cc
@@ -0,0 +1,171 @@
+// Tests of shares that follow demand, over a whole fleet without network. The bound checked is the
+// stated one: (rate * window + burst) * (1 + overage) + slack in any window.
+
+#define BOOST_TEST_MODULE admission_demand_limiter
+#include "admission/demand_limiter.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "admission/testing/demand_fleet.h"
+
+namespace trefoil::admission {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr limit_tolerance tolerance{.window = seconds(5), .overage = 0.25, .slack = 20};
+
+demand_fleet_options options_with(std::uint64_t seed) {
+    return {.limiter = {.tolerance = tolerance}, .seed = seed};
+}
+
+std::size_t allowed(const workspace_limit& limit) {
+    return static_cast<std::size_t>((limit.rate * 5 + limit.burst) * (1 + tolerance.overage) +
+                                    tolerance.slack);
+}
+
+// Refusals of a bucket with an even part of rate and burst at each daemon, for comparison.
+int refused_by_even_shares(const demand_fleet_options& setup, double per_second,
+                           const std::vector<int>& targets, int duration_s) {
+    seeded_random random(setup.seed);
+    std::vector<double> tokens(setup.daemons, setup.limit.burst / setup.daemons);
+    double share = setup.limit.rate / setup.daemons;
+    int refused = 0;
+    for (int ms = 0; ms < duration_s * 1000; ++ms) {
+        for (double& each : tokens) {
+            each = std::min(std::max(1.0, setup.limit.burst / setup.daemons), each + share / 1000);
+        }
+        if (random.uniform() < per_second / 1000) {
+            double& target = tokens[targets[random.below(targets.size())]];
+            bool admitted = target >= 1;
+            target -= admitted ? 1 : 0;
+            refused += admitted ? 0 : 1;
+        }
+    }
+    return refused;
+}
+
+}  // namespace
+
+// The pattern: a workspace well within its rate whose callers sit at a few daemons only. An even
+// share refuses most of them.
+BOOST_AUTO_TEST_CASE(a_workspace_within_its_rate_is_not_refused_wherever_its_callers_are) {
+    for (std::uint64_t seed : {1, 2, 3}) {
+        for (std::vector<int> targets : {std::vector<int>{0}, std::vector<int>{0, 5, 7}}) {
+            demand_fleet_options setup = options_with(seed);
+            demand_fleet fleet(setup);
+            fleet.load(37, targets, seconds(3));  // The demand becomes known.
+            auto [refused, calls] = fleet.load(37, targets, seconds(20));
+            int even = refused_by_even_shares(setup, 37, targets, 20);
+            BOOST_TEST_MESSAGE("refused " << refused << " of " << calls << ", even shares "
+                                          << even);
+            BOOST_TEST(refused * 100 <= calls);
+            BOOST_TEST(even * 2 >= calls);
+        }
+    }
+}
+
+// The pattern: one workspace suddenly sends many times its rate at every daemon at once.
+BOOST_AUTO_TEST_CASE(a_sudden_rise_everywhere_stays_within_the_tolerance) {
+    for (std::uint64_t seed : {1, 2, 3, 4, 5}) {
+        for (double burst : {60.0, 12.0}) {
+            demand_fleet_options setup = options_with(seed);
+            setup.limit.burst = burst;
+            demand_fleet fleet(setup);
+            fleet.load(37, fleet.all(), seconds(8));
+            fleet.load(37 * 8, fleet.all(), seconds(9));
+            fleet.load(37, fleet.all(), seconds(3));
+            fleet.load(37 * 8, fleet.all(), seconds(9));
+            BOOST_TEST(fleet.most_in(seconds(5)) <= allowed(setup.limit));
+            // The limit is used: at least the rate itself.
+            BOOST_TEST(fleet.most_in(seconds(5)) >= setup.limit.rate * 5);
+        }
+    }
+}
+
+// Guards against two parts of a fleet that each hand out the whole rate while they do not hear each
+// other, and against the time around the cut and the healing.
+BOOST_AUTO_TEST_CASE(parts_that_do_not_hear_each_other_share_the_rate) {
+    for (std::uint64_t seed : {1, 2, 3, 4}) {
+        for (int cut : {1, 4, 6}) {
+            demand_fleet_options setup = options_with(seed);
+            demand_fleet fleet(setup);
+            fleet.load(300, fleet.all(), seconds(6));
+            for (int i = 0; i < cut; ++i) {
+                fleet.set_group(i, 1);
+            }
+            fleet.load(300, fleet.all(), seconds(9));
+            for (int i = 0; i < cut; ++i) {
+                fleet.set_group(i, 0);
+            }
+            fleet.load(300, fleet.all(), seconds(6));
+            BOOST_TEST(fleet.most_in(seconds(5)) <= allowed(setup.limit));
+        }
+    }
+}
+
+// The pattern: most daemons are killed at once while a workspace sends many times its rate, and
+// come back with empty memory.
+BOOST_AUTO_TEST_CASE(restarted_daemons_hand_out_no_second_burst) {
+    for (std::uint64_t seed : {1, 2, 3, 4}) {
+        demand_fleet_options setup = options_with(seed);
+        demand_fleet fleet(setup);
+        fleet.load(37, fleet.all(), seconds(6));
+        fleet.load(300, fleet.all(), seconds(1));
+        for (int i = 0; i < setup.daemons; ++i) {
+            fleet.set_alive(i, false);
+        }
+        fleet.load(300, fleet.all(), milliseconds(600));
+        for (int i = 0; i < setup.daemons; ++i) {
+            fleet.set_alive(i, true);
+            fleet.restart(i);
+        }
+        fleet.load(300, fleet.all(), seconds(8));
+        BOOST_TEST(fleet.most_in(seconds(5)) <= allowed(setup.limit));
+    }
+}
+
+// The pattern: a workspace at its rate loses the daemons of a failure domain; its callers move on.
+BOOST_AUTO_TEST_CASE(lost_daemons_keep_only_their_even_share) {
+    demand_fleet_options setup = options_with(7);
+    demand_fleet fleet(setup);
+    std::vector<int> others;
+    for (int i = 0; i < setup.daemons; ++i) {
+        if (i % setup.domains != 0) {
+            others.push_back(i);
+        }
+    }
+    fleet.load(40, fleet.all(), seconds(5));
+    for (int i = 0; i < setup.daemons; i += setup.domains) {
+        fleet.set_alive(i, false);
+    }
+    fleet.load(40, others, seconds(3));
+    auto [refused, calls] = fleet.load(40, others, seconds(10));
+    BOOST_TEST(refused * 10 <= calls);
+}
+
+// Guards against a workspace without a limit that is refused.
+BOOST_AUTO_TEST_CASE(a_workspace_without_a_limit_is_admitted) {
+    demand_limiter limiter;
+    limiter.set_limits({{.workspace = "north", .rate = 1, .burst = 1}}, mono_time());
+    for (int i = 0; i < 100; ++i) {
+        BOOST_TEST(std::holds_alternative<request_admitted>(
+            limiter.try_admit("south", mono_time(seconds(1)))));
+    }
+}
+
+// Guards against a refusal that tells the caller to come back before a token can be there.
+BOOST_AUTO_TEST_CASE(a_refusal_says_when_a_token_is_due) {
+    mono_time now(seconds(1));
+    demand_limiter limiter;
+    limiter.set_limits({{.workspace = "north", .rate = 2, .burst = 1}}, now);
+    BOOST_TEST(std::holds_alternative<request_admitted>(limiter.try_admit("north", now)));
+    auto second = limiter.try_admit("north", now);
+    auto retry = std::get<request_over_limit>(second).retry_after;
+    BOOST_TEST((retry == milliseconds(500)));
+    BOOST_TEST(std::holds_alternative<request_admitted>(limiter.try_admit("north", now + retry)));
+}
+
+}  // namespace trefoil::admission
--- a/packages/daemon/admin.cc
+++ b/packages/daemon/admin.cc
@@ -260,6 +260,13 @@
                                 {"outstanding", state->outstanding},
                                 {"is_home", state->is_home}};
             }
+            if (auto state = this->sources.limits.inspect_demand(name)) {
+                limits[name] = {{"demand", state->demand},
+                                {"fleet_demand", state->total},
+                                {"level", state->level},
+                                {"share", state->share},
+                                {"tokens", state->tokens}};
+            }
         }
         body["limits"] = std::move(limits);
     }
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -82,7 +82,10 @@
       limits({.incarnation = this->incarnation,
               .loan_time = loan_time,
               .renew_interval = loan_renew_interval},
-             given.instance, this->board, this->clock),
+             {.instance = given.instance,
+              .failure_domain = given.failure_domain,
+              .limiter = {.tolerance = given.limits}},
+             this->board, this->clock),
       local_egress({.upstream = given.upstream.text(),
                     .service = given.service,
                     .headers = this->platform.headers,
@@ -288,7 +291,10 @@
     } else if (std::holds_alternative<messages::loan_request>(message) ||
                std::holds_alternative<messages::loan_grant>(message) ||
                std::holds_alternative<messages::token_request>(message) ||
-               std::holds_alternative<messages::token_grant>(message)) {
+               std::holds_alternative<messages::token_grant>(message) ||
+               std::holds_alternative<messages::demand_report>(message) ||
+               std::holds_alternative<messages::demand_totals>(message) ||
+               std::holds_alternative<messages::domain_demand>(message)) {
         this->limits.on_message(origin.peer->instance, message);
     } else {
         this->control.on_message(*origin.peer, message);
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -107,9 +107,10 @@
     } else if (status == status_unavailable) {
         // The daemon ends with a request still open, which may have been sent to an upstream.
         return make_refusal(
-            {.reason = reasons::stopping, .outcome = messages::call_outcome::unknown});
+            {.reason = reasons::stopping, .outcome = messages::call_outcome::unknown},
+            this->options.headers);
     }
-    return make_refusal({.reason = reason});
+    return make_refusal({.reason = reason}, this->options.headers);
 }
 
 void ingress::handle(edge::http_request request, std::shared_ptr<edge::responder> responder) {
@@ -132,15 +133,16 @@
         this->dispatch(call, reasons::no_upstream);
         return;
     }
-    this->limits.admit(call->message.workspace, [this, call](bool admitted) {
+    this->limits.admit(call->message.workspace, [this, call](const admission_outcome& outcome) {
         if (call->over) {
             return;
         }
-        call->admitted = admitted;
-        if (admitted) {
+        call->admitted = outcome.admitted;
+        if (outcome.admitted) {
             this->dispatch(call, reasons::no_upstream);
         } else {
-            this->respond_refused(call, {.reason = reasons::rate_limited});
+            this->respond_refused(
+                call, {.reason = reasons::rate_limited, .retry_after = outcome.retry_after});
         }
     });
 }
@@ -296,7 +298,7 @@
         this->respond(call, std::move(*call->earlier_response), {});
         return;
     }
-    this->respond(call, make_refusal(refusal), refusal.reason);
+    this->respond(call, make_refusal(refusal, this->options.headers), refusal.reason);
 }
 
 void ingress::respond(const call_ptr& call, edge::http_response response, std::string_view reason) {
--- a/packages/daemon/limit_service.cc
+++ b/packages/daemon/limit_service.cc
@@ -14,11 +14,21 @@
 
 }  // namespace
 
-limit_service::limit_service(const admission::limit_options& options, std::string own,
-                             blackboard& shared, const time_source& time)
-    : self(std::move(own)), board(shared), clock(time), limiter(options, time.now()) {}
+limit_service::limit_service(const admission::limit_options& options,
+                             const demand_exchange_options& own, blackboard& shared,
+                             const time_source& time)
+    : self(own.instance), exchange(own), board(shared), clock(time), limiter(options, time.now()) {}
 
 void limit_service::admit(const std::string& workspace, admission_callback decided) {
+    if (this->by_demand) {
+        auto decision = this->exchange.try_admit(workspace, this->clock.now());
+        if (const auto* over = std::get_if<admission::request_over_limit>(&decision)) {
+            decided({.admitted = false, .retry_after = over->retry_after});
+        } else {
+            decided({.admitted = true});
+        }
+        return;
+    }
     std::uint64_t call = this->next_call.fetch_add(1, std::memory_order_relaxed);
     // Stored first, because another thread may decide before try_admit() returns.
     this->waiting.update(call, [&](admission_callback& slot) { slot = std::move(decided); });
@@ -27,20 +37,39 @@
         this->limiter.try_admit(workspace, call, this->clock.now(), output);
     if (outcome != admission::admit_result::wait) {
         if (auto callback = this->waiting.take(call)) {
-            (*callback)(outcome == admission::admit_result::admitted);
+            (*callback)({.admitted = outcome == admission::admit_result::admitted});
         }
     }
     this->execute(output);
 }
 
 void limit_service::on_message(const std::string& from, const messages::peer_message& message) {
+    mono_time now = this->clock.now();
+    if (const auto* report = std::get_if<messages::demand_report>(&message)) {
+        this->exchange.on_report(from, *report, now);
+        return;
+    }
+    if (const auto* totals = std::get_if<messages::demand_totals>(&message)) {
+        this->exchange.on_totals(from, *totals, now);
+        return;
+    }
+    if (const auto* domain = std::get_if<messages::domain_demand>(&message)) {
+        this->exchange.on_domain(*domain, now);
+        return;
+    }
     admission::limiter_output output;
-    this->limiter.on_message(from, message, this->clock.now(), output);
+    this->limiter.on_message(from, message, now, output);
     this->execute(output);
 }
 
 void limit_service::tick() {
     this->follow_blackboard();
+    if (this->by_demand) {
+        if (auto view = this->board.members.read()) {
+            this->exchange.tick(*view, this->clock.now());
+        }
+        return;
+    }
     admission::limiter_output output;
     this->limiter.tick(this->clock.now(), output);
     this->execute(output);
@@ -50,14 +79,7 @@
     auto snapshot = this->board.snapshot.read();
     if (snapshot != nullptr && snapshot != this->applied_snapshot) {
         this->applied_snapshot = snapshot;
-        std::vector<admission::workspace_limit> limits;
-        for (const auto& [name, each] : snapshot->contents().workspaces) {
-            if (each.limited) {
-                limits.push_back({.workspace = name, .rate = each.rate, .burst = each.burst});
-            }
-        }
-        this->limiter.set_limits(limits, static_cast<int>(snapshot->fleet().max_instances),
-                                 this->clock.now());
+        this->set_limits(*snapshot);
     }
     mono_time now = this->clock.now();
     auto view = this->board.members.read();
@@ -72,6 +94,26 @@
     }
 }
 
+void limit_service::set_limits(const config::snapshot& snapshot) {
+    std::vector<admission::workspace_limit> limits;
+    for (const auto& [name, each] : snapshot.contents().workspaces) {
+        if (each.limited) {
+            limits.push_back({.workspace = name, .rate = each.rate, .burst = each.burst});
+        }
+    }
+    this->by_demand = snapshot.fleet().counts_list;
+    if (this->by_demand) {
+        this->exchange.set_limits(limits, this->clock.now());
+    } else {
+        this->limiter.set_limits(limits, static_cast<int>(snapshot.fleet().max_instances),
+                                 this->clock.now());
+    }
+}
+
+std::optional<admission::demand_state> limit_service::inspect_demand(const std::string& workspace) {
+    return this->by_demand ? this->exchange.inspect(workspace, this->clock.now()) : std::nullopt;
+}
+
 // A daemon that leaves, by its own stop or by the list, must not count itself, so that it gives
 // back the shares that it borrowed. An instance to which no connection can be opened is left out
 // before the membership suspects it, because calls would be refused for as long as it counts as a
@@ -103,7 +145,7 @@
     }
     for (const admission::wait_decision& each : output.decisions) {
         if (auto callback = this->waiting.take(each.call)) {
-            (*callback)(each.admitted);
+            (*callback)({.admitted = each.admitted});
         }
     }
 }
--- a/packages/daemon/limit_service.h
+++ b/packages/daemon/limit_service.h
@@ -1,15 +1,18 @@
-// Connects the rate limiter to peers and to the requests that wait for a token.
+// Holds workspaces to their rates: by loaned shares where the configuration states the largest
+// number of instances, and by shares that follow demand where the instance list is counted.
 //
 // Example:
 //
-//     limits.admit("north", [](bool admitted) { ... });
+//     limits.admit("north", [](const daemon::admission_outcome& outcome) { ... });
 
 #ifndef TREFOIL_DAEMON_LIMIT_SERVICE_H_
 #define TREFOIL_DAEMON_LIMIT_SERVICE_H_
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -18,20 +21,32 @@
 #include "base/sharded_map.h"
 #include "base/time.h"
 #include "daemon/blackboard.h"
+#include "daemon/demand_exchange.h"
 #include "daemon/peer_links.h"
 
 namespace trefoil::daemon {
 
-using admission_callback = std::function<void(bool admitted)>;
+struct admission_outcome {
+    bool admitted = false;
+    // When a refused caller may come back, where that is known.
+    std::optional<std::chrono::milliseconds> retry_after{};
+
+    friend bool operator==(const admission_outcome&, const admission_outcome&) = default;
+};
+
+using admission_callback = std::function<void(const admission_outcome&)>;
 
 // Safe for concurrent use.
 class limit_service {
 public:
-    limit_service(const admission::limit_options& options, std::string self, blackboard& board,
-                  const time_source& clock);
+    limit_service(const admission::limit_options& options, const demand_exchange_options& self,
+                  blackboard& board, const time_source& clock);
 
     // To be called once, before any other member.
-    void set_links(peer_links& target) { this->links = &target; }
+    void set_links(peer_links& target) {
+        this->links = &target;
+        this->exchange.set_links(target);
+    }
 
     // Calls `decided` once: at once when a token is at hand, otherwise after at most the wait bound
     // and one tick, from any thread.
@@ -46,13 +61,18 @@
     std::optional<admission::rate_limiter::pool_state> inspect(const std::string& workspace) {
         return this->limiter.inspect(workspace);
     }
+    // Where shares follow demand.
+    std::optional<admission::demand_state> inspect_demand(const std::string& workspace);
 
 private:
     void execute(const admission::limiter_output& output);
+    void set_limits(const config::snapshot& snapshot);
     void follow_blackboard();
     std::vector<std::string> possible_homes(const membership::view& view) const;
 
     const std::string self;
+    std::atomic<bool> by_demand{false};  // Whether shares follow demand.
+    demand_exchange exchange;
     blackboard& board;
     const time_source& clock;
     peer_links* links = nullptr;
--- a/packages/daemon/refusal.cc
+++ b/packages/daemon/refusal.cc
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
+#include <utility>
 
 namespace trefoil::daemon {
 
@@ -49,15 +51,27 @@
     return found == nullptr ? reasons::upstream_failed : found->reason;
 }
 
-edge::http_response make_refusal(const call_refusal& refusal) {
+edge::http_response make_refusal(const call_refusal& refusal, const edge::header_profile& names) {
     std::string outcome =
         refusal.outcome == messages::call_outcome::not_run ? "not_run" : "unknown";
-    return {.status = status_of(refusal.reason),
-            .headers = {{.name = "Content-Type", .value = "application/json"},
-                        {.name = "Trefoil-Reason", .value = std::string(refusal.reason)},
-                        {.name = "Trefoil-Outcome", .value = outcome}},
-            .body = fmt::format("{{\"error\": \"{}\", \"outcome\": \"{}\"}}\n", refusal.reason,
-                                outcome)};
+    edge::http_response response{.status = status_of(refusal.reason),
+                                 .headers = {{.name = "Content-Type", .value = "application/json"}},
+                                 .body = fmt::format("{{\"error\": \"{}\", \"outcome\": \"{}\"}}\n",
+                                                     refusal.reason, outcome)};
+    auto add = [&response](const std::string& name, std::string value) {
+        if (!name.empty()) {
+            response.headers.push_back({.name = name, .value = std::move(value)});
+        }
+    };
+    add(names.reason, std::string(refusal.reason));
+    add(names.outcome, outcome);
+    if (refusal.retry_after.has_value()) {
+        std::chrono::duration<double> seconds = *refusal.retry_after;
+        add(names.retry_after, names.fractional_retry_after
+                                   ? fmt::format("{:.3f}", seconds.count())
+                                   : fmt::format("{:.0f}", std::ceil(seconds.count())));
+    }
+    return response;
 }
 
 }  // namespace trefoil::daemon
--- a/packages/daemon/refusal.h
+++ b/packages/daemon/refusal.h
@@ -7,9 +7,12 @@
 #ifndef TREFOIL_DAEMON_REFUSAL_H_
 #define TREFOIL_DAEMON_REFUSAL_H_
 
+#include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include "edge/header_profile.h"
 #include "edge/http_types.h"
 #include "messages/messages.h"
 
@@ -42,6 +45,8 @@
 struct call_refusal {
     std::string_view reason = reasons::bad_request;
     messages::call_outcome outcome = messages::call_outcome::not_run;
+    // When the caller may come back; only with `not_run`.
+    std::optional<std::chrono::milliseconds> retry_after{};
 
     friend bool operator==(const call_refusal&, const call_refusal&) = default;
 };
@@ -51,7 +56,8 @@
 // Returns the known reason with this text, or `upstream_failed` for a text of another version.
 std::string_view known_reason(std::string_view text);
 
-edge::http_response make_refusal(const call_refusal& refusal);
+edge::http_response make_refusal(const call_refusal& refusal,
+                                 const edge::header_profile& names = {});
 
 }  // namespace trefoil::daemon
 
--- a/packages/daemon/settings.cc
+++ b/packages/daemon/settings.cc
@@ -23,6 +23,8 @@
 
 constexpr std::size_t secret_characters_min = 16;
 constexpr std::uint32_t milliseconds_max = 600'000;
+constexpr double seconds_max = 600;
+constexpr double requests_max = 1e6;
 constexpr std::string_view expected_address =
     "an IP address with a port, such as 127.0.0.1:6001 or [::1]:6001";
 constexpr std::string_view expected_secret = "a secret of at least 16 characters";
@@ -63,6 +65,7 @@
         this->read_platform_protocol();
         this->read_regions();
         this->read_stop();
+        this->read_limits();
         this->read_seeds();
         this->read_secret();
         this->read_log_level();
@@ -162,6 +165,21 @@
         map.reject_unknown();
     }
 
+    void read_limits() {
+        config::map_reader map(this->fields.optional("limits"), this->invalid);
+        admission::limit_tolerance& limits = this->parsed.limits;
+        auto window = config::read_number(map.optional("window_s"), 1, seconds_max, this->invalid);
+        if (window) {
+            limits.window = std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::chrono::duration<double>(*window));
+        }
+        limits.overage = config::read_number(map.optional("overage"), 0, 1, this->invalid)
+                             .value_or(limits.overage);
+        limits.slack = config::read_number(map.optional("slack"), 0, requests_max, this->invalid)
+                           .value_or(limits.slack);
+        map.reject_unknown();
+    }
+
     std::chrono::milliseconds read_milliseconds(const config::yaml_field& field,
                                                 std::chrono::milliseconds otherwise) {
         auto value = config::read_integer(field, 0, milliseconds_max, this->invalid);
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -21,6 +21,7 @@
 #include <variant>
 #include <vector>
 
+#include "admission/demand_limiter.h"
 #include "base/log.h"
 #include "base/result.h"
 #include "config/validation_failure.h"
@@ -60,6 +61,7 @@
     std::string platform_protocol{"documents"};
     std::map<std::string, std::string> regions{};  // By failure domain; others have no region.
     stop_settings stop{};
+    admission::limit_tolerance limits{};  // Where the configuration counts the instance list.
     std::vector<socket_address> seeds{};
     // At least 16 characters; never logged. Empty when the network is trusted: then any process
     // that reaches the peer address can act as a daemon.
--- a/packages/edge/header_profile.h
+++ b/packages/edge/header_profile.h
@@ -25,6 +25,9 @@
     std::string idempotent = "Trefoil-Idempotent";  // The caller's claim, "true" or "false".
     std::string reason = "Trefoil-Reason";
     std::string outcome = "Trefoil-Outcome";
+    std::string retry_after = "Retry-After";
+    // Whether callers understand fractions of a second, which RFC 9110 does not define.
+    bool fractional_retry_after = false;
 
     // Between callers, the daemon and upstreams.
     std::string deadline = "Trefoil-Deadline-Ms";  // Milliseconds that are left.
--- a/packages/messages/codec.cc
+++ b/packages/messages/codec.cc
@@ -106,6 +106,25 @@
     return json::array({m.round, m.workspace, m.batch, m.tokens, m.life_ms, m.is_home, m.recall});
 }
 
+json demand_list(const std::vector<workspace_demand>& demands) {
+    json list = json::array();
+    for (const workspace_demand& each : demands) {
+        list.push_back(json::array(
+            {each.workspace, static_cast<float>(each.rate), static_cast<float>(each.admitted)}));
+    }
+    return list;
+}
+
+json fields(const demand_report& m) {
+    return json::array({m.round, demand_list(m.demands)});
+}
+json fields(const demand_totals& m) {
+    return json::array({m.round, m.heard, m.missing, demand_list(m.demands)});
+}
+json fields(const domain_demand& m) {
+    return json::array({m.failure_domain, m.heard, m.missing, demand_list(m.demands)});
+}
+
 // Reads the fields of one message in order. Throws json::exception or std::out_of_range, which
 // decode() turns into a decode_failure.
 class field_reader {
@@ -228,6 +247,30 @@
     }
 }
 
+std::vector<workspace_demand> read_demands(const json& list) {
+    std::vector<workspace_demand> demands;
+    for (const json& each : list) {
+        field_reader entry(each);
+        workspace_demand item;
+        read_all(entry, item.workspace, item.rate, item.admitted);
+        demands.push_back(std::move(item));
+    }
+    return demands;
+}
+
+void read_fields(field_reader& in, demand_report& m) {
+    in.read(m.round);
+    m.demands = read_demands(in.next());
+}
+void read_fields(field_reader& in, demand_totals& m) {
+    read_all(in, m.round, m.heard, m.missing);
+    m.demands = read_demands(in.next());
+}
+void read_fields(field_reader& in, domain_demand& m) {
+    read_all(in, m.failure_domain, m.heard, m.missing);
+    m.demands = read_demands(in.next());
+}
+
 void read_fields(field_reader& in, token_grant& m) {
     read_all(in, m.round, m.workspace, m.batch, m.tokens, m.life_ms, m.is_home, m.recall);
 }
--- a/packages/messages/messages.h
+++ b/packages/messages/messages.h
@@ -227,9 +227,47 @@
     friend bool operator==(const token_grant&, const token_grant&) = default;
 };
 
+// What one workspace asks for and gets, in requests per second.
+struct workspace_demand {
+    std::string workspace;
+    double rate = 0;      // Asked for, smoothed.
+    double admitted = 0;  // Admitted since the report before.
+
+    friend bool operator==(const workspace_demand&, const workspace_demand&) = default;
+};
+
+// A daemon tells the collector of its failure domain what callers ask of it.
+struct demand_report {
+    std::uint64_t round = 0;
+    std::vector<workspace_demand> demands;
+
+    friend bool operator==(const demand_report&, const demand_report&) = default;
+};
+
+// A collector's answer: the demand of the whole fleet, with the report that it answers.
+struct demand_totals {
+    std::uint64_t round = 0;    // Echo of the report.
+    std::uint32_t heard = 0;    // Daemons whose reports are in the totals.
+    std::uint32_t missing = 0;  // Daemons that exist as far as is known, but were not heard.
+    std::vector<workspace_demand> demands;
+
+    friend bool operator==(const demand_totals&, const demand_totals&) = default;
+};
+
+// Collectors tell each other the demand of their failure domains.
+struct domain_demand {
+    std::string failure_domain;
+    std::uint32_t heard = 0;  // As in demand_totals, of this failure domain.
+    std::uint32_t missing = 0;
+    std::vector<workspace_demand> demands;
+
+    friend bool operator==(const domain_demand&, const domain_demand&) = default;
+};
+
 using peer_message =
     std::variant<hello, proof, ping, pong, digest, document_request, document, call, call_result,
-                 cancel, loan_request, loan_grant, token_request, token_grant>;
+                 cancel, loan_request, loan_grant, token_request, token_grant, demand_report,
+                 demand_totals, domain_demand>;
 
 }  // namespace trefoil::messages
 
