Keep retries within the fleet's budget for each service

Change: share and slack come from the settings, counted for each service, the slack divided by the instance list; a refusal by an egress costs no retry, since its upstream saw nothing; a route bounds the upstreams of a call.

--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -95,9 +95,11 @@
     } else if (std::holds_alternative<edge::connection_refused>(result)) {
         answer.outcome = messages::call_outcome::not_run;
         answer.reason = "no_upstream";
+        answer.reached_upstream = false;
     } else if (std::holds_alternative<edge::not_started>(result)) {
         answer.outcome = messages::call_outcome::not_run;
         answer.reason = "deadline_exceeded";
+        answer.reached_upstream = false;
     } else if (std::holds_alternative<edge::interrupted>(result)) {
         answer.outcome = messages::call_outcome::unknown;
         answer.reason = "deadline_exceeded";
@@ -251,6 +253,7 @@
     (*held)->reply({.sequence = id.sequence,
                     .outcome = why.outcome,
                     .reason = std::string(gate::reason_name(why.reason)),
+                    .reached_upstream = false,
                     .load = this->gate.load()});
 }
 
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -93,8 +93,24 @@
       observer(watcher),
       clock(time),
       chooser({.failure_domain = this->options.failure_domain}),
-      policy({}),
-      budget({}) {}
+      policy({}) {}
+
+// The fleet's slack is divided evenly. Daemons that are not on the list have a part, too, so a few
+// of them may pass the whole a little; four fifths of the slack are used.
+std::shared_ptr<routing::retry_budget> ingress::budget_of(const std::string& service) {
+    constexpr double used_slack = 0.8;
+    auto view = this->board.members.read();
+    double daemons = view == nullptr ? 1.0 : std::max<double>(view->listed().size(), 1);
+    return this->budgets.update(service, [&](std::shared_ptr<routing::retry_budget>& slot) {
+        if (slot == nullptr) {
+            slot = std::make_shared<routing::retry_budget>(routing::retry_budget_options{
+                .share = this->options.retries.share,
+                .minimum_per_second = this->options.retries.minimum_per_second});
+        }
+        slot->set_slack(this->options.retries.slack * used_slack / daemons);
+        return slot;
+    });
+}
 
 edge::http_response ingress::refuse(unsigned status) {
     std::string_view reason = reasons::bad_request;
@@ -127,7 +143,7 @@
     call->message.caller_service = this->options.service;
     call->message.headers = edge::forwardable_request(this->options.headers, request.headers);
     call->message.body = std::move(request.body);
-    this->budget.count_call(call->arrived);
+    this->budget_of(call->message.service)->count_call(call->arrived);
     if (call->nested || call->message.workspace.empty()) {
         call->admitted = true;
         this->dispatch(call, reasons::no_upstream);
@@ -240,7 +256,9 @@
             if (avoids_upstream(result.reason)) {
                 this->load.refused((*found)->instance, now);
             }
-            this->after_failure(call, routing::attempt_end::not_run_reply,
+            this->after_failure(call,
+                                result.reached_upstream ? routing::attempt_end::not_run_reply
+                                                        : routing::attempt_end::refused,
                                 known_reason(result.reason));
             break;
         case messages::call_outcome::unknown:
@@ -260,12 +278,14 @@
     if (end == routing::attempt_end::not_sent) {
         this->load.connection_failed((*found)->instance, this->clock.now());
     }
-    this->after_failure((*found)->call, end, reason);
+    bool sent = end != routing::attempt_end::not_sent;
+    this->after_failure((*found)->call, sent ? end : routing::attempt_end::refused, reason);
 }
 
 void ingress::after_failure(const call_ptr& call, routing::attempt_end end,
                             std::string_view reason) {
-    auto decision = this->policy.decide(call->history, end, this->budget, this->clock.now());
+    auto decision = this->policy.decide(call->history, end, *this->budget_of(call->message.service),
+                                        this->clock.now());
     if (std::holds_alternative<routing::retry_elsewhere>(decision)) {
         this->dispatch(call, reason);
         return;
@@ -281,8 +301,9 @@
                                  .body = std::move(result.body)};
     if (suggests_retry(result.status) && call->history.idempotent) {
         routing::call_attempts history = call->history;
-        auto decision = this->policy.decide(history, routing::attempt_end::unknown_reply,
-                                            this->budget, this->clock.now());
+        auto decision =
+            this->policy.decide(history, routing::attempt_end::unknown_reply,
+                                *this->budget_of(call->message.service), this->clock.now());
         if (std::holds_alternative<routing::retry_elsewhere>(decision)) {
             call->history = history;
             call->earlier_response = std::move(response);
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -25,6 +25,7 @@
 #include "daemon/peer_links.h"
 #include "daemon/refusal.h"
 #include "daemon/request_acceptance.h"
+#include "daemon/settings.h"
 #include "edge/header_profile.h"
 #include "edge/http_server.h"
 #include "routing/load_table.h"
@@ -61,6 +62,7 @@
     std::string service;  // Of the upstream beside the daemon.
     std::chrono::milliseconds confirmation_limit{4000};
     edge::header_profile headers = {};
+    retry_settings retries = {};
 };
 
 // Safe for concurrent use.
@@ -92,6 +94,7 @@
     struct attempt;
     using call_ptr = std::shared_ptr<entry_call>;
 
+    std::shared_ptr<routing::retry_budget> budget_of(const std::string& service);
     void dispatch(const call_ptr& call, std::string_view last_reason);
     void send_attempt(const call_ptr& call, const routing::candidate& target);
     void send_local(std::uint64_t sequence, const call_ptr& call);
@@ -121,7 +124,8 @@
     routing::load_table load;
     routing::upstream_picker chooser;
     routing::retry_policy policy;
-    routing::retry_budget budget;
+    // By service, because the platform counts retries for each.
+    sharded_map<std::string, std::shared_ptr<routing::retry_budget>> budgets;
     std::atomic<std::uint64_t> next_sequence{1};
     std::atomic<std::size_t> in_progress{0};
     sharded_map<std::uint64_t, std::shared_ptr<attempt>> attempts;  // By sequence; not yet over.
--- a/packages/daemon/settings.cc
+++ b/packages/daemon/settings.cc
@@ -23,6 +23,7 @@
 
 constexpr std::size_t secret_characters_min = 16;
 constexpr std::uint32_t milliseconds_max = 600'000;
+constexpr std::uint32_t retries_max = 100'000;
 constexpr double seconds_max = 600;
 constexpr double requests_max = 1e6;
 constexpr std::string_view expected_address =
@@ -66,6 +67,7 @@
         this->read_regions();
         this->read_stop();
         this->read_limits();
+        this->read_retries();
         this->read_seeds();
         this->read_secret();
         this->read_log_level();
@@ -180,6 +182,19 @@
         map.reject_unknown();
     }
 
+    void read_retries() {
+        config::map_reader map(this->fields.optional("retries"), this->invalid);
+        retry_settings& retries = this->parsed.retries;
+        retries.share =
+            config::read_number(map.optional("share"), 0, 1, this->invalid).value_or(retries.share);
+        retries.slack = config::read_number(map.optional("slack"), 0, requests_max, this->invalid)
+                            .value_or(retries.slack);
+        retries.minimum_per_second =
+            config::read_integer(map.optional("minimum_per_second"), 0, retries_max, this->invalid)
+                .value_or(retries.minimum_per_second);
+        map.reject_unknown();
+    }
+
     std::chrono::milliseconds read_milliseconds(const config::yaml_field& field,
                                                 std::chrono::milliseconds otherwise) {
         auto value = config::read_integer(field, 0, milliseconds_max, this->invalid);
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -48,6 +48,15 @@
     friend bool operator==(const stop_settings&, const stop_settings&) = default;
 };
 
+// Retries of the whole fleet to one service, in any ten seconds.
+struct retry_settings {
+    double share = 0.1;                    // Of the calls.
+    double slack = 0;                      // Beyond the share; divided among the daemons.
+    std::uint32_t minimum_per_second = 3;  // Of each daemon, whatever the share.
+
+    friend bool operator==(const retry_settings&, const retry_settings&) = default;
+};
+
 struct settings {
     std::string instance{};
     std::string name{};  // For logs; the instance's id when not given.
@@ -61,6 +70,7 @@
     std::string platform_protocol{"documents"};
     std::map<std::string, std::string> regions{};  // By failure domain; others have no region.
     stop_settings stop{};
+    retry_settings retries{};
     admission::limit_tolerance limits{};  // Where the configuration counts the instance list.
     std::vector<socket_address> seeds{};
     // At least 16 characters; never logged. Empty when the network is trusted: then any process
--- a/packages/messages/codec.cc
+++ b/packages/messages/codec.cc
@@ -69,9 +69,9 @@
 }
 
 json fields(const call_result& m) {
-    return json::array({m.sequence, static_cast<unsigned>(m.outcome), m.reason, m.status,
-                        header_list(m.headers), binary(m.body), m.load.running, m.load.queued,
-                        m.load.limit});
+    return json::array({m.sequence, static_cast<unsigned>(m.outcome), m.reason, m.reached_upstream,
+                        m.status, header_list(m.headers), binary(m.body), m.load.running,
+                        m.load.queued, m.load.limit});
 }
 
 json fields(const cancel& m) {
@@ -204,7 +204,7 @@
 
 void read_fields(field_reader& in, call_result& m) {
     unsigned outcome = 0;
-    read_all(in, m.sequence, outcome, m.reason, m.status);
+    read_all(in, m.sequence, outcome, m.reason, m.reached_upstream, m.status);
     if (outcome > static_cast<unsigned>(call_outcome::unknown)) {
         throw std::out_of_range("call outcome");
     }
--- a/packages/messages/messages.h
+++ b/packages/messages/messages.h
@@ -144,7 +144,8 @@
 struct call_result {
     std::uint64_t sequence = 0;
     call_outcome outcome = call_outcome::unknown;
-    std::string reason;  // A refusal reason of the HTTP table; empty when answered.
+    std::string reason;            // A refusal reason of the HTTP table; empty when answered.
+    bool reached_upstream = true;  // False: the egress refused the call by itself.
     std::uint32_t status = 0;
     std::vector<header> headers;
     std::string body;
--- a/packages/routing/retry_budget.cc
+++ b/packages/routing/retry_budget.cc
@@ -15,6 +15,11 @@
     return current;
 }
 
+void retry_budget::set_slack(double slack) {
+    absl::MutexLock lock(&this->mutex);
+    this->options.slack = slack;
+}
+
 void retry_budget::count_call(mono_time now) {
     absl::MutexLock lock(&this->mutex);
     ++this->count_of(now).calls;
@@ -32,8 +37,8 @@
             retries += each.retries;
         }
     }
-    bool within_share =
-        static_cast<double>(retries + 1) <= this->options.share * static_cast<double>(calls);
+    bool within_share = static_cast<double>(retries + 1) <=
+                        this->options.share * static_cast<double>(calls) + this->options.slack;
     if (!within_share && current.retries >= this->options.minimum_per_second) {
         return false;
     }
--- a/packages/routing/retry_budget.h
+++ b/packages/routing/retry_budget.h
@@ -22,6 +22,7 @@
 struct retry_budget_options {
     double share = 0.1;                    // Of the calls of the last ten seconds.
     std::uint32_t minimum_per_second = 3;  // Allowed whatever the share.
+    double slack = 0;                      // Retries in ten seconds beyond the share.
 };
 
 // Safe for concurrent use.
@@ -29,6 +30,9 @@
 public:
     explicit retry_budget(retry_budget_options initial) : options(initial) {}
 
+    // Replaces the slack, which a fleet divides by its size.
+    void set_slack(double slack);
+
     // Counts a call (not a retry).
     void count_call(mono_time now);
 
@@ -44,8 +48,8 @@
 
     second_count& count_of(mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
-    retry_budget_options options;
     absl::Mutex mutex;
+    retry_budget_options options;            // Guarded by mutex.
     std::array<second_count, 10> seconds{};  // Ring, indexed by second modulo its size.
 };
 
--- a/packages/routing/retry_policy.cc
+++ b/packages/routing/retry_policy.cc
@@ -2,6 +2,8 @@
 
 #include "routing/retry_policy.h"
 
+#include <algorithm>
+
 namespace trefoil::routing {
 
 messages::call_outcome retry_policy::outcome(const call_attempts& attempts) {
@@ -11,7 +13,8 @@
 
 retry_decision retry_policy::decide(call_attempts& attempts, attempt_end end, retry_budget& budget,
                                     mono_time now) const {
-    bool certain = end == attempt_end::not_sent || end == attempt_end::not_run_reply;
+    bool certain = end == attempt_end::not_sent || end == attempt_end::not_run_reply ||
+                   end == attempt_end::refused;
     attempts.may_have_run = attempts.may_have_run || !certain;
     messages::call_outcome outcome = retry_policy::outcome(attempts);
     // May_have_run covers every earlier attempt, not only the last one.
@@ -21,7 +24,17 @@
     if (now + this->options.least_time_left > attempts.deadline) {
         return give_up{.reason = give_up_reason::deadline_exceeded, .outcome = outcome};
     }
-    if (attempts.retries >= this->options.highest_retries) {
+    if (end == attempt_end::refused) {
+        if (attempts.refusals >= this->options.highest_refusals) {
+            return give_up{.reason = give_up_reason::retries_used, .outcome = outcome};
+        }
+        ++attempts.refusals;
+        return retry_elsewhere{};
+    }
+    std::uint32_t highest = attempts.most_upstreams.has_value()
+                                ? std::max<std::uint32_t>(*attempts.most_upstreams, 1) - 1
+                                : this->options.highest_retries;
+    if (attempts.retries >= highest) {
         return give_up{.reason = give_up_reason::retries_used, .outcome = outcome};
     }
     if (!budget.take(now)) {
--- a/packages/routing/retry_policy.h
+++ b/packages/routing/retry_policy.h
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <variant>
 
 #include "base/time.h"
@@ -25,13 +26,17 @@
     not_run_reply,  // The egress answered that the call did not run and will not run.
     unknown_reply,  // The egress answered that the call may have run.
     no_reply,       // The connection was lost or the attempt timed out after bytes may have left.
+    refused,        // The egress refused the call before its upstream saw it, or was not reached.
 };
 
 // The history of one call at its ingress; decide() keeps it up to date.
 struct call_attempts {
     bool idempotent = false;
     mono_time deadline;
-    std::uint32_t retries = 0;  // Attempts after the first one.
+    std::uint32_t retries = 0;  // Attempts after the first one, without those after refusals.
+    std::uint32_t refusals = 0;
+    // Upstreams that the call may be sent to; the policy's own bound when absent.
+    std::optional<std::uint32_t> most_upstreams{};
     bool may_have_run = false;  // Some attempt ended without a certain "not run".
 
     friend bool operator==(const call_attempts&, const call_attempts&) = default;
@@ -61,6 +66,9 @@
 
 struct retry_policy_options {
     std::uint32_t highest_retries = 2;
+    // Refusals cost the upstreams nothing, so they have a bound of their own, against endless
+    // loops.
+    std::uint32_t highest_refusals = 16;
     // A retry with less time left than this would end after the deadline anyway: it needs a round
     // trip to another failure domain.
     std::chrono::milliseconds least_time_left{1};
--- a/packages/routing/testing/retry_test.cc
+++ b/packages/routing/testing/retry_test.cc
@@ -2,7 +2,9 @@
 // truthful outcomes.
 
 #define BOOST_TEST_MODULE routing_retry
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <vector>
 
 #include "base/random.h"
 #include "routing/retry_budget.h"
@@ -124,4 +126,60 @@
     }
 }
 
+// The pattern: an upstream group that rejects half of its requests, and a fleet whose retries the
+// platform counts for each service. Guards against slack that every daemon uses for itself.
+BOOST_AUTO_TEST_CASE(slack_is_allowed_beyond_the_share_in_any_ten_seconds) {
+    retry_budget budget({.share = 0.2, .minimum_per_second = 0});
+    budget.set_slack(5);
+    std::vector<mono_time> taken;
+    std::vector<mono_time> calls;
+    for (int ms = 0; ms < 40'000; ms += 10) {
+        mono_time now = start + milliseconds(ms);
+        if (ms < 20'000) {
+            budget.count_call(now);
+            calls.push_back(now);
+        }
+        while (budget.take(now)) {
+            taken.push_back(now);
+        }
+    }
+    auto in_window = [](const std::vector<mono_time>& times, mono_time end) {
+        return std::count_if(times.begin(), times.end(), [end](mono_time each) {
+            return each > end - std::chrono::seconds(10) && each <= end;
+        });
+    };
+    for (mono_time each : taken) {
+        // The rule of the platform takes the calls of the window or of the one before.
+        auto most =
+            std::max(in_window(calls, each), in_window(calls, each - std::chrono::seconds(10)));
+        BOOST_TEST(in_window(taken, each) <= 0.2 * static_cast<double>(most) + 5 + 1);
+    }
+    BOOST_TEST(taken.size() >= 400U);
+}
+
+// Guards against refusals by egresses that use up the retries of a call, and against endless ones.
+BOOST_FIXTURE_TEST_CASE(refusals_before_the_upstream_cost_no_retry, retry_fixture) {
+    retry_budget none{{.share = 0, .minimum_per_second = 0}};
+    call_attempts attempts = call_with(false);
+    for (int i = 0; i < 16; ++i) {
+        BOOST_TEST(retries(this->policy.decide(attempts, attempt_end::refused, none, start)));
+    }
+    BOOST_TEST(gives_up(this->policy.decide(attempts, attempt_end::refused, none, start),
+                        give_up_reason::retries_used, call_outcome::not_run));
+    BOOST_TEST(attempts.retries == 0U);
+}
+
+// Guards against a call that is sent to more upstreams than its route allows.
+BOOST_FIXTURE_TEST_CASE(the_route_bounds_the_upstreams_of_a_call, retry_fixture) {
+    call_attempts attempts = call_with(true);
+    attempts.most_upstreams = 2;
+    BOOST_TEST(retries(this->decide(attempts, attempt_end::not_run_reply)));
+    BOOST_TEST(gives_up(this->decide(attempts, attempt_end::not_run_reply),
+                        give_up_reason::retries_used, call_outcome::not_run));
+    call_attempts once = call_with(true);
+    once.most_upstreams = 1;
+    BOOST_TEST(gives_up(this->decide(once, attempt_end::unknown_reply),
+                        give_up_reason::retries_used, call_outcome::unknown));
+}
+
 }  // namespace trefoil::routing
