--- a/packages/daemon/control_loop.cc
+++ b/packages/daemon/control_loop.cc
@@ -273,6 +273,7 @@
                 absl::MutexLock lock(&this->read_mutex);
                 this->reads.push_back(read);
             },
+            [this](const dissemination::refresh_platform&) { this->platform.refresh(); },
             [this](const dissemination::open_connection& open) { this->open_peer(open.address); },
             // The idle limit closes the connection, because calls may use it too.
             [](const dissemination::close_connection&) {},
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -51,6 +51,9 @@
     core.longest_backoff = short_interval;
     core.first_read_spread = short_interval;
     core.start_patience = std::chrono::milliseconds(500);
+    // Watches bring a change to all daemons within some ten milliseconds.
+    core.refresh_after = std::chrono::milliseconds(300);
+    core.pull_delay = std::chrono::milliseconds(700);
 }
 
 dissemination::core_options make_core_options(const settings& options, bool mirrors) {
--- a/packages/dissemination/action.h
+++ b/packages/dissemination/action.h
@@ -39,6 +39,11 @@
     friend bool operator==(const read_document&, const read_document&) = default;
 };
 
+// Peers hold a revision that the platform's watch has not brought: it may hang.
+struct refresh_platform {
+    friend bool operator==(const refresh_platform&, const refresh_platform&) = default;
+};
+
 // Opens a peer connection, and answers with connection_opened or connection_failed.
 struct open_connection {
     std::string address;
@@ -77,8 +82,9 @@
     friend bool operator==(const report_invalid_list&, const report_invalid_list&) = default;
 };
 
-using action = std::variant<send_message, read_document, open_connection, close_connection,
-                            configuration_offered, adopt_list, report_invalid_list>;
+using action =
+    std::variant<send_message, read_document, refresh_platform, open_connection, close_connection,
+                 configuration_offered, adopt_list, report_invalid_list>;
 
 }  // namespace trefoil::dissemination
 
--- a/packages/dissemination/core.cc
+++ b/packages/dissemination/core.cc
@@ -207,7 +207,7 @@
             continue;
         }
         const held_document& own = this->held.held(*index);
-        this->puller.announced(*index, peer, state, own, now);
+        this->puller.announced(*index, peer, state, own, now, this->pull_delay(now));
         result.newer_there = result.newer_there || state.revision > own.revision;
         result.newer_here = result.newer_here || state.revision < own.revision;
         bool same_revision = state.revision == own.revision;
@@ -266,6 +266,23 @@
     }
 }
 
+// Peers are the quicker source only where the platform does not answer this daemon.
+milliseconds core::pull_delay(mono_time now) const {
+    bool answers = this->platform_answered_at != unknown_time &&
+                   now - this->platform_answered_at <= this->options.read_after;
+    return answers ? this->options.pull_delay : milliseconds(0);
+}
+
+void core::refresh_hanging_watch(mono_time now) {
+    auto since = this->puller.waiting_since();
+    bool hangs = this->options.refresh_after.count() > 0 && since.has_value() &&
+                 now - *since >= this->options.refresh_after && this->refreshed_at < *since;
+    if (hangs) {
+        this->refreshed_at = now;
+        this->actions.emplace_back(refresh_platform{});
+    }
+}
+
 // Documents.
 
 void core::offer(mono_time now, std::size_t index, const messages::document& offered) {
@@ -364,6 +381,7 @@
     if (this->announce_pending) {
         this->announce();
     }
+    this->refresh_hanging_watch(now);
     for (const pull& each : this->puller.due(now)) {
         this->send(each.peer, messages::document_request{.name = this->held.name(each.document),
                                                          .revision = each.revision});
--- a/packages/dissemination/core.h
+++ b/packages/dissemination/core.h
@@ -116,6 +116,8 @@
     read_outcome use_unchanged(mono_time now, const platform_schedule::call& sent,
                                std::uint64_t revision);
     mono_time counted_from(mono_time asked_at, mono_time now) const;
+    milliseconds pull_delay(mono_time now) const;
+    void refresh_hanging_watch(mono_time now);
     messages::digest make_digest() const;
     void ask(const gossip_rounds::question& question);
     void send(const std::string& peer, messages::peer_message message);
@@ -137,6 +139,7 @@
     bool is_reader = false;
     bool leaving = false;
     mono_time platform_answered_at = unknown_time;
+    mono_time refreshed_at = unknown_time;  // When the platform was last asked to look again.
     bool announce_pending = false;  // A new revision is held that peers have not been told of.
     core_counts totals;
     std::vector<action> actions;
--- a/packages/dissemination/core_options.h
+++ b/packages/dissemination/core_options.h
@@ -33,6 +33,12 @@
     milliseconds rotation_interval{60000};
     milliseconds request_timeout{1000};  // After this a document is asked from another peer.
 
+    // How long a revision that a peer announced may take to come from the platform, while that
+    // answers, before it is asked from the peer; and when the platform is asked to look again. 0:
+    // peers are asked at once.
+    milliseconds pull_delay{0};
+    milliseconds refresh_after{0};
+
     milliseconds watch_wait{2000};
     milliseconds read_after{3000};     // Age of the confirmation at which a daemon reads itself.
     milliseconds read_interval{2000};  // Shortest time between two reads of one document.
--- a/packages/dissemination/document_puller.cc
+++ b/packages/dissemination/document_puller.cc
@@ -18,13 +18,16 @@
     this->bridge_pause.fill(mono_time::min());
 }
 
-void document_puller::add_source(want& target, std::uint64_t revision, const std::string& peer) {
+void document_puller::add_source(want& target, std::uint64_t revision, const std::string& peer,
+                                 mono_time now, std::chrono::milliseconds delay) {
     if (revision < target.revision) {
         return;
     }
     if (revision > target.revision) {
-        target = want{};
-        target.revision = revision;
+        bool wanted_before = target.revision != 0;
+        target = {.revision = revision,
+                  .since = wanted_before ? target.since : now,
+                  .not_before = wanted_before ? target.not_before : now + delay};
     }
     auto found = std::find(target.sources.begin(), target.sources.end(), peer);
     if (found == target.sources.end() && target.sources.size() < source_limit) {
@@ -34,14 +37,15 @@
 
 void document_puller::announced(std::size_t document, const std::string& peer,
                                 const messages::document_state& state, const held_document& held,
-                                mono_time now) {
+                                mono_time now, std::chrono::milliseconds delay) {
     if (state.revision > held.revision) {
-        add_source(this->newest[document], state.revision, peer);
+        add_source(this->newest[document], state.revision, peer, now, delay);
     }
     bool useful =
         state.revision_in_force > held.revision_in_force && state.revision_in_force < held.revision;
     if (this->bridge && useful && now >= this->bridge_pause[document]) {
-        add_source(this->bridges[document], state.revision_in_force, peer);
+        add_source(this->bridges[document], state.revision_in_force, peer, now,
+                   std::chrono::milliseconds(0));
     }
 }
 
@@ -100,6 +104,16 @@
     return result;
 }
 
+std::optional<mono_time> document_puller::waiting_since() const {
+    std::optional<mono_time> since;
+    for (const want& each : this->newest) {
+        if (each.revision != 0) {
+            since = std::min(since.value_or(each.since), each.since);
+        }
+    }
+    return since;
+}
+
 bool document_puller::waits_for_newest() const {
     return std::any_of(this->newest.begin(), this->newest.end(),
                        [](const want& each) { return each.revision != 0; });
--- a/packages/dissemination/document_puller.h
+++ b/packages/dissemination/document_puller.h
@@ -14,6 +14,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,9 +38,11 @@
 
     // A peer's digest says that it holds `state` of a document. A newer revision is wanted; and
     // when the newest revision is held here but something older is in force, the greatest revision
-    // that a peer has in force in between is wanted too (a bridge).
+    // that a peer has in force in between is wanted too (a bridge). A newer revision that was not
+    // wanted before is asked for after `delay`.
     void announced(std::size_t document, const std::string& peer,
-                   const messages::document_state& state, const held_document& held, mono_time now);
+                   const messages::document_state& state, const held_document& held, mono_time now,
+                   std::chrono::milliseconds delay = std::chrono::milliseconds(0));
 
     // Whether a document of this revision was wanted as a bridge.
     bool wants_bridge(std::size_t document, std::uint64_t revision) const;
@@ -56,16 +59,20 @@
 
     // Whether a newer revision than the held one is known and can be asked for.
     bool waits_for_newest() const;
+    // Since when, at the longest.
+    std::optional<mono_time> waiting_since() const;
 
 private:
     struct want {
-        std::uint64_t revision = 0;        // 0 when nothing is wanted.
-        std::vector<std::string> sources;  // Peers that hold the revision; asked in turn.
+        std::uint64_t revision = 0;          // 0 when nothing is wanted.
+        mono_time since = mono_time::min();  // When a revision was first wanted and none came.
+        std::vector<std::string> sources;    // Peers that hold the revision; asked in turn.
         std::size_t next_source = 0;
         mono_time not_before = mono_time::min();  // The request sent last may be answered until.
     };
 
-    static void add_source(want& target, std::uint64_t revision, const std::string& peer);
+    static void add_source(want& target, std::uint64_t revision, const std::string& peer,
+                           mono_time now, std::chrono::milliseconds delay);
     void append_due(want& target, std::size_t document, mono_time now, std::vector<pull>& result);
 
     std::chrono::milliseconds timeout;
--- a/packages/source/configuration_service.h
+++ b/packages/source/configuration_service.h
@@ -61,6 +61,9 @@
     // never throws.
     virtual read_result read(const read_request& request) = 0;
 
+    // A peer knows a newer revision than the service has returned: what it watches with may hang.
+    virtual void refresh() {}
+
     // Ends calls that wait and makes later calls return unavailable, for shutdown.
     virtual void stop() = 0;
 };
--- a/packages/source/http_reader.cc
+++ b/packages/source/http_reader.cc
@@ -97,8 +97,9 @@
         arriving_answer state{.max_body_bytes = options.max_body_bytes, .answer = {}};
         unsigned silence_ms = static_cast<unsigned>(options.silence_limit.count());
         this->prepare(url, timeout, options, state, silence_ms);
+        this->ended.store(stopping.load());
         curl_multi_add_handle(this->multi, this->easy);
-        CURLcode outcome = this->run(stopping);
+        CURLcode outcome = this->run();
         curl_multi_remove_handle(this->multi, this->easy);
         if (outcome != CURLE_OK) {
             return no_answer{.detail = curl_easy_strerror(outcome)};
@@ -107,7 +108,11 @@
         return std::move(state.answer);
     }
 
-    void wake() { curl_multi_wakeup(this->multi); }
+    // Ends the call in progress.
+    void end_call() {
+        this->ended.store(true);
+        curl_multi_wakeup(this->multi);
+    }
 
 private:
     void prepare(const std::string& url, std::chrono::milliseconds timeout,
@@ -128,8 +133,8 @@
         curl_easy_setopt(this->easy, CURLOPT_SOCKOPTDATA, &silence_ms);
     }
 
-    CURLcode run(const std::atomic<bool>& stopping) {
-        while (!stopping.load()) {
+    CURLcode run() {
+        while (!this->ended.load()) {
             int running = 0;
             if (curl_multi_perform(this->multi, &running) != CURLM_OK) {
                 return CURLE_FAILED_INIT;
@@ -145,6 +150,7 @@
         return CURLE_ABORTED_BY_CALLBACK;
     }
 
+    std::atomic<bool> ended{false};
     CURL* easy;    // Null when libcurl has no memory.
     CURLM* multi;  // Likewise.
 };
@@ -192,12 +198,16 @@
     }
 }
 
-void http_reader::stop() {
-    this->stopping.store(true);
+void http_reader::interrupt() {
     absl::MutexLock lock(&this->mutex);
     for (const auto& each : this->busy) {
-        each->wake();
+        each->end_call();
     }
 }
 
+void http_reader::stop() {
+    this->stopping.store(true);
+    this->interrupt();
+}
+
 }  // namespace trefoil::source
--- a/packages/source/http_reader.h
+++ b/packages/source/http_reader.h
@@ -62,6 +62,9 @@
     // `timeout` bounds the whole call, with opening a connection.
     result<http_answer, no_answer> get(const std::string& url, std::chrono::milliseconds timeout);
 
+    // Ends the calls that wait now; they fail.
+    void interrupt();
+
     // Ends calls that wait and makes later calls fail, for shutdown.
     void stop();
 
