Reload the settings on SIGHUP and when the file changes

Change: SIGHUP and a look at the file each second apply service, log level and retries; the rest is named in the log.

--- a/packages/daemon/admin.cc
+++ b/packages/daemon/admin.cc
@@ -237,7 +237,7 @@
                  {"incarnation", this->options.incarnation},
                  {"failure_domain", this->options.failure_domain},
                  {"site", this->options.site},
-                 {"service", this->options.service},
+                 {"service", this->board.settings.read()->service},
                  {"stopping", this->board.phase != lifecycle::running},
                  {"reasons_not_ready", this->reasons_not_ready()}};
     if (control != nullptr) {
--- a/packages/daemon/admin.h
+++ b/packages/daemon/admin.h
@@ -32,7 +32,6 @@
     std::uint64_t incarnation = 0;
     std::string failure_domain;
     std::string site;
-    std::string service;
     std::chrono::milliseconds confirmation_limit{4000};
 };
 
--- a/packages/daemon/blackboard.h
+++ b/packages/daemon/blackboard.h
@@ -18,6 +18,7 @@
 #include "base/time.h"
 #include "config/active_configuration.h"
 #include "config/snapshot.h"
+#include "daemon/settings.h"
 #include "membership/view.h"
 #include "routing/candidate_list.h"
 
@@ -45,6 +46,7 @@
 };
 
 struct blackboard {
+    board_slot<daemon::settings> settings;             // Written by the main thread; never null.
     board_slot<config::snapshot> snapshot;             // Written by the control loop.
     board_slot<membership::view> members;              // Written by the control loop.
     board_slot<routing::candidate_list> candidates;    // Written by the control loop.
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -90,16 +90,13 @@
               .limiter = {.tolerance = given.limits}},
              this->board, this->clock),
       local_egress({.upstream = given.upstream.text(),
-                    .service = given.service,
                     .headers = this->platform.headers,
                     .loop = &this->loop},
-                   this->contexts, this->clock),
+                   this->board, this->contexts, this->clock),
       local_ingress({.instance = given.instance,
                      .incarnation = this->incarnation,
                      .failure_domain = given.failure_domain,
-                     .service = given.service,
-                     .headers = this->platform.headers,
-                     .retries = given.retries},
+                     .headers = this->platform.headers},
                     this->board, this->limits, this->contexts, this->local_egress, this->metrics,
                     this->clock),
       control(make_core_options(given, this->platform.mirrors),
@@ -112,8 +109,7 @@
       operators({.instance = given.instance,
                  .incarnation = this->incarnation,
                  .failure_domain = given.failure_domain,
-                 .site = given.site,
-                 .service = given.service},
+                 .site = given.site},
                 this->board,
                 {.local_egress = this->local_egress,
                  .local_ingress = this->local_ingress,
@@ -128,11 +124,23 @@
           {.ip = given.listen.admin.ip, .port = given.listen.admin.port, .loop = &this->loop},
           this->operators),
       timer(this->loop, [this] { this->on_timer(); }) {
+    this->board.settings.publish(std::make_shared<const settings>(given));
     this->control.set_links(this->links);
     this->limits.set_links(this->links);
     this->local_ingress.set_links(this->links);
 }
 
+void daemon::reload(const settings& next) {
+    settings merged = this->options;
+    merged.service = next.service;
+    merged.log_level = next.log_level;
+    merged.retries = next.retries;
+    set_log_level(next.log_level);
+    this->board.settings.publish(std::make_shared<const settings>(merged));
+    log(log_level::info, "settings_reloaded",
+        {{"service", next.service}, {"restart_needed", merged == next ? "no" : "yes"}});
+}
+
 daemon::~daemon() {
     this->drain_and_stop();
     this->loop.stop();
@@ -242,7 +250,7 @@
     if (record != nullptr) {
         this->local_egress.set_upstream(record->upstream);
     }
-    const config::service* service = snapshot.find_service(this->options.service);
+    const config::service* service = snapshot.find_service(this->board.settings.read()->service);
     if (service == nullptr) {
         return;
     }
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -54,6 +54,10 @@
 
     result<daemon_started, start_failure> start();
 
+    // Takes over settings that may change while the daemon runs: service, log level, retries.
+    // Others take effect at the next start, which the log says.
+    void reload(const settings& next);
+
     // Announces leaving, takes no new work, finishes what is held and ends the threads. Returns
     // when that is done; bounded by the longest deadline of a held request.
     void drain_and_stop();
--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -120,8 +120,10 @@
 
 }  // namespace
 
-egress::egress(egress_options given, admission::context_table& handles, const time_source& time)
+egress::egress(egress_options given, const blackboard& shared, admission::context_table& handles,
+               const time_source& time)
     : options(std::move(given)),
+      board(shared),
       contexts(handles),
       clock(time),
       gate({}),
@@ -148,7 +150,8 @@
                      .reason = "duplicate"});
         return;
     }
-    if (held->call.service != this->options.service) {
+    // The upstream beside the daemon may be of another service than the ingress believes.
+    if (held->call.service != this->board.settings.read()->service) {
         this->refuse(id, {.reason = gate::refusal_reason::no_upstream,
                           .outcome = messages::call_outcome::not_run});
         return;
--- a/packages/daemon/egress.h
+++ b/packages/daemon/egress.h
@@ -3,7 +3,7 @@
 //
 // Example:
 //
-//     daemon::egress egress({.upstream = "127.0.0.1:6001"}, contexts, clock);
+//     daemon::egress egress({.upstream = "127.0.0.1:6001"}, board, contexts, clock);
 //     egress.offer(id, call, deadline, [](messages::call_result result) { ... });
 
 #ifndef TREFOIL_DAEMON_EGRESS_H_
@@ -18,6 +18,7 @@
 #include "base/board_slot.h"
 #include "base/sharded_map.h"
 #include "base/time.h"
+#include "daemon/blackboard.h"
 #include "edge/header_profile.h"
 #include "edge/upstream_client.h"
 #include "gate/upstream_gate.h"
@@ -27,7 +28,6 @@
 
 struct egress_options {
     std::string upstream;  // "ip:port".
-    std::string service;   // Calls for another service are refused.
     edge::header_profile headers = {};
     io::event_loop* loop = nullptr;  // Null: the egress has a loop of its own.
 };
@@ -48,7 +48,8 @@
 // Safe for concurrent use.
 class egress {
 public:
-    egress(egress_options options, admission::context_table& contexts, const time_source& clock);
+    egress(egress_options options, const blackboard& board, admission::context_table& contexts,
+           const time_source& clock);
 
     // `deadline` is on the local clock. `connection` is the peer connection of the call, 0 for the
     // local ingress. `reply` is called once, from any thread, unless the call is cancelled before
@@ -103,6 +104,7 @@
                                         mono_time now) const;
 
     const egress_options options;
+    const blackboard& board;
     admission::context_table& contexts;
     const time_source& clock;
     gate::upstream_gate gate;
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -99,15 +99,15 @@
 // of them may pass the whole a little; four fifths of the slack are used.
 std::shared_ptr<routing::retry_budget> ingress::budget_of(const std::string& service) {
     constexpr double used_slack = 0.8;
+    retry_settings retries = this->board.settings.read()->retries;
     auto view = this->board.members.read();
     double daemons = view == nullptr ? 1.0 : std::max<double>(view->listed().size(), 1);
     return this->budgets.update(service, [&](std::shared_ptr<routing::retry_budget>& slot) {
         if (slot == nullptr) {
             slot = std::make_shared<routing::retry_budget>(routing::retry_budget_options{
-                .share = this->options.retries.share,
-                .minimum_per_second = this->options.retries.minimum_per_second});
+                .share = retries.share, .minimum_per_second = retries.minimum_per_second});
         }
-        slot->set_slack(this->options.retries.slack * used_slack / daemons);
+        slot->set_slack(retries.slack * used_slack / daemons);
         return slot;
     });
 }
@@ -140,7 +140,7 @@
         this->respond_refused(call, *refusal);
         return;
     }
-    call->message.caller_service = this->options.service;
+    call->message.caller_service = this->board.settings.read()->service;
     call->message.headers = edge::forwardable_request(this->options.headers, request.headers);
     call->message.body = std::move(request.body);
     this->budget_of(call->message.service)->count_call(call->arrived);
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -59,10 +59,8 @@
     std::string instance;
     std::uint64_t incarnation = 0;
     std::string failure_domain;
-    std::string service;  // Of the upstream beside the daemon.
     std::chrono::milliseconds confirmation_limit{4000};
     edge::header_profile headers = {};
-    retry_settings retries = {};
 };
 
 // Safe for concurrent use.
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -4,6 +4,7 @@
 
 #include <boost/program_options.hpp>
 #include <csignal>
+#include <ctime>
 #include <iostream>
 #include <optional>
 #include <string>
@@ -12,6 +13,7 @@
 #include "base/log.h"
 #include "daemon/daemon.h"
 #include "daemon/settings.h"
+#include "daemon/settings_watch.h"
 #include "platform/binding.h"
 
 namespace {
@@ -22,13 +24,17 @@
 constexpr int exit_start_failed = 1;
 constexpr int exit_usage = 2;
 
-// Blocks the signals that end the daemon before any thread starts, so that only the main thread
+// How often the settings file is looked at without a signal.
+constexpr timespec settings_interval{.tv_sec = 1, .tv_nsec = 0};
+
+// Blocks the signals that the daemon handles before any thread starts, so that only the main thread
 // takes them.
-sigset_t block_end_signals() {
+sigset_t block_signals() {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     return signals;
@@ -46,8 +52,25 @@
     return std::nullopt;
 }
 
-int run(const trefoil::daemon::settings& settings) {
-    sigset_t signals = block_end_signals();
+// Applies changed settings until a signal ends the daemon.
+void wait_for_end(const sigset_t& signals, const std::string& path,
+                  const trefoil::daemon::settings& settings, trefoil::daemon::daemon& process) {
+    trefoil::daemon::settings_watch watch(path, settings);
+    while (true) {
+        int received = sigtimedwait(&signals, nullptr, &settings_interval);
+        if (received == SIGTERM || received == SIGINT) {
+            return;
+        }
+        if (auto changed = watch.check()) {
+            process.reload(*changed);
+        } else if (received == SIGHUP) {
+            trefoil::log(trefoil::log_level::info, "settings_unchanged");
+        }
+    }
+}
+
+int run(const std::string& path, const trefoil::daemon::settings& settings) {
+    sigset_t signals = block_signals();
     trefoil::set_log_level(settings.log_level);
     auto binding = bind_platform(settings);
     if (!binding.has_value()) {
@@ -62,8 +85,7 @@
                   << '\n';
         return exit_start_failed;
     }
-    int received = 0;
-    sigwait(&signals, &received);
+    wait_for_end(signals, path, settings, process);
     process.drain_and_stop();
     return exit_good;
 }
@@ -89,10 +111,11 @@
         std::cerr << "trefoild: --settings FILE is required\n";
         return exit_usage;
     }
-    auto loaded = trefoil::daemon::load_settings(given["settings"].as<std::string>());
+    auto path = given["settings"].as<std::string>();
+    auto loaded = trefoil::daemon::load_settings(path);
     if (const auto* failures = std::get_if<trefoil::daemon::settings_failures>(&loaded)) {
         std::cerr << "trefoild: " << trefoil::daemon::describe(failures->front()) << '\n';
         return exit_usage;
     }
-    return run(std::get<trefoil::daemon::settings>(loaded));
+    return run(path, std::get<trefoil::daemon::settings>(loaded));
 }
