--- a/packages/base/log.h
+++ b/packages/base/log.h
@@ -1,9 +1,11 @@
-// Structured log lines on standard error: time, level, event name and fields.
+// Structured log lines on standard output: time, level, event name and fields.
 //
 // Example:
 //
+//     trefoil::start_log_writer({});
 //     trefoil::log(trefoil::log_level::info, "snapshot_applied",
 //                  {{"base_revision", fmt::to_string(7)}, {"site", "north"}});
+//     trefoil::log_sampled("request", id, {{"status", "200"}});
 //
 // prints `2026-03-01T10:00:00.123Z info snapshot_applied base_revision=7 site=north`. Callers never
 // pass a key or the digest of a key as a field.
@@ -13,6 +15,8 @@
 
 #include <fmt/format.h>
 
+#include <chrono>
+#include <cstdint>
 #include <initializer_list>
 #include <optional>
 #include <string>
@@ -34,9 +38,41 @@
 void set_log_level(log_level level);
 
 // Writes one line. Values with spaces, quotes or control characters are quoted and escaped. Safe
-// for concurrent use: each line is written with one call.
+// for concurrent use; never blocks once the writer has started.
 void log(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
 
+// Writes a line of level info about the ordinary course of one request. While lines come faster
+// than the budget, only those of some requests are written: always of the same, so that a request
+// has all its lines or none.
+void log_sampled(std::string_view event, std::string_view request_id,
+                 std::initializer_list<log_field> fields);
+
+struct log_writer_options {
+    // Lines that wait for the writer. Beyond them the oldest are dropped.
+    std::size_t queue_lines = 1024;
+    // Most lines a second in the long run, and at once. A line has about 250 bytes.
+    double lines_per_second = 400;
+    double burst_lines = 2000;
+};
+
+// Starts the thread that writes lines. Before it, lines are written by their callers. To be called
+// once.
+void start_log_writer(const log_writer_options& options);
+
+// Gives the writer this time to write what waits, for the end of a process. Returns false when it
+// did not manage, because nobody reads standard output.
+bool flush_log(std::chrono::milliseconds limit);
+
+// Lines that were not written: for the budget and because the writer was too slow.
+struct log_totals {
+    std::uint64_t written = 0;
+    std::uint64_t over_budget = 0;
+    std::uint64_t overrun = 0;
+
+    friend bool operator==(const log_totals&, const log_totals&) = default;
+};
+log_totals read_log_totals();
+
 }  // namespace trefoil
 
 #endif  // TREFOIL_BASE_LOG_H_
--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <utility>
 
+#include "daemon/request_log.h"
 #include "gate/slot_limit.h"
 
 namespace trefoil::daemon {
@@ -110,14 +111,6 @@
     return answer;
 }
 
-// A call that waits for more than half of its latency objective would probably miss it.
-std::optional<mono_duration> longest_wait(const messages::call& call) {
-    if (call.objective_us == 0) {
-        return std::nullopt;
-    }
-    return std::chrono::microseconds(call.objective_us / 2);
-}
-
 }  // namespace
 
 egress::egress(egress_options given, const blackboard& shared, admission::context_table& handles,
@@ -135,6 +128,7 @@
     held->call = std::move(call);
     held->deadline = deadline;
     held->connection = connection;
+    held->arrived = this->clock.now();
     held->reply = std::move(reply);
     bool known = false;
     // The call is stored before the gate sees it, because another thread may start it at once.
@@ -156,11 +150,7 @@
                           .outcome = messages::call_outcome::not_run});
         return;
     }
-    gate::offer_result offered = this->gate.offer({.id = id,
-                                                   .workspace = held->call.workspace,
-                                                   .deadline = deadline,
-                                                   .longest_wait = longest_wait(held->call)},
-                                                  this->clock.now());
+    gate::offer_result offered = this->gate.offer(this->describe(id, *held), held->arrived);
     if (std::holds_alternative<gate::start_now>(offered.decision)) {
         this->start(id);
     } else if (auto* why = std::get_if<gate::refusal>(&offered.decision)) {
@@ -169,6 +159,29 @@
     this->apply(offered.changes);
 }
 
+// The gate's view of a call.
+gate::offered_call egress::describe(const gate::call_id& id, const held_call& held) const {
+    gate::offered_call offered{.id = id,
+                               .workspace = held.call.workspace,
+                               .deadline = held.deadline,
+                               .route = held.call.route,
+                               .priority = held.call.priority,
+                               .may_be_late = held.call.may_be_late};
+    if (held.call.objective_us > 0) {
+        auto report = this->gate.load_for(held.call.route, held.arrived);
+        mono_time sent = held.deadline - std::chrono::microseconds(held.call.budget_us);
+        offered.latest_start = sent + std::chrono::microseconds(held.call.objective_us) -
+                               std::chrono::microseconds(report.service_us);
+    }
+    return offered;
+}
+
+void egress::complete(messages::call_result& answer, const held_call& call, mono_time now) const {
+    answer.load = this->gate.load_for(call.call.route, now);
+    answer.held_us = static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(now - call.arrived).count());
+}
+
 void egress::apply(const gate::gate_changes& changes) {
     for (const gate::call_id& id : changes.start) {
         this->start(id);
@@ -235,7 +248,7 @@
     gate::gate_changes changes = this->gate.finish(id, kind_of(result), latency, now);
     messages::call_result answer = result_of(names, std::move(result));
     answer.sequence = id.sequence;
-    answer.load = this->gate.load();
+    this->complete(answer, call, now);
     if (answer.outcome == messages::call_outcome::answered) {
         ++this->answered;
     } else if (answer.outcome == messages::call_outcome::not_run) {
@@ -243,6 +256,7 @@
     } else {
         ++this->unknown;
     }
+    this->log_end(id, call, answer, now);
     call.reply(std::move(answer));
     this->apply(changes);
 }
@@ -253,11 +267,32 @@
         return;
     }
     ++this->refused;
-    (*held)->reply({.sequence = id.sequence,
-                    .outcome = why.outcome,
-                    .reason = std::string(gate::reason_name(why.reason)),
-                    .reached_upstream = false,
-                    .load = this->gate.load()});
+    messages::call_result answer{
+        .sequence = id.sequence,
+        .outcome = why.outcome,
+        .reason = std::string(gate::reason_name(why.reason)),
+        .reached_upstream = false,
+        .retry_after_ms = static_cast<std::uint32_t>(
+            std::chrono::ceil<std::chrono::milliseconds>(why.retry_after).count())};
+    mono_time now = this->clock.now();
+    this->complete(answer, **held, now);
+    this->log_end(id, **held, answer, now);
+    (*held)->reply(std::move(answer));
+}
+
+void egress::log_end(const gate::call_id& id, const held_call& call,
+                     const messages::call_result& answer, mono_time now) const {
+    auto upstream = this->upstream_id.read();
+    bool ran = call.started != mono_time();
+    log_call({.id = call.call.request_id,
+              .ingress = id.instance,
+              .upstream = upstream == nullptr ? std::string_view() : std::string_view(*upstream),
+              .outcome = outcome_name(answer.outcome),
+              .reason = answer.reason,
+              .status = answer.status,
+              .load = answer.load,
+              .waited = (ran ? call.started : now) - call.arrived,
+              .took = ran ? now - call.started : mono_duration(0)});
 }
 
 void egress::cancel(const gate::call_id& id) {
--- a/packages/daemon/egress.h
+++ b/packages/daemon/egress.h
@@ -88,6 +88,7 @@
     struct held_call {
         messages::call call;
         mono_time deadline;
+        mono_time arrived;
         std::uint64_t connection = 0;
         mono_time started;
         result_callback reply;
@@ -95,6 +96,10 @@
         std::string handle;                // Context handle while the call runs.
     };
 
+    gate::offered_call describe(const gate::call_id& id, const held_call& held) const;
+    void complete(messages::call_result& answer, const held_call& call, mono_time now) const;
+    void log_end(const gate::call_id& id, const held_call& call,
+                 const messages::call_result& answer, mono_time now) const;
     void apply(const gate::gate_changes& changes);
     void start(const gate::call_id& id);
     void abort(const gate::call_id& id);
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/random.h"
+#include "daemon/request_log.h"
 
 namespace trefoil::daemon {
 
@@ -39,6 +40,21 @@
            reason == reasons::stopping;
 }
 
+// When a refused caller finds a better chance.
+std::optional<std::chrono::milliseconds> return_time(
+    std::string_view reason, const std::optional<std::chrono::milliseconds>& free_after) {
+    constexpr std::chrono::milliseconds shortest{50};
+    constexpr std::chrono::milliseconds after_change{250};  // A view of the fleet changes.
+    if (reason == reasons::overloaded) {
+        return std::max(shortest, free_after.value_or(after_change));
+    }
+    if (reason == reasons::not_ready || reason == reasons::stopping ||
+        reason == reasons::no_upstream || reason == reasons::unconfirmed) {
+        return after_change;
+    }
+    return std::nullopt;
+}
+
 std::string_view reason_of_give_up(const routing::give_up& decision, std::string_view last) {
     return decision.reason == routing::give_up_reason::deadline_exceeded
                ? reasons::deadline_exceeded
@@ -55,10 +71,20 @@
     bool admitted = false;
     bool over = false;                // Answered, or its caller has left.
     std::uint64_t last_sequence = 0;  // Of the latest attempt; 0 before the first.
+    std::size_t sent = 0;             // Attempts.
     std::vector<std::string> tried;
+    std::vector<std::string> refused;  // Part of `tried`: their upstreams did not see the call.
+    // The shortest time after which one of them could have started it.
+    std::optional<std::chrono::milliseconds> retry_after;
     // An upstream's 502, 503 or 504 for which a retry was made. The caller gets it when no retry
     // brings a better response.
     std::optional<edge::http_response> earlier_response;
+
+    // When the latency objective is missed.
+    std::optional<mono_time> objective_at() const {
+        return this->objective.count() == 0 ? std::nullopt
+                                            : std::optional(this->arrived + this->objective);
+    }
 };
 
 // One attempt of a call. `connection` leaves `not_sent_yet` once: to the connection right before
@@ -69,8 +95,8 @@
     static constexpr transport::connection_id abandoned = ~transport::connection_id{0};
 
     bool claim(transport::connection_id next) {
-        transport::connection_id expected = not_sent_yet;
-        return this->connection.compare_exchange_strong(expected, next);
+        transport::connection_id before = not_sent_yet;
+        return this->connection.compare_exchange_strong(before, next);
     }
 
     call_ptr call;
@@ -78,6 +104,10 @@
     mono_time sent_at;
     mono_time expires;
     std::atomic<transport::connection_id> connection{not_sent_yet};
+    // What led to the choice, for the log.
+    std::size_t candidates = 0;
+    mono_duration expected{};
+    mono_duration report_age{};
 };
 
 ingress::ingress(ingress_options given, blackboard& shared, limit_service& limiter,
@@ -143,6 +173,7 @@
     call->message.caller_service = this->board.settings.read()->service;
     call->message.headers = edge::forwardable_request(this->options.headers, request.headers);
     call->message.body = std::move(request.body);
+    call->message.may_be_late = call->objective.count() == 0;
     this->budget_of(call->message.service)->count_call(call->arrived);
     if (call->nested || call->message.workspace.empty()) {
         call->admitted = true;
@@ -163,6 +194,26 @@
     });
 }
 
+routing::pick_context ingress::context_of(const entry_call& call) const {
+    constexpr double bytes_per_kib = 1024;
+    double request = static_cast<double>(call.message.body.size()) / bytes_per_kib;
+    return {.route = call.message.route,
+            .objective = call.objective,
+            .payload_kib = request + this->response_kib.find(call.message.route).value_or(0)};
+}
+
+bool ingress::accept_late_place(entry_call& call) const {
+    if (call.message.may_be_late || call.refused.empty()) {
+        return false;
+    }
+    call.message.may_be_late = true;
+    std::erase_if(call.tried, [&call](const std::string& each) {
+        return std::find(call.refused.begin(), call.refused.end(), each) != call.refused.end();
+    });
+    call.refused.clear();
+    return true;
+}
+
 void ingress::dispatch(const call_ptr& call, std::string_view last_reason) {
     mono_time now = this->clock.now();
     if (now >= call->history.deadline) {
@@ -173,8 +224,15 @@
     auto list = this->board.candidates.read();
     routing::pick_result choice = routing::no_upstream_available{};
     if (list != nullptr) {
-        choice = this->chooser.pick(list->of_service(call->message.service), call->tried,
-                                    this->load, now, thread_random());
+        const auto& candidates = list->of_service(call->message.service);
+        routing::pick_context context = this->context_of(*call);
+        choice =
+            this->chooser.pick(candidates, call->tried, this->load, context, now, thread_random());
+        bool none = !std::holds_alternative<routing::picked_upstream>(choice);
+        if (none && this->accept_late_place(*call)) {
+            choice = this->chooser.pick(candidates, call->tried, this->load, context, now,
+                                        thread_random());
+        }
     }
     if (const auto* picked = std::get_if<routing::picked_upstream>(&choice)) {
         this->send_attempt(call, picked->chosen);
@@ -194,6 +252,8 @@
     started->sent_at = now;
     call->tried.push_back(target.instance);
     call->last_sequence = sequence;
+    ++call->sent;
+    this->note_choice(*started, target, now);
     this->attempts.update(sequence, [&](std::shared_ptr<attempt>& slot) { slot = started; });
     this->load.call_sent(target.instance, now);
     if (target.instance == this->options.instance) {
@@ -203,9 +263,24 @@
     }
 }
 
+// Keeps the inputs of a choice for the log.
+void ingress::note_choice(attempt& started, const routing::candidate& target, mono_time now) const {
+    auto list = this->board.candidates.read();
+    started.candidates = list->of_service(started.call->message.service).size();
+    started.expected =
+        this->chooser.expected_time(target, this->load, this->context_of(*started.call), now);
+    auto reported = this->load.find(target.instance).reported_at;
+    started.report_age = reported.has_value() ? now - *reported : mono_duration(-1);
+}
+
 void ingress::send_local(std::uint64_t sequence, const call_ptr& call) {
     messages::call message = call->message;
+    mono_time now = this->clock.now();
     message.sequence = sequence;
+    message.sent_us = to_microseconds(now);
+    message.budget_us =
+        std::chrono::duration_cast<std::chrono::microseconds>(call->history.deadline - now).count();
+    message.objective_us = objective_left_us(call->objective_at(), now);
     this->local.offer({.instance = this->options.instance,
                        .incarnation = this->options.incarnation,
                        .sequence = sequence},
@@ -220,6 +295,7 @@
     this->links->send_call(target.instance, target.address,
                            {.call = std::move(message),
                             .deadline = call->history.deadline,
+                            .objective = call->objective_at(),
                             .about_to_send =
                                 [this, sequence](transport::connection_id connection) {
                                     auto found = this->attempts.find(sequence);
@@ -247,15 +323,21 @@
     const call_ptr& call = (*found)->call;
     this->load.call_ended((*found)->instance);
     this->load.reported((*found)->instance, result.load, now);
+    if (result.load.service_us > 0) {
+        mono_duration held = std::chrono::microseconds(result.held_us);
+        this->load.measured((*found)->instance, call->message.route,
+                            std::chrono::microseconds(result.load.service_us),
+                            std::max(mono_duration(0), now - (*found)->sent_at - held));
+    }
+    this->log_end(**found, outcome_name(result.outcome), result.reason,
+                  std::chrono::microseconds(result.held_us));
     switch (result.outcome) {
         case messages::call_outcome::answered:
             this->load.accepted((*found)->instance);
             this->deliver(call, std::move(result));
             break;
         case messages::call_outcome::not_run:
-            if (avoids_upstream(result.reason)) {
-                this->load.refused((*found)->instance, now);
-            }
+            this->note_refusal(*call, (*found)->instance, result, now);
             this->after_failure(call,
                                 result.reached_upstream ? routing::attempt_end::not_run_reply
                                                         : routing::attempt_end::refused,
@@ -268,6 +350,37 @@
     }
 }
 
+void ingress::note_refusal(entry_call& call, const std::string& instance,
+                           const messages::call_result& result, mono_time now) {
+    // An egress that says how long requests take is avoided by its expected time.
+    bool by_time = result.load.mean_service_us > 0 && result.reason == reasons::overloaded;
+    if (avoids_upstream(result.reason) && !by_time) {
+        this->load.refused(instance, now);
+    }
+    if (result.reached_upstream) {
+        return;
+    }
+    call.refused.push_back(instance);
+    if (result.retry_after_ms > 0) {
+        std::chrono::milliseconds wait(result.retry_after_ms);
+        call.retry_after = std::min(call.retry_after.value_or(wait), wait);
+    }
+}
+
+void ingress::log_end(const attempt& each, std::string_view outcome, std::string_view reason,
+                      mono_duration held) const {
+    log_attempt({.id = each.call->message.request_id,
+                 .instance = each.instance,
+                 .candidates = each.candidates,
+                 .expected = each.expected,
+                 .report_age = each.report_age,
+                 .late_place = each.call->message.may_be_late,
+                 .outcome = outcome,
+                 .reason = reason,
+                 .duration = this->clock.now() - each.sent_at,
+                 .held = held});
+}
+
 void ingress::end_attempt(std::uint64_t sequence, routing::attempt_end end,
                           std::string_view reason) {
     auto found = this->attempts.take(sequence);
@@ -275,6 +388,8 @@
         return;
     }
     this->load.call_ended((*found)->instance);
+    this->log_end(**found, end == routing::attempt_end::not_sent ? "not_sent" : "no_reply", reason,
+                  {});
     if (end == routing::attempt_end::not_sent) {
         this->load.connection_failed((*found)->instance, this->clock.now());
     }
@@ -296,6 +411,12 @@
 }
 
 void ingress::deliver(const call_ptr& call, messages::call_result result) {
+    constexpr double bytes_per_kib = 1024;
+    constexpr double latest_weight = 1.0 / 16;
+    double kib = static_cast<double>(result.body.size()) / bytes_per_kib;
+    this->response_kib.update(call->message.route, [kib](double& mean) {
+        mean = mean == 0 ? kib : mean + latest_weight * (kib - mean);
+    });
     edge::http_response response{.status = result.status,
                                  .headers = edge::forwardable(result.headers),
                                  .body = std::move(result.body)};
@@ -314,7 +435,12 @@
     this->respond(call, std::move(response), {});
 }
 
-void ingress::respond_refused(const call_ptr& call, const call_refusal& refusal) {
+void ingress::respond_refused(const call_ptr& call, call_refusal refusal) {
+    bool comes_back =
+        refusal.outcome == messages::call_outcome::not_run && !refusal.retry_after.has_value();
+    if (comes_back) {
+        refusal.retry_after = return_time(refusal.reason, call->retry_after);
+    }
     if (call->earlier_response.has_value()) {
         this->respond(call, std::move(*call->earlier_response), {});
         return;
@@ -342,6 +468,18 @@
                               .retries = call->history.retries,
                               .duration = this->clock.now() - call->arrived};
     this->observer.on_finished(finished);
+    log_request({.id = call->message.request_id,
+                 .route = call->message.route,
+                 .workspace = call->message.workspace,
+                 .service = call->message.service,
+                 .status = status,
+                 .reason = reason,
+                 .may_have_run = call->history.may_have_run,
+                 .base_revision = call->message.base_revision,
+                 .attempts = call->sent,
+                 .retries = call->history.retries,
+                 .duration = finished.duration,
+                 .objective = call->objective});
     --this->in_progress;
 }
 
@@ -412,6 +550,7 @@
     }
     if (auto current = this->attempts.take(call->last_sequence)) {
         this->load.call_ended((*current)->instance);
+        this->log_end(**current, "abandoned", reasons::caller_gone, {});
         this->tell_egress(call->last_sequence, **current);
     }
     this->finish(call, status_caller_gone, reasons::caller_gone);
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -93,8 +93,14 @@
     using call_ptr = std::shared_ptr<entry_call>;
 
     std::shared_ptr<routing::retry_budget> budget_of(const std::string& service);
+    routing::pick_context context_of(const entry_call& call) const;
+    // Lets a call that no upstream can serve in time take a late place.
+    bool accept_late_place(entry_call& call) const;
     void dispatch(const call_ptr& call, std::string_view last_reason);
     void send_attempt(const call_ptr& call, const routing::candidate& target);
+    void note_choice(attempt& started, const routing::candidate& target, mono_time now) const;
+    void log_end(const attempt& each, std::string_view outcome, std::string_view reason,
+                 mono_duration held) const;
     void send_local(std::uint64_t sequence, const call_ptr& call);
     void send_remote(std::uint64_t sequence, const call_ptr& call,
                      const routing::candidate& target);
@@ -104,11 +110,13 @@
     void tell_egress(std::uint64_t sequence, attempt& given_up);
     void abandon(const call_ptr& call);
     void finish(const call_ptr& call, unsigned status, std::string_view reason);
+    void note_refusal(entry_call& call, const std::string& instance,
+                      const messages::call_result& result, mono_time now);
     void end_attempt(std::uint64_t sequence, routing::attempt_end end, std::string_view reason);
     void after_failure(const call_ptr& call, routing::attempt_end end, std::string_view reason);
     void deliver(const call_ptr& call, messages::call_result result);
     void respond(const call_ptr& call, edge::http_response response, std::string_view reason);
-    void respond_refused(const call_ptr& call, const call_refusal& refusal);
+    void respond_refused(const call_ptr& call, call_refusal refusal);
 
     const ingress_options options;
     blackboard& board;
@@ -122,6 +130,7 @@
     routing::load_table load;
     routing::upstream_picker chooser;
     routing::retry_policy policy;
+    sharded_map<std::string, double> response_kib;  // Mean size of responses, by route.
     // By service, because the platform counts retries for each.
     sharded_map<std::string, std::shared_ptr<routing::retry_budget>> budgets;
     std::atomic<std::uint64_t> next_sequence{1};
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -3,7 +3,9 @@
 #include <pthread.h>
 
 #include <boost/program_options.hpp>
+#include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <ctime>
 #include <iostream>
 #include <optional>
@@ -24,6 +26,8 @@
 constexpr int exit_start_failed = 1;
 constexpr int exit_usage = 2;
 
+// Longest time for lines that wait when the process ends.
+constexpr std::chrono::milliseconds log_flush_limit{200};
 // How often the settings file is looked at without a signal.
 constexpr timespec settings_interval{.tv_sec = 1, .tv_nsec = 0};
 
@@ -72,6 +76,7 @@
 int run(const std::string& path, const trefoil::daemon::settings& settings) {
     sigset_t signals = block_signals();
     trefoil::set_log_level(settings.log_level);
+    trefoil::start_log_writer({});
     auto binding = bind_platform(settings);
     if (!binding.has_value()) {
         std::cerr << "trefoild: platform_protocol: expected documents or metadata_store, found \""
@@ -87,6 +92,10 @@
     }
     wait_for_end(signals, path, settings, process);
     process.drain_and_stop();
+    if (!trefoil::flush_log(log_flush_limit)) {
+        // Nobody reads standard output; the writer's thread would never end.
+        std::_Exit(exit_good);
+    }
     return exit_good;
 }
 
--- a/packages/daemon/peer_links.cc
+++ b/packages/daemon/peer_links.cc
@@ -17,6 +17,14 @@
 
 }  // namespace
 
+std::int64_t objective_left_us(const std::optional<mono_time>& objective, mono_time now) {
+    if (!objective.has_value()) {
+        return 0;
+    }
+    auto left = std::chrono::duration_cast<std::chrono::microseconds>(*objective - now);
+    return std::max<std::int64_t>(left.count(), 1);
+}
+
 struct peer_links::link {
     transport::connection_id id = 0;
     messages::hello peer;
@@ -193,6 +201,7 @@
     call.call.sent_us = to_microseconds(now);
     call.call.budget_us =
         std::chrono::duration_cast<std::chrono::microseconds>(call.deadline - now).count();
+    call.call.objective_us = objective_left_us(call.objective, now);
     if (!this->endpoint.send(id, std::move(call.call))) {
         call.not_sent();
     }
--- a/packages/daemon/peer_links.h
+++ b/packages/daemon/peer_links.h
@@ -55,10 +55,14 @@
 struct outgoing_call {
     messages::call call;
     mono_time deadline;
+    std::optional<mono_time> objective;  // When the latency objective is missed.
     std::function<bool(transport::connection_id)> about_to_send;
     std::function<void()> not_sent;
 };
 
+// The form in which a call carries what is left of its objective.
+std::int64_t objective_left_us(const std::optional<mono_time>& objective, mono_time now);
+
 struct peer_links_options {
     transport::peer_endpoint_options endpoint;
     std::chrono::milliseconds idle_limit{60000};
--- a/packages/daemon/request_acceptance.cc
+++ b/packages/daemon/request_acceptance.cc
@@ -51,10 +51,16 @@
 
 namespace {
 
+// One rank for both priorities: that of the workspace goes first.
 std::uint32_t priority_of(const config::snapshot& snapshot, const config::route& route,
                           const std::string& workspace) {
+    constexpr std::uint32_t route_priorities = 1001;
     const config::workspace* owner = snapshot.find_workspace(workspace);
-    return owner == nullptr ? route.priority : owner->priority.value_or(route.priority);
+    std::uint32_t first = config::default_priority;
+    if (owner != nullptr && owner->priority.has_value()) {
+        first = *owner->priority;
+    }
+    return first * route_priorities + route.priority;
 }
 
 }  // namespace
@@ -97,9 +103,7 @@
     if (auto refusal = this->check_confirmation(route, *control, arrived)) {
         return refusal;
     }
-    if (route.latency_objective.has_value()) {
-        accepted.message.objective_us = std::chrono::microseconds(*route.latency_objective).count();
-    }
+    accepted.objective = route.latency_objective.value_or(std::chrono::milliseconds(0));
     accepted.message.priority = priority_of(*snapshot, route, accepted.message.workspace);
     // Chosen once for all attempts, so that a part that is short of room keeps its share.
     accepted.message.service = this->splits.choose(route);
--- a/packages/daemon/request_acceptance.h
+++ b/packages/daemon/request_acceptance.h
@@ -30,6 +30,7 @@
     bool nested = false;     // Sent by the local upstream with a valid context handle.
     messages::call message;  // Without headers, body, sequence and stamps.
     routing::call_attempts history;
+    std::chrono::milliseconds objective{0};  // Latency objective; 0: none.
 };
 
 struct request_acceptance_options {
--- a/packages/gate/fair_queue.cc
+++ b/packages/gate/fair_queue.cc
@@ -1,4 +1,4 @@
-// Implements the fair queue with one list per workspace and an index by call.
+// Implements the queue with one rotation of workspaces per rank and an index by call.
 
 #include "gate/fair_queue.h"
 
@@ -7,33 +7,68 @@
 
 namespace trefoil::gate {
 
+namespace {
+
+bool is_late(const waiting_call& waiting, mono_time now) {
+    return waiting.call.latest_start.has_value() && *waiting.call.latest_start < now;
+}
+
+}  // namespace
+
 std::variant<queue_added, queue_full> fair_queue::push(waiting_call waiting) {
     queue_added added;
     if (this->positions.size() >= this->capacity) {
-        lane_position longest = this->longest_lane();
-        std::size_t own = this->waiting_calls(waiting.call.workspace);
-        // The new call may only displace one when its workspace then still has no more waiting
-        // calls than the displaced one's; otherwise two workspaces would displace each other's
-        // calls forever.
-        if (longest == this->rotation.end() || longest->calls.size() < own + 2) {
+        added.displaced = this->make_room(waiting);
+        if (!added.displaced.has_value()) {
             return queue_full{};
         }
-        added.displaced = this->take({longest, std::prev(longest->calls.end())});
     }
-    lane_position owner = this->lane_of(waiting.call.workspace);
-    call_id id = waiting.call.id;
-    owner->calls.push_back(std::move(waiting));
-    this->positions[id] = {owner, std::prev(owner->calls.end())};
+    rank where{false, waiting.call.priority};
+    this->insert(where, std::move(waiting));
     return added;
 }
 
-std::optional<waiting_call> fair_queue::pop() {
-    if (this->rotation.empty()) {
+// Takes the newest call of the longest lane of the least urgent rank. In the same rank the new call
+// may only displace one when its workspace then still has no more waiting calls than the displaced
+// one's; otherwise two workspaces would displace each other's calls forever.
+std::optional<waiting_call> fair_queue::make_room(const waiting_call& coming) {
+    if (this->ranks.empty()) {
         return std::nullopt;
     }
-    lane_position first = this->rotation.begin();
-    this->rotation.splice(this->rotation.end(), this->rotation, first);
-    return this->take({first, first->calls.begin()});
+    auto least_urgent = std::prev(this->ranks.end());
+    rank own_rank{false, coming.call.priority};
+    if (least_urgent->first < own_rank) {
+        return std::nullopt;
+    }
+    auto longest = longest_lane(least_urgent->second);
+    if (least_urgent->first == own_rank) {
+        auto same =
+            std::find_if(least_urgent->second.begin(), least_urgent->second.end(),
+                         [&](const lane& each) { return each.workspace == coming.call.workspace; });
+        std::size_t own = same == least_urgent->second.end() ? 0 : same->calls.size();
+        if (longest->calls.size() < own + 2) {
+            return std::nullopt;
+        }
+    }
+    return this->take({least_urgent->first, longest, std::prev(longest->calls.end())});
+}
+
+std::optional<waiting_call> fair_queue::pop(mono_time now) {
+    while (!this->ranks.empty()) {
+        auto first = this->ranks.begin();
+        rank where = first->first;
+        rotation& lanes = first->second;
+        auto next = lanes.begin();
+        lanes.splice(lanes.end(), lanes, next);
+        waiting_call taken = this->take({where, next, next->calls.begin()});
+        bool turned_late = !where.first && is_late(taken, now);
+        if (!turned_late) {
+            return taken;
+        }
+        rank late{true, where.second};
+        this->insert(late, std::move(taken));
+    }
+    return std::nullopt;
 }
 
 std::optional<waiting_call> fair_queue::remove(const call_id& id) {
@@ -47,10 +82,12 @@
 std::vector<waiting_call> fair_queue::expire(mono_time now) {
     std::vector<position> late;
     // The lanes and not the index are visited, because the order of the index is not repeatable.
-    for (auto owner = this->rotation.begin(); owner != this->rotation.end(); ++owner) {
-        for (auto call = owner->calls.begin(); call != owner->calls.end(); ++call) {
-            if (call->expires <= now) {
-                late.push_back({owner, call});
+    for (auto& [where, lanes] : this->ranks) {
+        for (auto owner = lanes.begin(); owner != lanes.end(); ++owner) {
+            for (auto call = owner->calls.begin(); call != owner->calls.end(); ++call) {
+                if (call->expires <= now) {
+                    late.push_back({where, owner, call});
+                }
             }
         }
     }
@@ -65,8 +102,10 @@
 std::vector<waiting_call> fair_queue::clear() {
     std::vector<waiting_call> all;
     all.reserve(this->size());
-    while (std::optional<waiting_call> next = this->pop()) {
-        all.push_back(std::move(*next));
+    while (!this->ranks.empty()) {
+        auto first = this->ranks.begin();
+        auto owner = first->second.begin();
+        all.push_back(this->take({first->first, owner, owner->calls.begin()}));
     }
     return all;
 }
@@ -79,35 +118,53 @@
     return earliest;
 }
 
-fair_queue::lane_position fair_queue::lane_of(const std::string& workspace) {
-    auto found = this->lanes.find(workspace);
-    if (found != this->lanes.end()) {
-        return found->second;
+std::size_t fair_queue::ahead_of(std::uint32_t priority, bool late) const {
+    std::size_t ahead = 0;
+    for (const auto& [where, lanes] : this->ranks) {
+        if (rank(late, priority) < where) {
+            break;
+        }
+        for (const lane& each : lanes) {
+            ahead += each.calls.size();
+        }
     }
-    this->rotation.push_back({.workspace = workspace, .calls = {}});
-    lane_position created = std::prev(this->rotation.end());
-    this->lanes[workspace] = created;
-    return created;
+    return ahead;
 }
 
-fair_queue::lane_position fair_queue::longest_lane() {
-    return std::max_element(
-        this->rotation.begin(), this->rotation.end(),
-        [](const lane& a, const lane& b) { return a.calls.size() < b.calls.size(); });
+void fair_queue::insert(rank where, waiting_call waiting) {
+    auto owner = this->lane_of(where, waiting.call.workspace);
+    call_id id = waiting.call.id;
+    owner->calls.push_back(std::move(waiting));
+    this->positions[id] = {where, owner, std::prev(owner->calls.end())};
 }
 
-std::size_t fair_queue::waiting_calls(const std::string& workspace) const {
-    auto found = this->lanes.find(workspace);
-    return found == this->lanes.end() ? 0 : found->second->calls.size();
+fair_queue::rotation::iterator fair_queue::lane_of(rank where, const std::string& workspace) {
+    rotation& lanes = this->ranks[where];
+    auto found = std::find_if(lanes.begin(), lanes.end(),
+                              [&](const lane& each) { return each.workspace == workspace; });
+    if (found != lanes.end()) {
+        return found;
+    }
+    lanes.push_back({.workspace = workspace, .calls = {}});
+    return std::prev(lanes.end());
+}
+
+fair_queue::rotation::iterator fair_queue::longest_lane(rotation& lanes) {
+    return std::max_element(lanes.begin(), lanes.end(), [](const lane& a, const lane& b) {
+        return a.calls.size() < b.calls.size();
+    });
 }
 
 waiting_call fair_queue::take(position where) {
     waiting_call taken = std::move(*where.call);
     where.owner->calls.erase(where.call);
     this->positions.erase(taken.call.id);
+    auto lanes = this->ranks.find(where.where);
     if (where.owner->calls.empty()) {
-        this->lanes.erase(where.owner->workspace);
-        this->rotation.erase(where.owner);
+        lanes->second.erase(where.owner);
+    }
+    if (lanes->second.empty()) {
+        this->ranks.erase(lanes);
     }
     return taken;
 }
--- a/packages/gate/fair_queue.h
+++ b/packages/gate/fair_queue.h
@@ -1,20 +1,23 @@
-// Waiting calls, queued per workspace and served round robin. When the queue is full, a call of a
-// workspace with few waiting calls displaces the newest call of the workspace with the most, so
-// that one workspace far above its rate does not use up the room of the others.
+// Calls that wait for a slot: by rank, and within a rank one list per workspace, served in turn.
+// One workspace with many requests cannot delay the others' next call, and when the queue is full
+// the newest call of the least urgent rank and of the workspace with the most waiting calls gives
+// way.
 //
 // Example:
 //
 //     gate::fair_queue queue(64);
-//     auto pushed = queue.push({.call = call, .expires = call.deadline});
-//     std::optional<gate::waiting_call> next = queue.pop();
+//     auto pushed = queue.push({.call = call, .expires = now + patience});
+//     while (auto next = queue.pop(now)) { ... }
 
 #ifndef TREFOIL_GATE_FAIR_QUEUE_H_
 #define TREFOIL_GATE_FAIR_QUEUE_H_
 
 #include <cstddef>
 #include <list>
+#include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -47,9 +50,10 @@
 
     std::variant<queue_added, queue_full> push(waiting_call waiting);
 
-    // Removes and returns the next call, round robin over workspaces, first in first out within
-    // one. Call expire() before it.
-    std::optional<waiting_call> pop();
+    // Removes and returns the next call: the most urgent rank first, round robin over workspaces,
+    // first in first out within one. Calls whose latest useful start has passed at `now` come after
+    // all others. Call expire() before it.
+    std::optional<waiting_call> pop(mono_time now);
 
     // Removes one call, wherever it waits.
     std::optional<waiting_call> remove(const call_id& id);
@@ -63,6 +67,9 @@
     // The earliest expiry of a waiting call.
     std::optional<mono_time> next_expiry() const;
 
+    // Calls that pop() would return before a call of this priority that comes now and is not late.
+    std::size_t ahead_of(std::uint32_t priority, bool late) const;
+
     std::size_t size() const { return this->positions.size(); }
     bool empty() const { return this->positions.empty(); }
 
@@ -70,25 +77,28 @@
     void set_capacity(std::size_t next) { this->capacity = next; }
 
 private:
+    // Late calls after all others, then by priority.
+    using rank = std::pair<bool, std::uint32_t>;
     struct lane {
         std::string workspace;
         std::list<waiting_call> calls;  // Never empty between two operations.
     };
-    using lane_position = std::list<lane>::iterator;
+    using rotation = std::list<lane>;  // Front: the workspace that is served next. Never empty.
     struct position {
-        lane_position owner;
+        rank where;
+        rotation::iterator owner;
         std::list<waiting_call>::iterator call;
     };
 
-    lane_position lane_of(const std::string& workspace);
-    lane_position longest_lane();
-    std::size_t waiting_calls(const std::string& workspace) const;
+    void insert(rank where, waiting_call waiting);
+    rotation::iterator lane_of(rank where, const std::string& workspace);
+    static rotation::iterator longest_lane(rotation& lanes);
+    std::optional<waiting_call> make_room(const waiting_call& coming);
     waiting_call take(position where);
 
-    std::size_t capacity;      // Waiting calls, all workspaces together.
-    std::list<lane> rotation;  // Front: the workspace that is served next.
-    absl::flat_hash_map<std::string, lane_position> lanes;  // One entry per lane in `rotation`.
-    absl::flat_hash_map<call_id, position> positions;       // One entry per waiting call.
+    std::size_t capacity;  // Waiting calls, all workspaces together.
+    std::map<rank, rotation> ranks;
+    absl::flat_hash_map<call_id, position> positions;  // One entry per waiting call.
 };
 
 }  // namespace trefoil::gate
--- a/packages/gate/gate_types.h
+++ b/packages/gate/gate_types.h
@@ -41,8 +41,13 @@
     call_id id;
     std::string workspace;  // Empty on open routes; these calls form one workspace of their own.
     mono_time deadline;     // On the local clock; the call never starts at or after this time.
-    // Longest wait in the queue; the gate's own bound when absent.
-    std::optional<mono_duration> longest_wait = std::nullopt;
+    std::string route = {};
+    std::uint32_t priority = 0;  // 0 starts first.
+    // Starts after this time probably miss the latency objective; absent: there is none.
+    std::optional<mono_time> latest_start = std::nullopt;
+    // False: the call is refused when it would start later than that, so that its ingress can look
+    // for a place elsewhere.
+    bool may_be_late = true;
 
     friend bool operator==(const offered_call&, const offered_call&) = default;
 };
@@ -72,6 +77,8 @@
     refusal_reason reason = refusal_reason::overloaded;
     // `not_run` only when it is certain that no copy of the call ran or will run.
     messages::call_outcome outcome = messages::call_outcome::unknown;
+    // When a call like this one could start, counted from the refusal; 0: not known.
+    mono_duration retry_after{0};
 
     friend bool operator==(const refusal&, const refusal&) = default;
 };
--- /dev/null
+++ b/packages/gate/service_times.h
@@ -0,0 +1,64 @@
+// How long requests take at the upstream, by route. Requests that run longer than usual count while
+// they run, so that an upstream that turned slow is noticed before its first slow response.
+//
+// Example:
+//
+//     gate::service_times times;
+//     times.started(id, "readings", now);
+//     times.ended(id, true, later);
+//     mono_duration expected = times.expected("readings", now);
+
+#ifndef TREFOIL_GATE_SERVICE_TIMES_H_
+#define TREFOIL_GATE_SERVICE_TIMES_H_
+
+#include <string>
+
+#include "absl/container/flat_hash_map.h"
+#include "base/time.h"
+#include "gate/gate_types.h"
+
+namespace trefoil::gate {
+
+struct service_times_options {
+    // Weight of the latest response. A mean over about 16 responses follows a change within a
+    // second at the usual rates, and single long requests move it little.
+    double latest_weight = 1.0 / 16;
+    // Running requests make the upstream count as slow when their ages add up to this multiple of
+    // their usual times. In a steady state the ages of requests that vary much add up to about once
+    // their usual times.
+    double slow_ages = 2.0;
+    std::size_t fewest_running = 3;  // Below this the ages say too little.
+};
+
+// Not synchronised; the owner holds a lock.
+class service_times {
+public:
+    explicit service_times(service_times_options initial = {}) : options(initial) {}
+
+    void started(const call_id& id, const std::string& route, mono_time now);
+    // `counts`: the upstream gave a whole response.
+    void ended(const call_id& id, bool counts, mono_time now);
+
+    // Usual time of a request of the route that starts now; 0 before the first response of any.
+    mono_duration expected(const std::string& route, mono_time now) const;
+    // Over the requests of all routes.
+    mono_duration mean(mono_time now) const;
+
+private:
+    struct running_request {
+        std::string route;
+        mono_time started;
+    };
+
+    double usual(const std::string& route) const;
+    double slowness(mono_time now) const;
+
+    service_times_options options;
+    absl::flat_hash_map<std::string, double> by_route;  // Mean seconds.
+    double overall = 0;  // Mean seconds; 0 before the first response.
+    absl::flat_hash_map<call_id, running_request> running;
+};
+
+}  // namespace trefoil::gate
+
+#endif  // TREFOIL_GATE_SERVICE_TIMES_H_
--- a/packages/gate/slot_limit.cc
+++ b/packages/gate/slot_limit.cc
@@ -45,6 +45,10 @@
     return next;
 }
 
+std::optional<double> slot_limit::highest_rate(mono_time now) const {
+    return now < this->cold.until ? std::optional(this->cold.rate) : std::nullopt;
+}
+
 void slot_limit::on_result(call_result_kind kind, mono_duration /*latency*/,
                            std::size_t /*running*/, mono_time now) {
     switch (kind) {
--- a/packages/gate/start_limit.h
+++ b/packages/gate/start_limit.h
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "base/time.h"
 #include "gate/gate_types.h"
@@ -42,6 +43,9 @@
     // The time before which nothing starts, whatever the limit.
     virtual mono_time paused_until() const = 0;
 
+    // Starts a second that the upstream bears now; nothing when only their number is bounded.
+    virtual std::optional<double> highest_rate(mono_time /*now*/) const { return std::nullopt; }
+
     // Reports the end of a call. `running` includes the call that ended.
     virtual void on_result(call_result_kind kind, mono_duration latency, std::size_t running,
                            mono_time now) = 0;
--- a/packages/gate/upstream_gate.cc
+++ b/packages/gate/upstream_gate.cc
@@ -66,12 +66,13 @@
                                                               mono_time now,
                                                               gate_changes& changes) {
     if (this->waiting.empty() && this->limit->may_start(this->running.size(), now)) {
-        this->running.insert(call.id);
-        this->limit->on_start(now);
+        this->begin(call, now);
         return start_now{};
     }
-    mono_duration patience = call.longest_wait.value_or(this->longest_wait);
-    mono_time expires = std::min(call.deadline, now + patience);
+    if (std::optional<refusal> hopeless = this->refuse_hopeless(call, now)) {
+        return *hopeless;
+    }
+    mono_time expires = this->expiry_of(call, now);
     // While the upstream fails, waiting for a start that cannot come only delays the retry
     // elsewhere.
     if (expires <= this->limit->paused_until()) {
@@ -89,6 +90,57 @@
     return queued{};
 }
 
+void upstream_gate::begin(const offered_call& call, mono_time now) {
+    this->running.insert(call.id);
+    this->times.started(call.id, call.route, now);
+    this->limit->on_start(now);
+}
+
+mono_duration upstream_gate::expected_wait(const offered_call& call, bool late,
+                                           mono_time now) const {
+    double ahead = static_cast<double>(this->waiting.ahead_of(call.priority, late));
+    double slots = std::max<double>(this->limit->limit(), 1);
+    double busy = static_cast<double>(this->running.size());
+    double mean = std::chrono::duration<double>(this->times.mean(now)).count();
+    double wait = std::max(0.0, busy + ahead + 1 - slots) / slots * mean;
+    if (auto rate = this->limit->highest_rate(now); rate.has_value() && *rate > 0) {
+        wait = std::max(wait, (ahead + 1) / *rate);
+    }
+    auto queued = std::chrono::duration_cast<mono_duration>(std::chrono::duration<double>(wait));
+    return std::max(queued, this->limit->paused_until() - now);
+}
+
+// A call that would start too late to be of use is better refused at once: its ingress can look
+// elsewhere, or its caller can come back.
+std::optional<refusal> upstream_gate::refuse_hopeless(const offered_call& call,
+                                                      mono_time now) const {
+    if (!call.latest_start.has_value()) {
+        return std::nullopt;
+    }
+    mono_duration wait = this->expected_wait(call, false, now);
+    bool late = now + wait > *call.latest_start;
+    if (late && call.may_be_late) {
+        wait = this->expected_wait(call, true, now);
+    }
+    bool unfinished = now + wait + this->times.expected(call.route, now) > call.deadline;
+    if (unfinished || (late && !call.may_be_late)) {
+        return refusal{.reason = refusal_reason::overloaded,
+                       .outcome = messages::call_outcome::not_run,
+                       .retry_after = wait};
+    }
+    return std::nullopt;
+}
+
+mono_time upstream_gate::expiry_of(const offered_call& call, mono_time now) const {
+    if (!call.latest_start.has_value()) {
+        return std::min(call.deadline, now + this->longest_wait);
+    }
+    if (!call.may_be_late) {
+        return std::min(call.deadline, std::max(*call.latest_start, now));
+    }
+    return std::max(now, call.deadline - this->times.expected(call.route, now));
+}
+
 gate_changes upstream_gate::finish(const call_id& id, call_result_kind kind, mono_duration latency,
                                    mono_time now) {
     absl::MutexLock lock(&this->mutex);
@@ -97,6 +149,8 @@
     if (this->running.erase(id) == 0) {
         return changes;
     }
+    bool whole = kind == call_result_kind::good || kind == call_result_kind::application_error;
+    this->times.ended(id, whole, now);
     this->limit->on_result(kind, latency, running_before, now);
     // Calls that would expire before the pause ends can be retried elsewhere at once.
     this->refuse_expiring(std::max(now, this->limit->paused_until()), now, changes);
@@ -192,6 +246,18 @@
             .limit = this->limit->limit()};
 }
 
+messages::load_report upstream_gate::load_for(const std::string& route, mono_time now) const {
+    messages::load_report report = this->load();
+    auto microseconds = [](mono_duration time) {
+        return static_cast<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::microseconds>(time).count());
+    };
+    absl::MutexLock lock(&this->mutex);
+    report.service_us = microseconds(this->times.expected(route, now));
+    report.mean_service_us = microseconds(this->times.mean(now));
+    return report;
+}
+
 void upstream_gate::refuse_expiring(mono_time until, mono_time now, gate_changes& changes) {
     for (waiting_call& each : this->waiting.expire(until)) {
         refusal why = expired_refusal(each, now);
@@ -201,10 +267,9 @@
 
 void upstream_gate::start_waiting(mono_time now, gate_changes& changes) {
     while (!this->waiting.empty() && this->limit->may_start(this->running.size(), now)) {
-        call_id next = std::move(this->waiting.pop()->call.id);
-        this->running.insert(next);
-        this->limit->on_start(now);
-        changes.start.push_back(std::move(next));
+        offered_call next = std::move(this->waiting.pop(now)->call);
+        this->begin(next, now);
+        changes.start.push_back(std::move(next.id));
     }
 }
 
--- a/packages/gate/upstream_gate.h
+++ b/packages/gate/upstream_gate.h
@@ -31,6 +31,7 @@
 #include "gate/duplicate_filter.h"
 #include "gate/fair_queue.h"
 #include "gate/gate_types.h"
+#include "gate/service_times.h"
 #include "gate/start_limit.h"
 #include "messages/messages.h"
 
@@ -39,8 +40,9 @@
 struct upstream_gate_options {
     concurrency_limit_options limit = {};
     std::size_t queue = 64;  // Waiting calls, all workspaces together.
-    // Longest wait in the queue. Beyond it another upstream or an early refusal serves the caller
-    // better, and it bounds how long after its admission a call may start.
+    // Longest wait in the queue of calls without a latency objective. Beyond it another upstream or
+    // an early refusal serves the caller better, and it bounds how long after its admission a call
+    // may start.
     std::chrono::milliseconds longest_wait{100};
     duplicate_filter_options duplicates = {};
 };
@@ -118,8 +120,18 @@
     gate_changes configure(std::uint32_t slots, std::size_t queue, mono_time now);
 
     messages::load_report load() const;
+    // With the times of requests of one route.
+    messages::load_report load_for(const std::string& route, mono_time now) const;
 
 private:
+    // When a call that is offered now would start, from `now`.
+    mono_duration expected_wait(const offered_call& call, bool late, mono_time now) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    mono_time expiry_of(const offered_call& call, mono_time now) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    std::optional<refusal> refuse_hopeless(const offered_call& call, mono_time now) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void begin(const offered_call& call, mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     std::optional<refusal> refuse_new(const offered_call& call, mono_time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     std::variant<start_now, queued, refusal> place(const offered_call& call, mono_time now,
@@ -136,6 +148,7 @@
     std::chrono::milliseconds longest_wait;
     std::unique_ptr<start_limit> limit;  // Never null.
     fair_queue waiting;
+    service_times times;
     duplicate_filter duplicates;
     absl::flat_hash_set<call_id> running;
     bool draining = false;  // Never reset.
--- a/packages/messages/codec.cc
+++ b/packages/messages/codec.cc
@@ -64,14 +64,18 @@
 json fields(const call& m) {
     return json::array({m.sequence, m.sent_us, m.budget_us, binary(m.request_id), m.caller_service,
                         m.service, m.route, m.workspace, m.idempotent, m.priority, m.objective_us,
-                        m.depth, m.base_revision, binary(m.method), binary(m.target),
+                        m.may_be_late, m.depth, m.base_revision, binary(m.method), binary(m.target),
                         header_list(m.headers), binary(m.body)});
 }
 
+json fields(const load_report& m) {
+    return json::array({m.running, m.queued, m.limit, m.service_us, m.mean_service_us});
+}
+
 json fields(const call_result& m) {
     return json::array({m.sequence, static_cast<unsigned>(m.outcome), m.reason, m.reached_upstream,
-                        m.status, header_list(m.headers), binary(m.body), m.load.running,
-                        m.load.queued, m.load.limit});
+                        m.retry_after_ms, m.held_us, m.status, header_list(m.headers),
+                        binary(m.body), fields(m.load)});
 }
 
 json fields(const cancel& m) {
@@ -195,23 +199,29 @@
     read_all(in, m.sequence, m.sent_us, m.budget_us);
     in.read_binary(m.request_id);
     read_all(in, m.caller_service, m.service, m.route, m.workspace, m.idempotent, m.priority,
-             m.objective_us, m.depth, m.base_revision);
+             m.objective_us, m.may_be_late, m.depth, m.base_revision);
     in.read_binary(m.method);
     in.read_binary(m.target);
     m.headers = read_headers(in.next());
     in.read_binary(m.body);
 }
 
+void read_fields(field_reader& in, load_report& m) {
+    read_all(in, m.running, m.queued, m.limit, m.service_us, m.mean_service_us);
+}
+
 void read_fields(field_reader& in, call_result& m) {
     unsigned outcome = 0;
-    read_all(in, m.sequence, outcome, m.reason, m.reached_upstream, m.status);
+    read_all(in, m.sequence, outcome, m.reason, m.reached_upstream, m.retry_after_ms, m.held_us,
+             m.status);
     if (outcome > static_cast<unsigned>(call_outcome::unknown)) {
         throw std::out_of_range("call outcome");
     }
     m.outcome = static_cast<call_outcome>(outcome);
     m.headers = read_headers(in.next());
     in.read_binary(m.body);
-    read_all(in, m.load.running, m.load.queued, m.load.limit);
+    field_reader load(in.next());
+    read_fields(load, m.load);
 }
 
 void read_fields(field_reader& in, cancel& m) {
--- a/packages/messages/messages.h
+++ b/packages/messages/messages.h
@@ -114,8 +114,10 @@
     std::string route;
     std::string workspace;  // Empty on open routes.
     bool idempotent = false;
-    std::uint32_t priority = 0;       // Rank when capacity is short; 0 is served first.
-    std::int64_t objective_us = 0;    // Latency objective, counted from the ingress; 0: none.
+    std::uint32_t priority = 0;  // Rank when capacity is short; 0 is served first.
+    // What is left of the latency objective at `sent_us`, at least 1; 0: there is none.
+    std::int64_t objective_us = 0;
+    bool may_be_late = true;          // False: refuse the call when it would miss the objective.
     std::uint32_t depth = 0;          // 0 for a call from outside, 1 for the first nested call.
     std::uint64_t base_revision = 0;  // Configuration under which the ingress admitted the call.
     std::string method;
@@ -137,6 +139,10 @@
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
     std::uint32_t limit = 1;  // Concurrent calls that the gate allows now.
+    // How long requests take at the upstream now: those of the call's route, and the mean of all.
+    // 0 before the first response.
+    std::uint32_t service_us = 0;
+    std::uint32_t mean_service_us = 0;
 
     friend bool operator==(const load_report&, const load_report&) = default;
 };
@@ -144,8 +150,10 @@
 struct call_result {
     std::uint64_t sequence = 0;
     call_outcome outcome = call_outcome::unknown;
-    std::string reason;            // A refusal reason of the HTTP table; empty when answered.
-    bool reached_upstream = true;  // False: the egress refused the call by itself.
+    std::string reason;                // A refusal reason of the HTTP table; empty when answered.
+    bool reached_upstream = true;      // False: the egress refused the call by itself.
+    std::uint32_t retry_after_ms = 0;  // When a refused call could have started; 0: not known.
+    std::uint32_t held_us = 0;         // From the arrival at the egress to this answer.
     std::uint32_t status = 0;
     std::vector<header> headers;
     std::string body;
--- a/packages/messages/testing/codec_test.cc
+++ b/packages/messages/testing/codec_test.cc
@@ -40,14 +40,23 @@
                                 .idempotent = true,
                                 .priority = 4,
                                 .objective_us = 5,
+                                .may_be_late = false,
                                 .depth = 2,
                                 .base_revision = 7,
                                 .method = "GET",
                                 .target = "/x",
                                 .headers = {{"a", "\xe9"}},
                                 .body = "b"}));
-    BOOST_TEST(round_trips(call_result{
-        1, call_outcome::not_run, "overloaded", false, 503, {{"a", "b"}}, "x", {1, 2, 3}}));
+    BOOST_TEST(round_trips(call_result{1,
+                                       call_outcome::not_run,
+                                       "overloaded",
+                                       false,
+                                       40,
+                                       50,
+                                       503,
+                                       {{"a", "b"}},
+                                       "x",
+                                       {1, 2, 3, 4, 5}}));
     BOOST_TEST(round_trips(cancel{4}));
     BOOST_TEST(round_trips(loan_request{3, 8, {"a", "b"}, {{"c", 2, 0.5}}}));
     BOOST_TEST(round_trips(loan_grant{3, 4000, {{"a", 6, 1.5, 0.25}}}));
--- a/packages/routing/load_table.cc
+++ b/packages/routing/load_table.cc
@@ -12,6 +12,11 @@
 constexpr std::chrono::milliseconds shortest_backoff{25};
 constexpr std::uint32_t highest_doublings = 5;  // 25 ms to 800 ms.
 
+// Names of instances have no line end.
+std::string key_of(const std::string& instance, const std::string& route) {
+    return instance + "\n" + route;
+}
+
 }  // namespace
 
 void load_table::call_sent(const std::string& instance, mono_time now) {
@@ -35,11 +40,27 @@
                           mono_time now) {
     this->loads.update(instance, [&](instance_load& load) {
         load.report = report;
+        load.own_at_report = load.in_flight;
         load.reported_at = now;
         load.waiting_since = now;
     });
 }
 
+void load_table::measured(const std::string& instance, const std::string& route,
+                          mono_duration service, mono_duration distance) {
+    this->service_times.update(key_of(instance, route),
+                               [service](mono_duration& slot) { slot = service; });
+    this->loads.update(instance, [distance](instance_load& load) {
+        bool first = load.distance == mono_duration(0);
+        load.distance = first ? distance : load.distance + (distance - load.distance) / 8;
+    });
+}
+
+mono_duration load_table::service_time(const std::string& instance,
+                                       const std::string& route) const {
+    return this->service_times.find(key_of(instance, route)).value_or(mono_duration(0));
+}
+
 void load_table::refused(const std::string& instance, mono_time now) {
     this->loads.update(instance, [&](instance_load& load) {
         // Calls that were sent together are refused together and count once.
@@ -71,6 +92,9 @@
     this->loads.erase_if([&](const std::string& instance, const instance_load& load) {
         return load.in_flight == 0 && !keep(instance);
     });
+    this->service_times.erase_if([&](const std::string& key, const mono_duration&) {
+        return !keep(key.substr(0, key.find('\n')));
+    });
 }
 
 }  // namespace trefoil::routing
--- a/packages/routing/load_table.h
+++ b/packages/routing/load_table.h
@@ -29,6 +29,9 @@
     mono_time waiting_since = mono_time::min();
     messages::load_report report;
     std::optional<mono_time> reported_at;  // When `report` arrived; nothing before the first one.
+    std::uint32_t own_at_report = 0;       // Own calls in flight then.
+    // Time that a call spends between here and the egress, both ways; 0 before the first reply.
+    mono_duration distance{0};
     std::optional<mono_time> connection_failed_at;
     std::uint32_t refusals = 0;  // Backoff steps since the last call that the egress accepted.
     mono_time avoid_until = mono_time::min();  // End of the latest backoff step.
@@ -46,6 +49,13 @@
     // A report that arrives with a call result. Call call_ended() for that call first.
     void reported(const std::string& instance, const messages::load_report& report, mono_time now);
 
+    // Time of a call at the instance's upstream, by route, and what the way there takes. From
+    // replies.
+    void measured(const std::string& instance, const std::string& route, mono_duration service,
+                  mono_duration distance);
+    // 0 before the first reply to a call of the route.
+    mono_duration service_time(const std::string& instance, const std::string& route) const;
+
     // The egress refused a call that it could have run (`overloaded` or `no_upstream`). An egress
     // whose upstream is down refuses quickly and reports no load, so by its load alone it would be
     // the best choice.
@@ -67,6 +77,7 @@
 
 private:
     sharded_map<std::string, instance_load> loads;
+    sharded_map<std::string, mono_duration> service_times;  // By instance and route.
 };
 
 }  // namespace trefoil::routing
--- a/packages/routing/upstream_picker.cc
+++ b/packages/routing/upstream_picker.cc
@@ -96,4 +96,95 @@
     return no_upstream_available{};
 }
 
+upstream_picker::usable_candidates upstream_picker::usable(const std::vector<candidate>& candidates,
+                                                           const std::vector<std::string>& tried,
+                                                           const load_table& loads,
+                                                           mono_time now) const {
+    usable_candidates result;
+    for (const candidate& each : candidates) {
+        if (!each.accepts_work()) {
+            continue;
+        }
+        if (std::find(tried.begin(), tried.end(), each.instance) != tried.end()) {
+            result.any_tried = true;
+            continue;
+        }
+        instance_load load = loads.find(each.instance);
+        if (this->recently_failed(load, now)) {
+            continue;
+        }
+        (now < load.avoid_until ? result.avoided : result.fresh).push_back(&each);
+    }
+    return result;
+}
+
+mono_duration upstream_picker::expected_time(const candidate& target, const load_table& loads,
+                                             const pick_context& context, mono_time now) const {
+    using seconds = std::chrono::duration<double>;
+    instance_load load = loads.find(target.instance);
+    double usual = seconds(loads.service_time(target.instance, context.route)).count();
+    double mean = load.report.mean_service_us * 1e-6;
+    if (usual <= 0) {
+        usual = mean;
+    }
+    double others = 0;
+    if (load.reported_at.has_value()) {
+        double reported = load.report.running + load.report.queued;
+        double age = seconds(now - *load.reported_at) / seconds(this->options.report_half_life);
+        others = std::max(0.0, reported - load.own_at_report) * std::exp2(-std::max(0.0, age));
+    }
+    double slots = std::max<std::uint32_t>(1, load.report.limit);
+    double wait = std::max(0.0, load.in_flight + others + 1 - slots) / slots * mean;
+    if (load.in_flight > 0 && now > load.waiting_since && mean > 0) {
+        double silent = seconds(now - load.waiting_since).count();
+        if (silent > mean * this->options.silent_times) {
+            wait += silent;
+        }
+    }
+    double crossing = 0;
+    if (target.failure_domain != this->options.failure_domain) {
+        crossing = seconds(context.objective).count() *
+                   (this->options.crossing_share +
+                    this->options.crossing_share_per_kib * context.payload_kib);
+    }
+    double total = usual + wait + crossing + seconds(load.distance).count();
+    return std::chrono::duration_cast<mono_duration>(seconds(total));
+}
+
+const candidate* upstream_picker::quickest(const std::vector<const candidate*>& from,
+                                           const load_table& loads, const pick_context& context,
+                                           mono_time now, random_source& random) const {
+    const candidate* best = nullptr;
+    double best_time = 0;
+    for (const candidate* each : from) {
+        auto time = static_cast<double>(this->expected_time(*each, loads, context, now).count());
+        time *= 1 + this->options.equal_share * random.uniform();
+        if (best == nullptr || time < best_time) {
+            best = each;
+            best_time = time;
+        }
+    }
+    return best;
+}
+
+pick_result upstream_picker::pick(const std::vector<candidate>& candidates,
+                                  const std::vector<std::string>& tried, const load_table& loads,
+                                  const pick_context& context, mono_time now,
+                                  random_source& random) const {
+    usable_candidates found = this->usable(candidates, tried, loads, now);
+    const candidate* best = this->quickest(found.fresh, loads, context, now, random);
+    // When every candidate refused a call a moment ago, one of them is tried again.
+    if (best == nullptr) {
+        best = this->quickest(found.avoided, loads, context, now, random);
+    }
+    if (best != nullptr) {
+        return picked_upstream{.chosen = *best,
+                               .score = this->score(loads.find(best->instance), now)};
+    }
+    if (found.any_tried) {
+        return every_upstream_tried{};
+    }
+    return no_upstream_available{};
+}
+
 }  // namespace trefoil::routing
--- a/packages/routing/upstream_picker.h
+++ b/packages/routing/upstream_picker.h
@@ -1,4 +1,4 @@
-// Chooses the upstream for a call: the less loaded of two random candidates, the caller's own
+// Chooses the upstream for a call: the one that is expected to answer first, the caller's own
 // failure domain first.
 //
 // Example:
@@ -35,6 +35,23 @@
     // A local candidate with at least this score would queue the call; other failure domains are
     // then considered.
     double full_score = 1.0;
+    // What a call to another failure domain has to gain, as a share of its latency objective: for
+    // the crossing itself and for each KiB that crosses. Links between failure domains cost more
+    // than those within one.
+    double crossing_share = 0.15;
+    double crossing_share_per_kib = 0.2;
+    // Expected times this close count as equal, so that ingresses with the same picture spread.
+    double equal_share = 0.1;
+    // An instance is expected to be as slow as its silence, counted in its usual times, when no
+    // reply has come for this many of them.
+    double silent_times = 2.0;
+};
+
+// What is known of the call that looks for an upstream.
+struct pick_context {
+    std::string route;
+    std::chrono::milliseconds objective{0};  // 0: none.
+    double payload_kib = 0;                  // Of request and response.
 };
 
 struct picked_upstream {
@@ -56,17 +73,30 @@
 
 using pick_result = std::variant<picked_upstream, no_upstream_available, every_upstream_tried>;
 
-// Immutable and therefore safe for concurrent use, with a random source per thread. The method is
-// "the power of two choices" (M. Mitzenmacher, 2001).
+// Immutable and therefore safe for concurrent use, with a random source per thread.
+//
+// While egresses report how long requests take, the upstream with the shortest expected time wins:
+// the way there, the wait for a slot, and the time of such a request at that upstream. Otherwise
+// the less loaded of two random ones, "the power of two choices" (M. Mitzenmacher, 2001).
 class upstream_picker {
 public:
     explicit upstream_picker(upstream_picker_options initial) : options(std::move(initial)) {}
 
-    // `tried` names the instances that this call was already sent to.
+    // `tried` names the instances that this call was already sent to. Without a context the load
+    // alone decides.
     pick_result pick(const std::vector<candidate>& candidates,
                      const std::vector<std::string>& tried, const load_table& loads, mono_time now,
                      random_source& random) const;
 
+    pick_result pick(const std::vector<candidate>& candidates,
+                     const std::vector<std::string>& tried, const load_table& loads,
+                     const pick_context& context, mono_time now, random_source& random) const;
+
+    // How long a call of the context would take at the candidate, from now to its reply, with what
+    // the crossing has to gain. 0 while nothing is known of the instance.
+    mono_duration expected_time(const candidate& target, const load_table& loads,
+                                const pick_context& context, mono_time now) const;
+
     // Load of an instance as a share of its limit.
     double score(const instance_load& load, mono_time now) const;
 
@@ -76,6 +106,17 @@
         double score = 0;
     };
 
+    struct usable_candidates {
+        std::vector<const candidate*> fresh;
+        std::vector<const candidate*> avoided;  // Refused a call a moment ago.
+        bool any_tried = false;
+    };
+    usable_candidates usable(const std::vector<candidate>& candidates,
+                             const std::vector<std::string>& tried, const load_table& loads,
+                             mono_time now) const;
+    const candidate* quickest(const std::vector<const candidate*>& from, const load_table& loads,
+                              const pick_context& context, mono_time now,
+                              random_source& random) const;
     double silence(const instance_load& load, mono_time now) const;
     bool recently_failed(const instance_load& load, mono_time now) const;
     scored better_of_two(const std::vector<scored>& from, random_source& random) const;
