--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -167,9 +167,6 @@
                                .route = held.call.route,
                                .priority = held.call.priority,
                                .may_be_late = held.call.may_be_late};
-    if (held.call.patience_us > 0) {
-        offered.patience = std::chrono::microseconds(held.call.patience_us);
-    }
     if (held.call.objective_us > 0) {
         auto report = this->gate.load_for(held.call.route, held.arrived);
         mono_time sent = held.deadline - std::chrono::microseconds(held.call.budget_us);
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -55,19 +55,6 @@
     return std::nullopt;
 }
 
-// How long the call may wait at the chosen upstream. After some refusals it stays where it is: the
-// picture of the others is fresh then, and each refusal costs a round trip.
-std::uint32_t patience_us(const routing::picked_upstream& picked, std::size_t refusals) {
-    constexpr std::size_t most_refusals = 3;
-    constexpr std::chrono::milliseconds shortest{5};
-    if (!picked.lead.has_value() || refusals >= most_refusals) {
-        return 0;
-    }
-    auto lead = std::chrono::duration_cast<std::chrono::microseconds>(*picked.lead);
-    return static_cast<std::uint32_t>(
-        std::max<std::int64_t>(lead.count(), std::chrono::microseconds(shortest).count()));
-}
-
 std::string_view reason_of_give_up(const routing::give_up& decision, std::string_view last) {
     return decision.reason == routing::give_up_reason::deadline_exceeded
                ? reasons::deadline_exceeded
@@ -248,7 +235,6 @@
         }
     }
     if (const auto* picked = std::get_if<routing::picked_upstream>(&choice)) {
-        call->message.patience_us = patience_us(*picked, call->refused.size());
         this->send_attempt(call, picked->chosen);
         return;
     }
--- a/packages/gate/gate_types.h
+++ b/packages/gate/gate_types.h
@@ -48,8 +48,6 @@
     // False: the call is refused when it would start later than that, so that its ingress can look
     // for a place elsewhere.
     bool may_be_late = true;
-    // The call is refused when it would wait longer; absent: any wait is better than a refusal.
-    std::optional<mono_duration> patience = std::nullopt;
 
     friend bool operator==(const offered_call&, const offered_call&) = default;
 };
--- a/packages/gate/upstream_gate.cc
+++ b/packages/gate/upstream_gate.cc
@@ -122,9 +122,8 @@
     if (late && call.may_be_late) {
         wait = this->expected_wait(call, true, now);
     }
-    bool earlier_elsewhere = call.patience.has_value() && wait > *call.patience;
     bool unfinished = now + wait + this->times.expected(call.route, now) > call.deadline;
-    if (unfinished || earlier_elsewhere || (late && !call.may_be_late)) {
+    if (unfinished || (late && !call.may_be_late)) {
         return refusal{.reason = refusal_reason::overloaded,
                        .outcome = messages::call_outcome::not_run,
                        .retry_after = wait};
--- a/packages/messages/codec.cc
+++ b/packages/messages/codec.cc
@@ -64,8 +64,8 @@
 json fields(const call& m) {
     return json::array({m.sequence, m.sent_us, m.budget_us, binary(m.request_id), m.caller_service,
                         m.service, m.route, m.workspace, m.idempotent, m.priority, m.objective_us,
-                        m.may_be_late, m.patience_us, m.depth, m.base_revision, binary(m.method),
-                        binary(m.target), header_list(m.headers), binary(m.body)});
+                        m.may_be_late, m.depth, m.base_revision, binary(m.method), binary(m.target),
+                        header_list(m.headers), binary(m.body)});
 }
 
 json fields(const load_report& m) {
@@ -199,7 +199,7 @@
     read_all(in, m.sequence, m.sent_us, m.budget_us);
     in.read_binary(m.request_id);
     read_all(in, m.caller_service, m.service, m.route, m.workspace, m.idempotent, m.priority,
-             m.objective_us, m.may_be_late, m.patience_us, m.depth, m.base_revision);
+             m.objective_us, m.may_be_late, m.depth, m.base_revision);
     in.read_binary(m.method);
     in.read_binary(m.target);
     m.headers = read_headers(in.next());
--- a/packages/messages/messages.h
+++ b/packages/messages/messages.h
@@ -117,10 +117,7 @@
     std::uint32_t priority = 0;  // Rank when capacity is short; 0 is served first.
     // What is left of the latency objective at `sent_us`, at least 1; 0: there is none.
     std::int64_t objective_us = 0;
-    bool may_be_late = true;  // False: refuse the call when it would miss the objective.
-    // Refuse the call when it would wait longer, because another upstream then serves it earlier;
-    // 0: there is no other.
-    std::uint32_t patience_us = 0;
+    bool may_be_late = true;          // False: refuse the call when it would miss the objective.
     std::uint32_t depth = 0;          // 0 for a call from outside, 1 for the first nested call.
     std::uint64_t base_revision = 0;  // Configuration under which the ingress admitted the call.
     std::string method;
--- a/packages/messages/testing/codec_test.cc
+++ b/packages/messages/testing/codec_test.cc
@@ -41,7 +41,6 @@
                                 .priority = 4,
                                 .objective_us = 5,
                                 .may_be_late = false,
-                                .patience_us = 6,
                                 .depth = 2,
                                 .base_revision = 7,
                                 .method = "GET",
--- a/packages/routing/upstream_picker.cc
+++ b/packages/routing/upstream_picker.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace trefoil::routing {
 
@@ -152,24 +151,20 @@
     return std::chrono::duration_cast<mono_duration>(seconds(total));
 }
 
-upstream_picker::quickest_two upstream_picker::quickest(const std::vector<const candidate*>& from,
-                                                        const load_table& loads,
-                                                        const pick_context& context, mono_time now,
-                                                        random_source& random) const {
-    constexpr double none = std::numeric_limits<double>::infinity();
-    quickest_two result{.best = nullptr, .best_time = none, .next_time = none};
+const candidate* upstream_picker::quickest(const std::vector<const candidate*>& from,
+                                           const load_table& loads, const pick_context& context,
+                                           mono_time now, random_source& random) const {
+    const candidate* best = nullptr;
+    double best_time = 0;
     for (const candidate* each : from) {
         auto time = static_cast<double>(this->expected_time(*each, loads, context, now).count());
         time *= 1 + this->options.equal_share * random.uniform();
-        if (time < result.best_time) {
-            result.next_time = result.best_time;
-            result.best_time = time;
-            result.best = each;
-        } else {
-            result.next_time = std::min(result.next_time, time);
+        if (best == nullptr || time < best_time) {
+            best = each;
+            best_time = time;
         }
     }
-    return result;
+    return best;
 }
 
 pick_result upstream_picker::pick(const std::vector<candidate>& candidates,
@@ -177,19 +172,14 @@
                                   const pick_context& context, mono_time now,
                                   random_source& random) const {
     usable_candidates found = this->usable(candidates, tried, loads, now);
-    quickest_two choice = this->quickest(found.fresh, loads, context, now, random);
+    const candidate* best = this->quickest(found.fresh, loads, context, now, random);
     // When every candidate refused a call a moment ago, one of them is tried again.
-    if (choice.best == nullptr) {
-        choice = this->quickest(found.avoided, loads, context, now, random);
-    }
-    if (choice.best != nullptr) {
-        picked_upstream picked{.chosen = *choice.best,
-                               .score = this->score(loads.find(choice.best->instance), now)};
-        if (std::isfinite(choice.next_time) && choice.best_time > 0) {
-            picked.lead =
-                mono_duration(static_cast<mono_duration::rep>(choice.next_time - choice.best_time));
-        }
-        return picked;
+    if (best == nullptr) {
+        best = this->quickest(found.avoided, loads, context, now, random);
+    }
+    if (best != nullptr) {
+        return picked_upstream{.chosen = *best,
+                               .score = this->score(loads.find(best->instance), now)};
     }
     if (found.any_tried) {
         return every_upstream_tried{};
--- a/packages/routing/upstream_picker.h
+++ b/packages/routing/upstream_picker.h
@@ -11,7 +11,6 @@
 #define TREFOIL_ROUTING_UPSTREAM_PICKER_H_
 
 #include <chrono>
-#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -39,8 +38,8 @@
     // What a call to another failure domain has to gain, as a share of its latency objective: for
     // the crossing itself and for each KiB that crosses. Links between failure domains cost more
     // than those within one.
-    double crossing_share = 0.08;
-    double crossing_share_per_kib = 0.25;
+    double crossing_share = 0.15;
+    double crossing_share_per_kib = 0.2;
     // Expected times this close count as equal, so that ingresses with the same picture spread.
     double equal_share = 0.1;
     // An instance is expected to be as slow as its silence, counted in its usual times, when no
@@ -58,9 +57,6 @@
 struct picked_upstream {
     candidate chosen;
     double score = 0;  // Load of the chosen one as a share of its limit.
-    // How much longer the call may wait for a slot there than is expected before the next best
-    // upstream serves it earlier; nothing when there is no other or nothing is known.
-    std::optional<mono_duration> lead{};
 
     friend bool operator==(const picked_upstream&, const picked_upstream&) = default;
 };
@@ -118,13 +114,9 @@
     usable_candidates usable(const std::vector<candidate>& candidates,
                              const std::vector<std::string>& tried, const load_table& loads,
                              mono_time now) const;
-    struct quickest_two {
-        const candidate* best = nullptr;
-        double best_time = 0;  // Nanoseconds.
-        double next_time = 0;  // Of the second; infinite when there is none.
-    };
-    quickest_two quickest(const std::vector<const candidate*>& from, const load_table& loads,
-                          const pick_context& context, mono_time now, random_source& random) const;
+    const candidate* quickest(const std::vector<const candidate*>& from, const load_table& loads,
+                              const pick_context& context, mono_time now,
+                              random_source& random) const;
     double silence(const instance_load& load, mono_time now) const;
     bool recently_failed(const instance_load& load, mono_time now) const;
     scored better_of_two(const std::vector<scored>& from, random_source& random) const;
