--- a/packages/routing/upstream_picker.h
+++ b/packages/routing/upstream_picker.h
@@ -38,8 +38,8 @@
     // What a call to another failure domain has to gain, as a share of its latency objective: for
     // the crossing itself and for each KiB that crosses. Links between failure domains cost more
     // than those within one.
-    double crossing_share = 0.15;
-    double crossing_share_per_kib = 0.2;
+    double crossing_share = 0.12;
+    double crossing_share_per_kib = 0.25;
     // Expected times this close count as equal, so that ingresses with the same picture spread.
     double equal_share = 0.1;
     // An instance is expected to be as slow as its silence, counted in its usual times, when no
