Read the clock that counts suspensions, and judge silence only while awake

Cause: time came from CLOCK_MONOTONIC, which stands still while a machine is suspended, so that loans, deadlines and limits of a suspended daemon lived on by the length of the suspension. With a clock that counts it, every connection would seem silent at the first tick after waking, before what peers sent meanwhile was read.

Change: machine_time_source reads CLOCK_BOOTTIME. stall_guard notices that ticks came late, and the endpoint and the ingress then give what arrived 300 ms to be read before they call a peer silent.

Tests: the clock is the one that counts suspensions; connections outlive a jump of ten seconds (before, both were dropped).

--- a/packages/base/testing/base_test.cc
+++ b/packages/base/testing/base_test.cc
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "base/random.h"
 #include "base/sharded_map.h"
+#include "base/stall_guard.h"
 #include "base/time.h"
 
 namespace trefoil {
@@ -52,6 +53,34 @@
     BOOST_TEST(!map.find("x").has_value());
 }
 
+// Guards against a clock that stands still while the machine is suspended: it would read the same
+// as CLOCK_MONOTONIC, which is behind by the length of all suspensions.
+BOOST_AUTO_TEST_CASE(machine_time_is_the_clock_that_counts_suspensions) {
+    timespec before{};
+    timespec after{};
+    BOOST_REQUIRE(clock_gettime(CLOCK_BOOTTIME, &before) == 0);
+    std::int64_t read = to_microseconds(machine_time_source().now());
+    BOOST_REQUIRE(clock_gettime(CLOCK_BOOTTIME, &after) == 0);
+    auto microseconds = [](const timespec& time) {
+        return static_cast<std::int64_t>(time.tv_sec) * 1'000'000 + time.tv_nsec / 1'000;
+    };
+    BOOST_TEST(read >= microseconds(before));
+    BOOST_TEST(read <= microseconds(after));
+}
+
+// Guards against peers that are taken for silent because this process could not read.
+BOOST_AUTO_TEST_CASE(stall_guard_waits_after_a_stall_of_this_process) {
+    using std::chrono::milliseconds;
+    stall_guard guard({.longest_gap = milliseconds(400), .settle_time = milliseconds(300)});
+    mono_time start{};
+    BOOST_TEST(guard.awake(start));
+    BOOST_TEST(guard.awake(start + milliseconds(400)));
+    mono_time woken = start + milliseconds(3400);
+    BOOST_TEST(!guard.awake(woken));
+    BOOST_TEST(!guard.awake(woken + milliseconds(299)));
+    BOOST_TEST(guard.awake(woken + milliseconds(300)));
+}
+
 // Guards against readers that see a value before its publication.
 BOOST_AUTO_TEST_CASE(board_slot_returns_latest_value) {
     board_slot<int> slot;
--- a/packages/base/time.cc
+++ b/packages/base/time.cc
@@ -2,10 +2,15 @@
 
 #include "base/time.h"
 
+#include <ctime>
+
 namespace trefoil {
 
-mono_time steady_time_source::now() const {
-    return std::chrono::steady_clock::now();
+mono_time machine_time_source::now() const {
+    timespec read{};
+    // Cannot fail: the clock is a constant that the kernel knows.
+    clock_gettime(CLOCK_BOOTTIME, &read);
+    return mono_time(std::chrono::seconds(read.tv_sec) + std::chrono::nanoseconds(read.tv_nsec));
 }
 
 mono_time manual_time_source::now() const {
--- a/packages/base/time.h
+++ b/packages/base/time.h
@@ -2,7 +2,7 @@
 //
 // Example:
 //
-//     trefoil::steady_time_source clock;
+//     trefoil::machine_time_source clock;
 //     trefoil::mono_time deadline = clock.now() + std::chrono::milliseconds(250);
 
 #ifndef TREFOIL_BASE_TIME_H_
@@ -26,8 +26,10 @@
     virtual mono_time now() const = 0;
 };
 
-// Reads the monotonic clock of the machine (CLOCK_MONOTONIC).
-class steady_time_source final : public time_source {
+// Reads the clock of the machine that never jumps and that counts the time of a suspension
+// (CLOCK_BOOTTIME). With CLOCK_MONOTONIC, a loan or a deadline would outlive its term by the length
+// of a suspension.
+class machine_time_source final : public time_source {
 public:
     mono_time now() const override;
 };
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -78,7 +78,7 @@
     const settings options;
     const platform_binding platform;
     const std::uint64_t incarnation;
-    steady_time_source clock;
+    machine_time_source clock;
     io::event_loop loop;
     blackboard board;
     admission::context_table contexts;
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -500,9 +500,10 @@
 
 void ingress::tick() {
     mono_time now = this->clock.now();
+    bool awake = this->stalls.awake(now);
     std::vector<std::pair<std::uint64_t, std::shared_ptr<attempt>>> expired;
     this->attempts.for_each([&](std::uint64_t sequence, const std::shared_ptr<attempt>& each) {
-        if (each->expires <= now || this->peer_is_silent(*each, now)) {
+        if (each->expires <= now || (awake && this->peer_is_silent(*each, now))) {
             expired.emplace_back(sequence, each);
         }
     });
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -17,6 +17,7 @@
 
 #include "admission/context_table.h"
 #include "base/sharded_map.h"
+#include "base/stall_guard.h"
 #include "base/time.h"
 #include "config/snapshot.h"
 #include "daemon/blackboard.h"
@@ -133,6 +134,7 @@
     sharded_map<std::string, double> response_kib;  // Mean size of responses, by route.
     // By service, because the platform counts retries for each.
     sharded_map<std::string, std::shared_ptr<routing::retry_budget>> budgets;
+    stall_guard stalls;  // Used by tick() only.
     std::atomic<std::uint64_t> next_sequence{1};
     std::atomic<std::size_t> in_progress{0};
     sharded_map<std::uint64_t, std::shared_ptr<attempt>> attempts;  // By sequence; not yet over.
--- a/packages/edge/testing/edge_http_test.cc
+++ b/packages/edge/testing/edge_http_test.cc
@@ -67,7 +67,7 @@
     mono_time soon(int ms) const { return this->clock.now() + std::chrono::milliseconds(ms); }
 
     std::uint16_t port = 0;
-    steady_time_source clock;
+    machine_time_source clock;
     echo_handler handler;
     std::unique_ptr<http_server> server;
     std::unique_ptr<upstream_client> client;
--- a/packages/edge/testing/upstream_client_test.cc
+++ b/packages/edge/testing/upstream_client_test.cc
@@ -41,7 +41,7 @@
     }
     upstream_result run(bool idempotent) { return this->start({.idempotent = idempotent}).get(); }
 
-    steady_time_source clock;
+    machine_time_source clock;
     raw_server server;
     upstream_client client;
 };
--- a/packages/transport/peer_endpoint.cc
+++ b/packages/transport/peer_endpoint.cc
@@ -284,26 +284,37 @@
     }
 }
 
-void peer_endpoint::check_connections(mono_time now) {
+std::vector<connection_id> peer_endpoint::silent_connections(mono_time now) {
+    std::vector<connection_id> silent;
+    if (!this->stalls.awake(now)) {
+        return silent;
+    }
     const std::int64_t now_us = to_microseconds(now);
     const std::int64_t silence_us = std::chrono::microseconds(this->options.silence_limit).count();
-    const std::int64_t heartbeat_us =
-        std::chrono::microseconds(this->options.heartbeat_interval).count();
-    std::vector<connection_id> silent;
-    std::vector<std::pair<connection_id, std::shared_ptr<session>>> due;
     this->sessions.for_each([&](connection_id id, const std::shared_ptr<session>& each) {
         bool handshake_late = !each->opened && now_us - each->connected_us > silence_us;
         if (handshake_late || now_us - each->last_received_us > silence_us) {
             silent.push_back(id);
-        } else if (each->opened && now_us - each->last_ping_us >= heartbeat_us) {
-            each->last_ping_us = now_us;
-            due.emplace_back(id, each);
         }
     });
-    for (connection_id id : silent) {
+    return silent;
+}
+
+void peer_endpoint::check_connections(mono_time now) {
+    for (connection_id id : this->silent_connections(now)) {
         log(log_level::info, "peer_connection_silent", {{"connection", std::to_string(id)}});
         this->socket.drop(id);
     }
+    const std::int64_t now_us = to_microseconds(now);
+    const std::int64_t heartbeat_us =
+        std::chrono::microseconds(this->options.heartbeat_interval).count();
+    std::vector<std::pair<connection_id, std::shared_ptr<session>>> due;
+    this->sessions.for_each([&](connection_id id, const std::shared_ptr<session>& each) {
+        if (each->opened && now_us - each->last_ping_us >= heartbeat_us) {
+            each->last_ping_us = now_us;
+            due.emplace_back(id, each);
+        }
+    });
     for (const auto& [id, each] : due) {
         this->send(id, each->make_ping(now_us));
     }
--- a/packages/transport/peer_endpoint.h
+++ b/packages/transport/peer_endpoint.h
@@ -19,10 +19,12 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "absl/synchronization/mutex.h"
 #include "base/result.h"
 #include "base/sharded_map.h"
+#include "base/stall_guard.h"
 #include "base/time.h"
 #include "io/event_loop.h"
 #include "messages/messages.h"
@@ -118,6 +120,7 @@
     void transmit(connection_id id, const messages::peer_message& message);
     void count_received(const messages::peer_message& message, std::size_t bytes);
     void check_connections(mono_time now);
+    std::vector<connection_id> silent_connections(mono_time now);
 
     const peer_endpoint_options options;
     peer_events& events;
@@ -133,6 +136,7 @@
     std::unique_ptr<io::event_loop> own_loop;
     io::event_loop& loop;
     io::loop_timer watcher;
+    stall_guard stalls;  // Used on the loop only.
     frame_socket socket;
 };
 
--- a/packages/transport/testing/peer_endpoint_test.cc
+++ b/packages/transport/testing/peer_endpoint_test.cc
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <functional>
+#include <thread>
 #include <vector>
 
 namespace trefoil::transport {
@@ -57,6 +58,19 @@
     return static_cast<std::uint16_t>(10000 + (getpid() * 50 + offset * 7) % 20000);
 }
 
+// Jumps as the clock of a machine does that was suspended for some time.
+class jumping_time_source final : public time_source {
+public:
+    mono_time now() const override {
+        return this->machine.now() + std::chrono::milliseconds(this->jumped_ms);
+    }
+    void jump(std::chrono::milliseconds by) { this->jumped_ms += by.count(); }
+
+private:
+    machine_time_source machine;
+    std::atomic<std::int64_t> jumped_ms{0};
+};
+
 struct node {
     node(const std::string& name, const std::string& secret, int offset)
         : port(port_number(offset)),
@@ -74,7 +88,7 @@
     std::string address() const { return "127.0.0.1:" + std::to_string(this->port); }
 
     std::uint16_t port;
-    steady_time_source clock;
+    jumping_time_source clock;
     recorder events;
     peer_endpoint endpoint;
 };
@@ -119,6 +133,22 @@
                left.events.round_trips.size() + handshake_and_in_flight);
 }
 
+// Guards against a daemon that drops all its connections after a suspension, because nothing was
+// heard on them while it could not read.
+BOOST_AUTO_TEST_CASE(connections_outlive_a_suspension_of_this_side) {
+    node left("left", "a-shared-fleet-secret", 10);
+    node right("right", "a-shared-fleet-secret", 11);
+    connection_id id = left.endpoint.connect(right.address());
+    BOOST_REQUIRE(left.events.wait([&] { return left.events.opened.size() == 1; }));
+    // The first pings are answered, and the next ones are not due yet.
+    std::this_thread::sleep_for(std::chrono::milliseconds(250));
+    left.clock.jump(std::chrono::seconds(10));
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    BOOST_TEST(left.endpoint.send(id, messages::cancel{.sequence = 1}));
+    BOOST_TEST(right.events.wait([&] { return right.events.received.size() == 1; }));
+    BOOST_TEST(left.events.closed == 0);
+}
+
 // Guards against a sender that does not know the fleet secret and is believed.
 BOOST_AUTO_TEST_CASE(peer_with_another_secret_is_rejected) {
     node left("left", "a-shared-fleet-secret", 2);
--- a/testing/support/event_log.h
+++ b/testing/support/event_log.h
@@ -20,7 +20,7 @@
 
 // Microseconds of CLOCK_MONOTONIC, which all processes of a machine share.
 inline std::int64_t now_us() {
-    return to_microseconds(steady_time_source().now());
+    return to_microseconds(machine_time_source().now());
 }
 
 class event_log {
