--- a/packages/admission/testing/demand_fleet.h
+++ b/packages/admission/testing/demand_fleet.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <numeric>
 #include <queue>
 #include <string>
 #include <utility>
@@ -120,10 +121,8 @@
     }
 
     std::vector<int> all() const {
-        std::vector<int> list;
-        for (int i = 0; i < this->options.daemons; ++i) {
-            list.push_back(i);
-        }
+        std::vector<int> list(static_cast<std::size_t>(this->options.daemons));
+        std::iota(list.begin(), list.end(), 0);
         return list;
     }
 
--- a/packages/admission/testing/demand_limiter_test.cc
+++ b/packages/admission/testing/demand_limiter_test.cc
@@ -53,7 +53,7 @@
 // share refuses most of them.
 BOOST_AUTO_TEST_CASE(a_workspace_within_its_rate_is_not_refused_wherever_its_callers_are) {
     for (std::uint64_t seed : {1, 2, 3}) {
-        for (std::vector<int> targets : {std::vector<int>{0}, std::vector<int>{0, 5, 7}}) {
+        for (const std::vector<int>& targets : {std::vector<int>{0}, std::vector<int>{0, 5, 7}}) {
             demand_fleet_options setup = options_with(seed);
             demand_fleet fleet(setup);
             fleet.load(37, targets, seconds(3));  // The demand becomes known.
--- a/packages/edge/http_session.cc
+++ b/packages/edge/http_session.cc
@@ -316,9 +316,9 @@
             break;
         case phase::receiving: {
             bool in_body = this->parser.has_value() && this->parser->is_header_done();
-            if (!in_body && waited > limits.header_timeout) {
-                this->refuse(status_request_timeout);
-            } else if (in_body && waited > limits.header_timeout + limits.idle_timeout) {
+            auto allowed =
+                in_body ? limits.header_timeout + limits.idle_timeout : limits.header_timeout;
+            if (waited > allowed) {
                 this->refuse(status_request_timeout);
             }
             break;
--- a/packages/edge/testing/raw_peer.h
+++ b/packages/edge/testing/raw_peer.h
@@ -10,15 +10,24 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
+#include <system_error>
 #include <thread>
 #include <utility>
 
 namespace trefoil::edge::testing {
 
+// Throws with the reason when a socket call has failed.
+inline void require(int result, const char* call) {
+    if (result != 0) {
+        throw std::system_error(errno, std::generic_category(), call);
+    }
+}
+
 class raw_socket {
 public:
     explicit raw_socket(int opened) : descriptor(opened) {}
@@ -28,7 +37,8 @@
     static raw_socket connect_to(std::uint16_t port) {
         raw_socket made(::socket(AF_INET, SOCK_STREAM, 0));
         sockaddr_in address = loopback(port);
-        ::connect(made.descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+        require(::connect(made.descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
+                "connect");
         return made;
     }
 
@@ -87,7 +97,8 @@
     explicit raw_server(std::function<void(raw_socket, int)> serve)
         : listener(::socket(AF_INET, SOCK_STREAM, 0)) {
         sockaddr_in address = raw_socket::loopback(0);
-        ::bind(this->listener, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+        require(::bind(this->listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
+                "bind");
         ::listen(this->listener, 16);
         socklen_t size = sizeof(address);
         ::getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &size);
