Report missing log lines at most once a second, and keep room for lines about the daemon

Cause: every line outside the sampling asked for the count of missing lines and wrote a line with it. Failures of requests could also spend the whole budget, so that a lost dependency went unseen. Ruled out: a slow writer; no line was overrun.

--- a/packages/base/log.cc
+++ b/packages/base/log.cc
@@ -16,8 +16,7 @@
 #include <memory>
 #include <thread>
 
-#include "absl/synchronization/mutex.h"
-#include "base/hash.h"
+#include "base/time.h"
 
 namespace trefoil {
 
@@ -69,86 +68,16 @@
                    milliseconds);
 }
 
-// Decides which lines are written when they come too fast.
-class line_budget {
-public:
-    void start(const log_writer_options& given) {
-        absl::MutexLock lock(&this->mutex);
-        this->options = given;
-        this->tokens = given.burst_lines;
-        this->counted_at = std::chrono::steady_clock::now();
-    }
-
-    bool take() {
-        absl::MutexLock lock(&this->mutex);
-        this->refill();
-        return this->spend();
-    }
-
-    // Lines of requests leave half of the budget to others, and thin out before.
-    bool take_sampled(std::string_view request_id) {
-        absl::MutexLock lock(&this->mutex);
-        this->refill();
-        double filled = this->tokens / this->options.burst_lines;
-        constexpr double thin_below = 0.75;
-        constexpr double stop_below = 0.5;
-        constexpr std::uint64_t one_in = 8;
-        bool chosen =
-            filled >= thin_below || (filled >= stop_below && checksum64(request_id) % one_in == 0);
-        if (!chosen) {
-            ++this->refused;
-            return false;
-        }
-        return this->spend();
-    }
-
-    // Lines refused since the last call, for the line that says so.
-    std::uint64_t take_unreported() {
-        absl::MutexLock lock(&this->mutex);
-        std::uint64_t count = this->refused - this->reported;
-        this->reported = this->refused;
-        return count;
-    }
-
-    log_totals totals() {
-        absl::MutexLock lock(&this->mutex);
-        return {.written = this->spent, .over_budget = this->refused};
-    }
-
-private:
-    void refill() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) {
-        auto now = std::chrono::steady_clock::now();
-        std::chrono::duration<double> passed = now - this->counted_at;
-        this->counted_at = now;
-        this->tokens = std::min(this->options.burst_lines,
-                                this->tokens + passed.count() * this->options.lines_per_second);
-    }
-
-    bool spend() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) {
-        if (this->tokens < 1) {
-            ++this->refused;
-            return false;
-        }
-        this->tokens -= 1;
-        ++this->spent;
-        return true;
-    }
-
-    absl::Mutex mutex;
-    // Guarded by mutex.
-    log_writer_options options;
-    double tokens = options.burst_lines;
-    std::chrono::steady_clock::time_point counted_at = std::chrono::steady_clock::now();
-    std::uint64_t spent = 0;
-    std::uint64_t refused = 0;
-    std::uint64_t reported = 0;
-};
-
-line_budget& budget() {
-    static line_budget instance;
+log_budget& budget() {
+    static log_budget instance;
     return instance;
 }
 
+mono_time now() {
+    static const machine_time_source clock;
+    return clock.now();
+}
+
 struct log_writer {
     std::shared_ptr<spdlog::details::thread_pool> pool;
     std::shared_ptr<spdlog::async_logger> logger;
@@ -175,10 +104,9 @@
     std::fflush(stdout);
 }
 
-void report_refused() {
-    std::uint64_t refused = budget().take_unreported();
-    if (refused > 0) {
-        write_line(log_level::warning, "log_lines_dropped", {{"count", fmt::to_string(refused)}});
+void report_refused(std::uint64_t count) {
+    if (count > 0) {
+        write_line(log_level::warning, "log_lines_dropped", {{"count", fmt::to_string(count)}});
     }
 }
 
@@ -202,21 +130,30 @@
 }
 
 void log(log_level level, std::string_view event, std::initializer_list<log_field> fields) {
-    if (is_printed(level) && budget().take()) {
-        report_refused();
+    if (!is_printed(level)) {
+        return;
+    }
+    mono_time time = now();
+    report_refused(budget().take_unreported(time));
+    if (budget().take(time)) {
         write_line(level, event, fields);
     }
 }
 
-void log_sampled(std::string_view event, std::string_view request_id,
-                 std::initializer_list<log_field> fields) {
-    if (is_printed(log_level::info) && budget().take_sampled(request_id)) {
+void log_of_request(log_urgency urgency, std::string_view event, std::string_view request_id,
+                    std::initializer_list<log_field> fields) {
+    if (!is_printed(log_level::info)) {
+        return;
+    }
+    mono_time time = now();
+    report_refused(budget().take_unreported(time));
+    if (budget().take_of_request(urgency, request_id, time)) {
         write_line(log_level::info, event, fields);
     }
 }
 
 void start_log_writer(const log_writer_options& options) {
-    budget().start(options);
+    budget().start(options.budget, now());
     auto pool = std::make_shared<spdlog::details::thread_pool>(options.queue_lines, 1);
     // Each line is flushed, so that a killed process leaves what it wrote.
     auto sink = std::make_shared<spdlog::sinks::ostream_sink_mt>(std::cout, true);
@@ -232,7 +169,7 @@
     if (target == nullptr) {
         return true;
     }
-    report_refused();
+    report_refused(budget().take_last_unreported(now()));
     auto end = std::chrono::steady_clock::now() + limit;
     constexpr std::chrono::milliseconds step{5};
     while (target->pool->queue_size() > 0) {
@@ -246,7 +183,7 @@
 }
 
 log_totals read_log_totals() {
-    log_totals totals = budget().totals();
+    log_totals totals{.written = budget().written(), .over_budget = budget().refused()};
     if (auto* target = writer.load(std::memory_order_acquire)) {
         totals.overrun = target->pool->overrun_counter();
     }
--- a/packages/base/log.h
+++ b/packages/base/log.h
@@ -5,7 +5,7 @@
 //     trefoil::start_log_writer({});
 //     trefoil::log(trefoil::log_level::info, "snapshot_applied",
 //                  {{"base_revision", fmt::to_string(7)}, {"site", "north"}});
-//     trefoil::log_sampled("request", id, {{"status", "200"}});
+//     trefoil::log_of_request(log_urgency::ordinary, "request", id, {{"status", "200"}});
 //
 // prints `2026-03-01T10:00:00.123Z info snapshot_applied base_revision=7 site=north`. Callers never
 // pass a key or the digest of a key as a field.
@@ -22,6 +22,8 @@
 #include <string>
 #include <string_view>
 
+#include "base/log_budget.h"
+
 namespace trefoil {
 
 enum class log_level { debug, info, warning, error, off };
@@ -41,18 +43,15 @@
 // for concurrent use; never blocks once the writer has started.
 void log(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
 
-// Writes a line of level info about the ordinary course of one request. While lines come faster
-// than the budget, only those of some requests are written: always of the same, so that a request
-// has all its lines or none.
-void log_sampled(std::string_view event, std::string_view request_id,
-                 std::initializer_list<log_field> fields);
+// Writes a line of level info about one request; `request_id` decides whether it is written while
+// lines come faster than the budget.
+void log_of_request(log_urgency urgency, std::string_view event, std::string_view request_id,
+                    std::initializer_list<log_field> fields);
 
 struct log_writer_options {
     // Lines that wait for the writer. Beyond them the oldest are dropped.
     std::size_t queue_lines = 1024;
-    // Most lines a second in the long run, and at once. A line has about 250 bytes.
-    double lines_per_second = 400;
-    double burst_lines = 2000;
+    log_budget_options budget = {};
 };
 
 // Starts the thread that writes lines. Before it, lines are written by their callers. To be called
--- a/packages/daemon/request_log.cc
+++ b/packages/daemon/request_log.cc
@@ -21,14 +21,9 @@
     return fmt::format("{:.1f}", std::chrono::duration<double, std::milli>(time).count());
 }
 
-// Lines of ordinary requests may be sampled; a failure is always worth its line.
 void write(bool ordinary, std::string_view event, std::string_view id,
            std::initializer_list<log_field> fields) {
-    if (ordinary) {
-        log_sampled(event, id, fields);
-    } else {
-        log(log_level::info, event, fields);
-    }
+    log_of_request(ordinary ? log_urgency::ordinary : log_urgency::failure, event, id, fields);
 }
 
 }  // namespace
--- a/packages/daemon/request_log.h
+++ b/packages/daemon/request_log.h
@@ -33,7 +33,7 @@
     mono_duration duration{};
     mono_duration objective{};  // 0: none.
 };
-// Requests that were served in time are sampled under load; others are always written.
+// Lines of requests that were served in time thin out first under load.
 void log_request(const request_line& line);
 
 // The end of one attempt at the ingress, with what led to the choice of the instance.
