Serve latency histograms by route and outcome, and log what the daemon believes

Cause: histograms were kept by service only, so slow refusals hid among fast responses; nothing showed the retry budget, the age of the confirmation, the shares of limits or lost log lines; a change of an instance's state, a lost confirmation or a lost peer left no line. Processes were killed at the end of the platform's grace because a stop waited up to 60 s.

--- a/packages/daemon/admin.h
+++ b/packages/daemon/admin.h
@@ -23,6 +23,7 @@
 #include "daemon/peer_links.h"
 #include "daemon/request_metrics.h"
 #include "edge/http_server.h"
+#include "source/configuration_service.h"
 #include "telemetry/registry.h"
 
 namespace trefoil::daemon {
@@ -32,7 +33,6 @@
     std::uint64_t incarnation = 0;
     std::string failure_domain;
     std::string site;
-    std::chrono::milliseconds confirmation_limit{4000};
 };
 
 // What the endpoint reads besides the blackboard.
@@ -42,6 +42,7 @@
     limit_service& limits;
     peer_links& links;
     request_metrics& metrics;
+    const source::configuration_service& platform;
 };
 
 // Safe for concurrent use.
@@ -56,13 +57,17 @@
 private:
     // Why the daemon takes no requests; empty when it does.
     std::vector<std::string> reasons_not_ready() const;
-    bool confirmed(const control_state& control) const;
     edge::http_response ready() const;
     edge::http_response metrics() const;
     edge::http_response status() const;
     edge::http_response burn() const;
     edge::http_response explain(const edge::http_request& request) const;
+    class series_list;
     std::vector<telemetry::series> own_series() const;
+    void add_control_series(series_list& all) const;
+    void add_traffic_series(series_list& all) const;
+    void add_gate_series(series_list& all) const;
+    void add_limit_series(series_list& all) const;
     std::string_view refusal_of(const config::route& route, const config::snapshot& snapshot,
                                 const std::string& workspace) const;
     nlohmann::json candidates_json(const std::string& service) const;
--- a/packages/daemon/blackboard.h
+++ b/packages/daemon/blackboard.h
@@ -9,6 +9,7 @@
 #define TREFOIL_DAEMON_BLACKBOARD_H_
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -24,6 +25,10 @@
 
 namespace trefoil::daemon {
 
+// How long a configuration counts as the newest after it was last known to be. The brief allows an
+// unconfirmed configuration for four seconds.
+inline constexpr std::chrono::milliseconds confirmation_limit{4000};
+
 // What the control loop knows about the documents. Published on every change and every tick.
 struct control_state {
     bool ready = false;
@@ -38,6 +43,10 @@
     std::uint64_t checksum_conflicts = 0;  // One revision seen with two different bodies.
     std::uint64_t documents_received = 0;
     std::uint64_t documents_sent = 0;
+
+    bool confirmed(mono_time now) const {
+        return this->confirmed_at.has_value() && now - *this->confirmed_at <= confirmation_limit;
+    }
 };
 
 enum class lifecycle : std::uint8_t {
--- a/packages/daemon/control_loop.cc
+++ b/packages/daemon/control_loop.cc
@@ -11,6 +11,7 @@
 
 #include "base/log.h"
 #include "base/result.h"
+#include "daemon/belief_log.h"
 
 namespace trefoil::daemon {
 
@@ -217,6 +218,9 @@
     bool view_changed = view != this->published_view;
     bool snapshot_changed = snapshot != this->published_snapshot;
     if (view_changed) {
+        if (this->published_view != nullptr) {
+            log_member_changes(*this->published_view, *view, now);
+        }
         this->published_view = view;
         this->core.set_view(view);
         this->board.members.publish(view);
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -92,7 +92,7 @@
       local_egress({.upstream = given.upstream.text(),
                     .headers = this->platform.headers,
                     .loop = &this->loop},
-                   this->board, this->contexts, this->clock),
+                   this->board, this->contexts, this->metrics, this->clock),
       local_ingress({.instance = given.instance,
                      .incarnation = this->incarnation,
                      .failure_domain = given.failure_domain,
@@ -115,7 +115,8 @@
                  .local_ingress = this->local_ingress,
                  .limits = this->limits,
                  .links = this->links,
-                 .metrics = this->metrics},
+                 .metrics = this->metrics,
+                 .platform = *this->platform.service},
                 this->clock),
       callers_server(
           {.ip = given.listen.callers.ip, .port = given.listen.callers.port, .loop = &this->loop},
@@ -185,7 +186,7 @@
     this->callers_server.begin_close();
     std::this_thread::sleep_for(this->options.stop.announce);
     this->callers_server.stop_accepting();
-    this->wait_until_idle(this->options.stop.limit);
+    this->wait_until_idle(this->options.stop.holding_limit());
     this->callers_server.stop();
     this->admin_server.stop();
     this->platform.service->stop();
@@ -210,6 +211,7 @@
 
 void daemon::on_timer() {
     this->follow_blackboard();
+    this->note_control_state();
     this->limits.tick();
     this->local_egress.tick();
     this->local_ingress.tick();
@@ -240,6 +242,32 @@
         availability = gate::upstream_availability::leaving;
     }
     this->local_egress.set_availability(availability);
+    this->note_upstream(availability, view.get());
+}
+
+void daemon::note_upstream(gate::upstream_availability availability, const membership::view* view) {
+    upstream_belief belief{.availability = availability};
+    const membership::member* own = view == nullptr ? nullptr : view->find(this->options.instance);
+    if (own != nullptr && own->listed) {
+        belief.id = own->record->upstream;
+        belief.slots = own->record->slots;
+        belief.cold_left_ms = own->record->cold_left_ms;
+    }
+    this->beliefs.note_upstream(belief);
+}
+
+void daemon::note_control_state() {
+    auto state = this->board.control.read();
+    if (state == nullptr) {
+        return;
+    }
+    mono_time now = this->clock.now();
+    std::optional<mono_duration> age;
+    if (state->confirmed_at.has_value()) {
+        age = now - *state->confirmed_at;
+    }
+    this->beliefs.note_ready(state->ready, state->waiting_for);
+    this->beliefs.note_confirmation(state->confirmed(now), age);
 }
 
 // Takes over what the configuration and the list say of the upstream beside this daemon.
@@ -267,11 +295,18 @@
 }
 
 void daemon::on_link_open(const messages::hello& peer, bool first) {
+    if (first) {
+        log(log_level::info, "peer_reached",
+            {{"instance", peer.instance}, {"address", peer.address}});
+    }
     this->control.on_link_open(peer, first);
 }
 
 void daemon::on_link_closed(transport::connection_id connection, const messages::hello& peer,
                             bool last) {
+    if (last) {
+        log(log_level::info, "peer_lost", {{"instance", peer.instance}, {"address", peer.address}});
+    }
     this->local_egress.connection_lost(connection);
     this->local_ingress.on_connection_lost(connection, peer.instance);
     this->control.on_link_closed(peer, last);
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -18,6 +18,7 @@
 #include "base/result.h"
 #include "base/time.h"
 #include "daemon/admin.h"
+#include "daemon/belief_log.h"
 #include "daemon/blackboard.h"
 #include "daemon/control_loop.h"
 #include "daemon/egress.h"
@@ -72,6 +73,8 @@
 
     void on_timer();
     void follow_blackboard();
+    void note_control_state();
+    void note_upstream(gate::upstream_availability availability, const membership::view* view);
     void follow_own_record(const config::snapshot& snapshot, const membership::view* view);
     void wait_until_idle(std::chrono::milliseconds limit);
 
@@ -97,6 +100,7 @@
     std::shared_ptr<const config::snapshot> applied_snapshot;
     std::shared_ptr<const membership::view> applied_view;
     bool slots_trusted = false;
+    belief_log beliefs;
 };
 
 }  // namespace trefoil::daemon
--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -114,10 +114,11 @@
 }  // namespace
 
 egress::egress(egress_options given, const blackboard& shared, admission::context_table& handles,
-               const time_source& time)
+               request_observer& watcher, const time_source& time)
     : options(std::move(given)),
       board(shared),
       contexts(handles),
+      observer(watcher),
       clock(time),
       gate({}),
       client({.address = this->options.upstream, .loop = this->options.loop}, time) {}
@@ -256,7 +257,7 @@
     } else {
         ++this->unknown;
     }
-    this->log_end(id, call, answer, now);
+    this->note_end(id, call, answer, now);
     call.reply(std::move(answer));
     this->apply(changes);
 }
@@ -276,14 +277,21 @@
             std::chrono::ceil<std::chrono::milliseconds>(why.retry_after).count())};
     mono_time now = this->clock.now();
     this->complete(answer, **held, now);
-    this->log_end(id, **held, answer, now);
+    this->note_end(id, **held, answer, now);
     (*held)->reply(std::move(answer));
 }
 
-void egress::log_end(const gate::call_id& id, const held_call& call,
-                     const messages::call_result& answer, mono_time now) const {
+void egress::note_end(const gate::call_id& id, const held_call& call,
+                      const messages::call_result& answer, mono_time now) const {
     auto upstream = this->upstream_id.read();
     bool ran = call.started != mono_time();
+    mono_duration waited = (ran ? call.started : now) - call.arrived;
+    mono_duration took = ran ? now - call.started : mono_duration(0);
+    this->observer.on_call_ended({.outcome = outcome_name(answer.outcome),
+                                  .reason = answer.reason,
+                                  .started = ran,
+                                  .waited = waited,
+                                  .took = took});
     log_call({.id = call.call.request_id,
               .ingress = id.instance,
               .upstream = upstream == nullptr ? std::string_view() : std::string_view(*upstream),
@@ -291,8 +299,8 @@
               .reason = answer.reason,
               .status = answer.status,
               .load = answer.load,
-              .waited = (ran ? call.started : now) - call.arrived,
-              .took = ran ? now - call.started : mono_duration(0)});
+              .waited = waited,
+              .took = took});
 }
 
 void egress::cancel(const gate::call_id& id) {
--- a/packages/daemon/egress.h
+++ b/packages/daemon/egress.h
@@ -19,6 +19,7 @@
 #include "base/sharded_map.h"
 #include "base/time.h"
 #include "daemon/blackboard.h"
+#include "daemon/request_observer.h"
 #include "edge/header_profile.h"
 #include "edge/upstream_client.h"
 #include "gate/upstream_gate.h"
@@ -49,7 +50,7 @@
 class egress {
 public:
     egress(egress_options options, const blackboard& board, admission::context_table& contexts,
-           const time_source& clock);
+           request_observer& observer, const time_source& clock);
 
     // `deadline` is on the local clock. `connection` is the peer connection of the call, 0 for the
     // local ingress. `reply` is called once, from any thread, unless the call is cancelled before
@@ -98,8 +99,8 @@
 
     gate::offered_call describe(const gate::call_id& id, const held_call& held) const;
     void complete(messages::call_result& answer, const held_call& call, mono_time now) const;
-    void log_end(const gate::call_id& id, const held_call& call,
-                 const messages::call_result& answer, mono_time now) const;
+    void note_end(const gate::call_id& id, const held_call& call,
+                  const messages::call_result& answer, mono_time now) const;
     void apply(const gate::gate_changes& changes);
     void start(const gate::call_id& id);
     void abort(const gate::call_id& id);
@@ -111,6 +112,7 @@
     const egress_options options;
     const blackboard& board;
     admission::context_table& contexts;
+    request_observer& observer;
     const time_source& clock;
     gate::upstream_gate gate;
     sharded_map<gate::call_id, std::shared_ptr<held_call>> calls;
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -63,84 +63,19 @@
 
 }  // namespace
 
-// One request from its arrival to its response. Used by one thread at a time: each step hands it to
-// the next.
-struct ingress::entry_call : accepted_request {
-    std::shared_ptr<edge::responder> responder;
-    mono_time arrived;
-    bool admitted = false;
-    bool over = false;                // Answered, or its caller has left.
-    std::uint64_t last_sequence = 0;  // Of the latest attempt; 0 before the first.
-    std::size_t sent = 0;             // Attempts.
-    std::vector<std::string> tried;
-    std::vector<std::string> refused;  // Part of `tried`: their upstreams did not see the call.
-    // The shortest time after which one of them could have started it.
-    std::optional<std::chrono::milliseconds> retry_after;
-    // An upstream's 502, 503 or 504 for which a retry was made. The caller gets it when no retry
-    // brings a better response.
-    std::optional<edge::http_response> earlier_response;
-
-    // When the latency objective is missed.
-    std::optional<mono_time> objective_at() const {
-        return this->objective.count() == 0 ? std::nullopt
-                                            : std::optional(this->arrived + this->objective);
-    }
-};
-
-// One attempt of a call. `connection` leaves `not_sent_yet` once: to the connection right before
-// the bytes leave, or to `abandoned` when the ingress gives up before. So "not sent" is never
-// claimed for a call whose bytes leave a moment later.
-struct ingress::attempt {
-    static constexpr transport::connection_id not_sent_yet = 0;
-    static constexpr transport::connection_id abandoned = ~transport::connection_id{0};
-
-    bool claim(transport::connection_id next) {
-        transport::connection_id before = not_sent_yet;
-        return this->connection.compare_exchange_strong(before, next);
-    }
-
-    call_ptr call;
-    std::string instance;
-    mono_time sent_at;
-    mono_time expires;
-    std::atomic<transport::connection_id> connection{not_sent_yet};
-    // What led to the choice, for the log.
-    std::size_t candidates = 0;
-    mono_duration expected{};
-    mono_duration report_age{};
-};
-
 ingress::ingress(ingress_options given, blackboard& shared, limit_service& limiter,
                  admission::context_table& handles, egress& own_egress, request_observer& watcher,
                  const time_source& time)
     : options(std::move(given)),
       board(shared),
       limits(limiter),
-      acceptance({.confirmation_limit = this->options.confirmation_limit,
-                  .headers = this->options.headers},
-                 shared, handles, this->splits),
+      acceptance({.headers = this->options.headers}, shared, handles, this->splits),
       local(own_egress),
       observer(watcher),
       clock(time),
       chooser({.failure_domain = this->options.failure_domain}),
-      policy({}) {}
-
-// The fleet's slack is divided evenly. Daemons that are not on the list have a part, too, so a few
-// of them may pass the whole a little; four fifths of the slack are used.
-std::shared_ptr<routing::retry_budget> ingress::budget_of(const std::string& service) {
-    constexpr double used_slack = 0.8;
-    retry_settings retries = this->board.settings.read()->retries;
-    auto view = this->board.members.read();
-    double daemons = view == nullptr ? 1.0 : std::max<double>(view->listed().size(), 1);
-    return this->budgets.update(service, [&](std::shared_ptr<routing::retry_budget>& slot) {
-        if (slot == nullptr) {
-            slot = std::make_shared<routing::retry_budget>(routing::retry_budget_options{
-                .share = retries.share, .minimum_per_second = retries.minimum_per_second});
-        }
-        slot->set_slack(retries.slack * used_slack / daemons);
-        return slot;
-    });
-}
+      policy({}),
+      budgets(shared) {}
 
 edge::http_response ingress::refuse(unsigned status) {
     std::string_view reason = reasons::bad_request;
@@ -174,7 +109,7 @@
     call->message.headers = edge::forwardable_request(this->options.headers, request.headers);
     call->message.body = std::move(request.body);
     call->message.may_be_late = call->objective.count() == 0;
-    this->budget_of(call->message.service)->count_call(call->arrived);
+    this->budgets.of(call->message.service)->count_call(call->arrived);
     if (call->nested || call->message.workspace.empty()) {
         call->admitted = true;
         this->dispatch(call, reasons::no_upstream);
@@ -329,8 +264,8 @@
                             std::chrono::microseconds(result.load.service_us),
                             std::max(mono_duration(0), now - (*found)->sent_at - held));
     }
-    this->log_end(**found, outcome_name(result.outcome), result.reason,
-                  std::chrono::microseconds(result.held_us));
+    this->note_end(**found, outcome_name(result.outcome), result.reason,
+                   std::chrono::microseconds(result.held_us));
     switch (result.outcome) {
         case messages::call_outcome::answered:
             this->load.accepted((*found)->instance);
@@ -367,8 +302,8 @@
     }
 }
 
-void ingress::log_end(const attempt& each, std::string_view outcome, std::string_view reason,
-                      mono_duration held) const {
+void ingress::note_end(const attempt& each, std::string_view outcome, std::string_view reason,
+                       mono_duration held) const {
     log_attempt({.id = each.call->message.request_id,
                  .instance = each.instance,
                  .candidates = each.candidates,
@@ -379,6 +314,7 @@
                  .reason = reason,
                  .duration = this->clock.now() - each.sent_at,
                  .held = held});
+    this->observer.on_attempt_ended({.outcome = outcome, .reason = reason});
 }
 
 void ingress::end_attempt(std::uint64_t sequence, routing::attempt_end end,
@@ -388,8 +324,8 @@
         return;
     }
     this->load.call_ended((*found)->instance);
-    this->log_end(**found, end == routing::attempt_end::not_sent ? "not_sent" : "no_reply", reason,
-                  {});
+    this->note_end(**found, end == routing::attempt_end::not_sent ? "not_sent" : "no_reply", reason,
+                   {});
     if (end == routing::attempt_end::not_sent) {
         this->load.connection_failed((*found)->instance, this->clock.now());
     }
@@ -399,8 +335,8 @@
 
 void ingress::after_failure(const call_ptr& call, routing::attempt_end end,
                             std::string_view reason) {
-    auto decision = this->policy.decide(call->history, end, *this->budget_of(call->message.service),
-                                        this->clock.now());
+    auto decision = this->policy.decide(
+        call->history, end, *this->budgets.of(call->message.service), this->clock.now());
     if (std::holds_alternative<routing::retry_elsewhere>(decision)) {
         this->dispatch(call, reason);
         return;
@@ -424,7 +360,7 @@
         routing::call_attempts history = call->history;
         auto decision =
             this->policy.decide(history, routing::attempt_end::unknown_reply,
-                                *this->budget_of(call->message.service), this->clock.now());
+                                *this->budgets.of(call->message.service), this->clock.now());
         if (std::holds_alternative<routing::retry_elsewhere>(decision)) {
             call->history = history;
             call->earlier_response = std::move(response);
@@ -551,7 +487,7 @@
     }
     if (auto current = this->attempts.take(call->last_sequence)) {
         this->load.call_ended((*current)->instance);
-        this->log_end(**current, "abandoned", reasons::caller_gone, {});
+        this->note_end(**current, "abandoned", reasons::caller_gone, {});
         this->tell_egress(call->last_sequence, **current);
     }
     this->finish(call, status_caller_gone, reasons::caller_gone);
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -22,45 +22,27 @@
 #include "config/snapshot.h"
 #include "daemon/blackboard.h"
 #include "daemon/egress.h"
+#include "daemon/entry_call.h"
 #include "daemon/limit_service.h"
 #include "daemon/peer_links.h"
 #include "daemon/refusal.h"
 #include "daemon/request_acceptance.h"
+#include "daemon/request_observer.h"
+#include "daemon/service_budgets.h"
 #include "daemon/settings.h"
 #include "edge/header_profile.h"
 #include "edge/http_server.h"
 #include "routing/load_table.h"
-#include "routing/retry_budget.h"
 #include "routing/retry_policy.h"
 #include "routing/traffic_split.h"
 #include "routing/upstream_picker.h"
 
 namespace trefoil::daemon {
 
-// One finished request, for metrics and service-level burn.
-struct finished_request {
-    std::string service;    // Empty when no route was found.
-    std::string route;      // Likewise.
-    std::string workspace;  // Empty when unknown or on open routes.
-    unsigned status = 0;
-    std::string_view reason;  // Empty when the upstream's response was delivered.
-    bool admitted = false;    // Past key check and limit.
-    std::uint32_t retries = 0;
-    mono_duration duration{};
-};
-
-// Safe for concurrent use.
-class request_observer {
-public:
-    virtual ~request_observer() = default;
-    virtual void on_finished(const finished_request& request) = 0;
-};
-
 struct ingress_options {
     std::string instance;
     std::uint64_t incarnation = 0;
     std::string failure_domain;
-    std::chrono::milliseconds confirmation_limit{4000};
     edge::header_profile headers = {};
 };
 
@@ -87,21 +69,21 @@
     std::size_t calls_in_progress() const { return this->in_progress.load(); }
     const routing::load_table& loads() const { return this->load; }
     const routing::upstream_picker& picker() const { return this->chooser; }
+    service_budgets& retry_budgets() { return this->budgets; }
 
 private:
-    struct entry_call;
-    struct attempt;
+    using entry_call = detail::entry_call;
+    using attempt = detail::attempt;
     using call_ptr = std::shared_ptr<entry_call>;
 
-    std::shared_ptr<routing::retry_budget> budget_of(const std::string& service);
     routing::pick_context context_of(const entry_call& call) const;
     // Lets a call that no upstream can serve in time take a late place.
     bool accept_late_place(entry_call& call) const;
     void dispatch(const call_ptr& call, std::string_view last_reason);
     void send_attempt(const call_ptr& call, const routing::candidate& target);
     void note_choice(attempt& started, const routing::candidate& target, mono_time now) const;
-    void log_end(const attempt& each, std::string_view outcome, std::string_view reason,
-                 mono_duration held) const;
+    void note_end(const attempt& each, std::string_view outcome, std::string_view reason,
+                  mono_duration held) const;
     void send_local(std::uint64_t sequence, const call_ptr& call);
     void send_remote(std::uint64_t sequence, const call_ptr& call,
                      const routing::candidate& target);
@@ -132,8 +114,7 @@
     routing::upstream_picker chooser;
     routing::retry_policy policy;
     sharded_map<std::string, double> response_kib;  // Mean size of responses, by route.
-    // By service, because the platform counts retries for each.
-    sharded_map<std::string, std::shared_ptr<routing::retry_budget>> budgets;
+    service_budgets budgets;
     stall_guard stalls;  // Used by tick() only.
     std::atomic<std::uint64_t> next_sequence{1};
     std::atomic<std::size_t> in_progress{0};
--- a/packages/daemon/request_acceptance.cc
+++ b/packages/daemon/request_acceptance.cc
@@ -152,9 +152,7 @@
 std::optional<call_refusal> request_acceptance::check_confirmation(const config::route& route,
                                                                    const control_state& control,
                                                                    mono_time arrived) const {
-    bool confirmed = control.confirmed_at.has_value() &&
-                     arrived - *control.confirmed_at <= this->options.confirmation_limit;
-    if (confirmed || route.when_unconfirmed == config::unconfirmed_policy::serve) {
+    if (control.confirmed(arrived) || route.when_unconfirmed == config::unconfirmed_policy::serve) {
         return std::nullopt;
     }
     return call_refusal{.reason = reasons::unconfirmed};
--- a/packages/daemon/request_acceptance.h
+++ b/packages/daemon/request_acceptance.h
@@ -34,7 +34,6 @@
 };
 
 struct request_acceptance_options {
-    std::chrono::milliseconds confirmation_limit{4000};
     edge::header_profile headers = {};
 };
 
--- a/packages/daemon/request_metrics.cc
+++ b/packages/daemon/request_metrics.cc
@@ -19,6 +19,12 @@
     this->registry.describe("trefoil_retries_total", "Attempts after the first one.");
     this->registry.describe("trefoil_request_microseconds",
                             "Time from the request's arrival to its response.");
+    this->registry.describe("trefoil_attempts_total", "Ended attempts at instances.");
+    this->registry.describe("trefoil_calls_total", "Calls at the upstream beside this daemon.");
+    this->registry.describe("trefoil_gate_wait_microseconds",
+                            "Time that calls waited in the gate.");
+    this->registry.describe("trefoil_upstream_microseconds",
+                            "Time from sending a call to the upstream to its end.");
 }
 
 // Requests that were refused for a reason on the caller's side, such as a missing key or a rate
@@ -39,12 +45,38 @@
         return;
     }
     auto duration = std::chrono::duration_cast<std::chrono::microseconds>(request.duration);
-    this->registry.find_histogram("trefoil_request_microseconds", {{"service", request.service}})
+    std::string_view outcome = request.reason.empty() ? "delivered" : request.reason;
+    this->registry
+        .find_histogram("trefoil_request_microseconds", {{"service", request.service},
+                                                         {"route", request.route},
+                                                         {"outcome", std::string(outcome)}})
         .observe(duration);
     this->tracker.record(request.service, request.workspace,
                          {.latency = request.duration, .error = error}, this->clock.now());
 }
 
+void request_metrics::on_attempt_ended(const finished_attempt& attempt) {
+    this->registry
+        .find_counter("trefoil_attempts_total", {{"outcome", std::string(attempt.outcome)},
+                                                 {"reason", std::string(attempt.reason)}})
+        .add();
+}
+
+void request_metrics::on_call_ended(const finished_call& call) {
+    auto microseconds = [](mono_duration time) {
+        return std::chrono::duration_cast<std::chrono::microseconds>(time);
+    };
+    telemetry::label_list labels = {{"outcome", std::string(call.outcome)},
+                                    {"reason", std::string(call.reason)}};
+    this->registry.find_counter("trefoil_calls_total", labels).add();
+    this->registry.find_histogram("trefoil_gate_wait_microseconds", labels)
+        .observe(microseconds(call.waited));
+    if (call.started) {
+        this->registry.find_histogram("trefoil_upstream_microseconds", labels)
+            .observe(microseconds(call.took));
+    }
+}
+
 void request_metrics::set_objectives(const config::snapshot& snapshot) {
     telemetry::burn_tracker::objective_map objectives;
     for (const auto& [name, service] : snapshot.contents().services) {
--- a/packages/daemon/request_metrics.h
+++ b/packages/daemon/request_metrics.h
@@ -13,7 +13,7 @@
 
 #include "base/time.h"
 #include "config/snapshot.h"
-#include "daemon/ingress.h"
+#include "daemon/request_observer.h"
 #include "telemetry/burn_tracker.h"
 #include "telemetry/registry.h"
 
@@ -25,6 +25,8 @@
     explicit request_metrics(const time_source& clock);
 
     void on_finished(const finished_request& request) override;
+    void on_attempt_ended(const finished_attempt& attempt) override;
+    void on_call_ended(const finished_call& call) override;
 
     // Takes over the objectives of the services of a new snapshot.
     void set_objectives(const config::snapshot& snapshot);
--- /dev/null
+++ b/packages/daemon/service_budgets.h
@@ -0,0 +1,41 @@
+// The retry budget of each service. The fleet's slack is divided among its daemons.
+//
+// Example:
+//
+//     service_budgets budgets(board);
+//     budgets.of("station")->count_call(now);
+
+#ifndef TREFOIL_DAEMON_SERVICE_BUDGETS_H_
+#define TREFOIL_DAEMON_SERVICE_BUDGETS_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/sharded_map.h"
+#include "base/time.h"
+#include "daemon/blackboard.h"
+#include "routing/retry_budget.h"
+
+namespace trefoil::daemon {
+
+// Safe for concurrent use.
+class service_budgets {
+public:
+    explicit service_budgets(const blackboard& shared) : board(shared) {}
+
+    // Never null. The budget follows the settings and the number of listed instances.
+    std::shared_ptr<routing::retry_budget> of(const std::string& service);
+
+    // Retries that each service allows now; services without calls so far are absent.
+    std::map<std::string, double> left(mono_time now);
+
+private:
+    const blackboard& board;
+    // By service, because the platform counts retries for each.
+    sharded_map<std::string, std::shared_ptr<routing::retry_budget>> budgets;
+};
+
+}  // namespace trefoil::daemon
+
+#endif  // TREFOIL_DAEMON_SERVICE_BUDGETS_H_
--- a/packages/daemon/settings.cc
+++ b/packages/daemon/settings.cc
@@ -164,6 +164,11 @@
         stop_settings& stop = this->parsed.stop;
         stop.announce = this->read_milliseconds(map.optional("announce_ms"), stop.announce);
         stop.limit = this->read_milliseconds(map.optional("limit_ms"), stop.limit);
+        auto within = config::read_number(map.optional("within_s"), 0, seconds_max, this->invalid);
+        if (within) {
+            stop.within = std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::chrono::duration<double>(*within));
+        }
         map.reject_unknown();
     }
 
@@ -293,6 +298,14 @@
     return settings_reader(path, std::get<config::yaml_node>(tree)).read();
 }
 
+std::chrono::milliseconds stop_settings::holding_limit() const {
+    if (this->within.count() == 0) {
+        return this->limit;
+    }
+    auto left = this->within - this->announce - closing_time;
+    return std::clamp(left, std::chrono::milliseconds(0), this->limit);
+}
+
 result<settings, settings_failures> load_settings(const std::string& path) {
     auto body = read_file(path, "");
     if (auto* failure = std::get_if<unreadable_file>(&body)) {
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -44,6 +44,14 @@
     std::chrono::milliseconds announce{2'000};
     // Longest time for requests that are held, from the end of the announcement.
     std::chrono::milliseconds limit{60'000};
+    // The whole time from the signal to the end, after which the process would be killed; 0 when
+    // nobody kills it. A shorter one bounds `limit`.
+    std::chrono::milliseconds within{0};
+
+    // Longest time for requests that are held, with `within` taken into account. The last
+    // `closing_time` of it is left for the refusals of what is still held.
+    std::chrono::milliseconds holding_limit() const;
+    static constexpr std::chrono::milliseconds closing_time{300};
 
     friend bool operator==(const stop_settings&, const stop_settings&) = default;
 };
--- a/packages/daemon/testing/settings_test.cc
+++ b/packages/daemon/testing/settings_test.cc
@@ -150,4 +150,20 @@
     BOOST_TEST(!succeeded(load_settings((directory.path / "absent.yaml").string())));
 }
 
+// Guards against a process that is killed while it still holds requests, which leaves their callers
+// without any response.
+BOOST_AUTO_TEST_CASE(a_stop_ends_before_the_process_would_be_killed) {
+    using std::chrono::milliseconds;
+    auto stop_of = [](const std::string& text) {
+        return std::get<settings>(parse_settings("t.yaml", complete + "stop: " + text + "\n")).stop;
+    };
+    stop_settings platform = stop_of("{within_s: 6}");
+    BOOST_CHECK(platform.announce + platform.holding_limit() < milliseconds(6000));
+    BOOST_CHECK(platform.holding_limit() >= milliseconds(3000));
+    BOOST_CHECK(stop_of("{within_s: 0.25}").holding_limit() == milliseconds(0));
+    BOOST_CHECK(stop_of("{limit_ms: 1000, within_s: 20}").holding_limit() == milliseconds(1000));
+    BOOST_CHECK(stop_of("{limit_ms: 9000}").holding_limit() == milliseconds(9000));
+    BOOST_TEST(failures_of(complete + "stop: {within_s: -1}\n") != "");
+}
+
 }  // namespace trefoil::daemon
--- a/packages/routing/retry_budget.h
+++ b/packages/routing/retry_budget.h
@@ -39,7 +39,14 @@
     // Takes a retry from the budget. Returns false when the budget is used up.
     bool take(mono_time now);
 
+    // Retries that take() would allow at this moment.
+    double left(mono_time now) const;
+
 private:
+    static constexpr std::size_t ring_size = 10;  // Seconds that count.
+
+    static std::size_t index_of(std::int64_t second);
+
     struct second_count {
         std::int64_t second = 0;  // Since the epoch of the clock.
         std::uint64_t calls = 0;
@@ -47,10 +54,11 @@
     };
 
     second_count& count_of(mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    double left_of_share(std::int64_t second) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
-    absl::Mutex mutex;
-    retry_budget_options options;            // Guarded by mutex.
-    std::array<second_count, 10> seconds{};  // Ring, indexed by second modulo its size.
+    mutable absl::Mutex mutex;
+    retry_budget_options options;  // Guarded by mutex.
+    std::array<second_count, ring_size> seconds{};
 };
 
 }  // namespace trefoil::routing
--- a/packages/routing/testing/retry_test.cc
+++ b/packages/routing/testing/retry_test.cc
@@ -182,4 +182,24 @@
                         give_up_reason::retries_used, call_outcome::unknown));
 }
 
+// Guards against a metric that says something else than what take() does.
+BOOST_AUTO_TEST_CASE(left_is_the_number_of_retries_that_take_allows) {
+    for (std::uint32_t minimum : {0U, 3U}) {
+        retry_budget budget({.share = 0.2, .minimum_per_second = minimum, .slack = 2.5});
+        mono_time now = start;
+        for (int second = 0; second < 15; ++second, now += std::chrono::seconds(1)) {
+            for (int call = 0; call < second % 7; ++call) {
+                budget.count_call(now);
+            }
+            double promised = budget.left(now);
+            double taken = 0;
+            while (budget.take(now)) {
+                ++taken;
+            }
+            BOOST_TEST(promised == taken);
+            BOOST_TEST(budget.left(now) == 0);
+        }
+    }
+}
+
 }  // namespace trefoil::routing
--- a/packages/source/configuration_service.h
+++ b/packages/source/configuration_service.h
@@ -53,6 +53,14 @@
 
 using read_result = result<document, unchanged, absent, unavailable>;
 
+// Calls to the platform since the start.
+struct service_calls {
+    std::uint64_t started = 0;
+    std::uint64_t failed = 0;
+
+    friend bool operator==(const service_calls&, const service_calls&) = default;
+};
+
 class configuration_service {
 public:
     virtual ~configuration_service() = default;
@@ -64,6 +72,9 @@
     // A peer knows a newer revision than the service has returned: what it watches with may hang.
     virtual void refresh() {}
 
+    // For metrics. Safe for concurrent use.
+    virtual service_calls calls() const = 0;
+
     // Ends calls that wait and makes later calls return unavailable, for shutdown.
     virtual void stop() = 0;
 };
--- a/packages/source/http_configuration_service.cc
+++ b/packages/source/http_configuration_service.cc
@@ -89,14 +89,11 @@
         return unavailable{.detail = std::move(failure->detail)};
     }
     auto& answer = std::get<http_answer>(outcome);
-    this->received_bytes.fetch_add(answer.body.size());
     return interpret(request, std::move(answer));
 }
 
-http_configuration_service::call_counts http_configuration_service::counts() const {
-    return {.started = this->started.load(),
-            .unavailable = this->failed.load(),
-            .body_bytes = this->received_bytes.load()};
+service_calls http_configuration_service::calls() const {
+    return {.started = this->started, .failed = this->failed};
 }
 
 }  // namespace trefoil::source
--- a/packages/source/http_configuration_service.h
+++ b/packages/source/http_configuration_service.h
@@ -36,14 +36,7 @@
     read_result read(const read_request& request) override;
     void stop() override { this->reader.stop(); }
 
-    struct call_counts {
-        std::uint64_t started = 0;
-        std::uint64_t unavailable = 0;
-        std::uint64_t body_bytes = 0;
-
-        friend bool operator==(const call_counts&, const call_counts&) = default;
-    };
-    call_counts counts() const;
+    service_calls calls() const override;
 
 private:
     read_result perform(const read_request& request);
@@ -51,7 +44,6 @@
     const http_configuration_service_options options;
     std::atomic<std::uint64_t> started{0};
     std::atomic<std::uint64_t> failed{0};
-    std::atomic<std::uint64_t> received_bytes{0};
     http_reader reader;
 };
 
--- a/packages/source/testing/http_configuration_service_test.cc
+++ b/packages/source/testing/http_configuration_service_test.cc
@@ -121,8 +121,8 @@
     BOOST_TEST(std::holds_alternative<unavailable>(ask("plain")));
     BOOST_TEST(std::holds_alternative<unavailable>(ask("old")));
     BOOST_TEST(std::holds_alternative<unavailable>(ask("damaged")));
-    BOOST_TEST(service.counts().started == 7U);
-    BOOST_TEST(service.counts().unavailable == 4U);
+    BOOST_TEST(service.calls().started == 7U);
+    BOOST_TEST(service.calls().failed == 4U);
 }
 
 // Guards against memory that a broken platform can fill.
