Count a peer's silence from the end of this process's own stall

Cause: after a stall, silence was not judged for 300 ms and then counted from the last message before the stall. A peer that had nothing to say meanwhile had to be asked and to answer within those 300 ms; on a busy machine it did not, and every connection was dropped. Ruled out: the test's clock; the same binary passes on an idle machine. Trace: beside 18 busy processes on 6 cores the case failed in 5 of 6 runs. Change: the guard gives the silence since the last message or the end of the latest stall, whichever is later; both users of it take that. The test that failed is unchanged.

--- a/packages/base/stall_guard.cc
+++ b/packages/base/stall_guard.cc
@@ -2,14 +2,19 @@
 
 #include "base/stall_guard.h"
 
+#include <algorithm>
+
 namespace trefoil {
 
-bool stall_guard::awake(mono_time now) {
+void stall_guard::tick(mono_time now) {
     if (this->last_tick.has_value() && now - *this->last_tick > this->options.longest_gap) {
-        this->settled_at = now + this->options.settle_time;
+        this->running_since = now;
     }
     this->last_tick = now;
-    return now >= this->settled_at;
+}
+
+mono_duration stall_guard::silence(mono_time last_heard, mono_time now) const {
+    return now - std::max(last_heard, this->running_since.value_or(last_heard));
 }
 
 }  // namespace trefoil
--- a/packages/base/stall_guard.h
+++ b/packages/base/stall_guard.h
@@ -1,12 +1,11 @@
-// Tells whether this process itself stood still recently: suspended, frozen or without processor.
-// What peers sent meanwhile lies unread, so their silence says nothing until it was read.
+// Tells how long a peer has been silent while this process ran. While it stood still (suspended,
+// frozen or without processor), what peers sent lay unread, and nobody asked them anything.
 //
 // Example:
 //
 //     trefoil::stall_guard guard;
-//     if (guard.awake(clock.now())) {  // At every tick.
-//         drop_silent_connections();
-//     }
+//     guard.tick(clock.now());  // At every tick.
+//     if (guard.silence(last_heard, clock.now()) > silence_limit) { ... }
 
 #ifndef TREFOIL_BASE_STALL_GUARD_H_
 #define TREFOIL_BASE_STALL_GUARD_H_
@@ -21,8 +20,6 @@
 struct stall_guard_options {
     // Longest time between two ticks that counts as running. Ticks come every 100 ms or faster.
     std::chrono::milliseconds longest_gap{400};
-    // Time to read what arrived during a stall.
-    std::chrono::milliseconds settle_time{300};
 };
 
 // Not synchronised.
@@ -30,13 +27,16 @@
 public:
     explicit stall_guard(stall_guard_options initial = {}) : options(initial) {}
 
-    // To be called at every tick. Returns false after a stall, until the settle time has passed.
-    bool awake(mono_time now);
+    // To be called before silence() at every tick.
+    void tick(mono_time now);
+
+    // The time since `last_heard` or since the end of the latest stall, whichever is shorter.
+    mono_duration silence(mono_time last_heard, mono_time now) const;
 
 private:
     stall_guard_options options;
     std::optional<mono_time> last_tick;
-    mono_time settled_at = mono_time::min();  // Later than any stall seen.
+    std::optional<mono_time> running_since;  // End of the latest stall; nothing before the first.
 };
 
 }  // namespace trefoil
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -436,10 +436,10 @@
 
 void ingress::tick() {
     mono_time now = this->clock.now();
-    bool awake = this->stalls.awake(now);
+    this->stalls.tick(now);
     std::vector<std::pair<std::uint64_t, std::shared_ptr<attempt>>> expired;
     this->attempts.for_each([&](std::uint64_t sequence, const std::shared_ptr<attempt>& each) {
-        if (each->expires <= now || (awake && this->peer_is_silent(*each, now))) {
+        if (each->expires <= now || this->peer_is_silent(*each, now)) {
             expired.emplace_back(sequence, each);
         }
     });
@@ -457,7 +457,7 @@
         return false;
     }
     auto heard = this->links->last_received(connection);
-    return heard.has_value() && now - *heard >= silence_limit;
+    return heard.has_value() && this->stalls.silence(*heard, now) >= silence_limit;
 }
 
 void ingress::give_up_attempt(std::uint64_t sequence, attempt& given_up) {
--- a/packages/transport/peer_endpoint.cc
+++ b/packages/transport/peer_endpoint.cc
@@ -286,14 +286,13 @@
 
 std::vector<connection_id> peer_endpoint::silent_connections(mono_time now) {
     std::vector<connection_id> silent;
-    if (!this->stalls.awake(now)) {
-        return silent;
-    }
-    const std::int64_t now_us = to_microseconds(now);
-    const std::int64_t silence_us = std::chrono::microseconds(this->options.silence_limit).count();
+    this->stalls.tick(now);
+    auto is_silent = [&](std::int64_t since_us) {
+        return this->stalls.silence(from_microseconds(since_us), now) > this->options.silence_limit;
+    };
     this->sessions.for_each([&](connection_id id, const std::shared_ptr<session>& each) {
-        bool handshake_late = !each->opened && now_us - each->connected_us > silence_us;
-        if (handshake_late || now_us - each->last_received_us > silence_us) {
+        bool handshake_late = !each->opened && is_silent(each->connected_us);
+        if (handshake_late || is_silent(each->last_received_us)) {
             silent.push_back(id);
         }
     });
