Start calls only while they can still meet their objective, and refuse late ones at once

The pause of a rule that never paused is the earliest time there is; subtracting now from it overflowed, so that the expected wait was wrong and no call was ever refused as hopeless. 2. The latest useful start took the mean service time, so that every second call which started under overload missed its objective after all. 3. The expected wait of a late call left out the calls in time that come later and go first; late calls waited until their deadlines and were refused then. Ruled out: the queue's size, and the order within it. Change: no overflow; the latest start leaves room for 95 of 100 requests (mean and twice the mean distance); late calls have their own rank from the start, and their starts are counted: without room for two service times, the wait follows from that rate.

--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -169,10 +169,8 @@
                                .priority = held.call.priority,
                                .may_be_late = held.call.may_be_late};
     if (held.call.objective_us > 0) {
-        auto report = this->gate.load_for(held.call.route, held.arrived);
         mono_time sent = held.deadline - std::chrono::microseconds(held.call.budget_us);
-        offered.latest_start = sent + std::chrono::microseconds(held.call.objective_us) -
-                               std::chrono::microseconds(report.service_us);
+        offered.objective_at = sent + std::chrono::microseconds(held.call.objective_us);
     }
     return offered;
 }
--- a/packages/gate/fair_queue.cc
+++ b/packages/gate/fair_queue.cc
@@ -15,15 +15,15 @@
 
 }  // namespace
 
-std::variant<queue_added, queue_full> fair_queue::push(waiting_call waiting) {
+std::variant<queue_added, queue_full> fair_queue::push(waiting_call waiting, bool late) {
+    rank where{late, waiting.call.priority};
     queue_added added;
     if (this->positions.size() >= this->capacity) {
-        added.displaced = this->make_room(waiting);
+        added.displaced = this->make_room(waiting, where);
         if (!added.displaced.has_value()) {
             return queue_full{};
         }
     }
-    rank where{false, waiting.call.priority};
     this->insert(where, std::move(waiting));
     return added;
 }
@@ -31,12 +31,11 @@
 // Takes the newest call of the longest lane of the least urgent rank. In the same rank the new call
 // may only displace one when its workspace then still has no more waiting calls than the displaced
 // one's; otherwise two workspaces would displace each other's calls forever.
-std::optional<waiting_call> fair_queue::make_room(const waiting_call& coming) {
+std::optional<waiting_call> fair_queue::make_room(const waiting_call& coming, rank own_rank) {
     if (this->ranks.empty()) {
         return std::nullopt;
     }
     auto least_urgent = std::prev(this->ranks.end());
-    rank own_rank{false, coming.call.priority};
     if (least_urgent->first < own_rank) {
         return std::nullopt;
     }
@@ -131,6 +130,16 @@
     return ahead;
 }
 
+std::size_t fair_queue::late_size() const {
+    std::size_t size = 0;
+    for (auto each = this->ranks.lower_bound({true, 0}); each != this->ranks.end(); ++each) {
+        for (const lane& workspace : each->second) {
+            size += workspace.calls.size();
+        }
+    }
+    return size;
+}
+
 void fair_queue::insert(rank where, waiting_call waiting) {
     auto owner = this->lane_of(where, waiting.call.workspace);
     call_id id = waiting.call.id;
--- a/packages/gate/fair_queue.h
+++ b/packages/gate/fair_queue.h
@@ -48,7 +48,8 @@
 public:
     explicit fair_queue(std::size_t room) : capacity(room) {}
 
-    std::variant<queue_added, queue_full> push(waiting_call waiting);
+    // `late`: the call comes after all that are not.
+    std::variant<queue_added, queue_full> push(waiting_call waiting, bool late = false);
 
     // Removes and returns the next call: the most urgent rank first, round robin over workspaces,
     // first in first out within one. Calls whose latest useful start has passed at `now` come after
@@ -70,6 +71,9 @@
     // Calls that pop() would return before a call of this priority that comes now and is not late.
     std::size_t ahead_of(std::uint32_t priority, bool late) const;
 
+    // Waiting calls that come after all others because they are late.
+    std::size_t late_size() const;
+
     std::size_t size() const { return this->positions.size(); }
     bool empty() const { return this->positions.empty(); }
 
@@ -93,7 +97,7 @@
     void insert(rank where, waiting_call waiting);
     rotation::iterator lane_of(rank where, const std::string& workspace);
     static rotation::iterator longest_lane(rotation& lanes);
-    std::optional<waiting_call> make_room(const waiting_call& coming);
+    std::optional<waiting_call> make_room(const waiting_call& coming, rank own_rank);
     waiting_call take(position where);
 
     std::size_t capacity;  // Waiting calls, all workspaces together.
--- a/packages/gate/gate_types.h
+++ b/packages/gate/gate_types.h
@@ -43,7 +43,9 @@
     mono_time deadline;     // On the local clock; the call never starts at or after this time.
     std::string route = {};
     std::uint32_t priority = 0;  // 0 starts first.
-    // Starts after this time probably miss the latency objective; absent: there is none.
+    // When the latency objective is missed; absent: there is none.
+    std::optional<mono_time> objective_at = std::nullopt;
+    // Starts after this time probably miss the objective. Worked out by the gate.
     std::optional<mono_time> latest_start = std::nullopt;
     // False: the call is refused when it would start later than that, so that its ingress can look
     // for a place elsewhere.
--- /dev/null
+++ b/packages/gate/late_turns.h
@@ -0,0 +1,51 @@
+// How often late calls start beside calls in time, which go first.
+//
+// Example:
+//
+//     late_turns turns;
+//     turns.waiting(now);
+//     turns.started();
+//     std::optional<double> rate = turns.rate(now, patience);
+
+#ifndef TREFOIL_GATE_LATE_TURNS_H_
+#define TREFOIL_GATE_LATE_TURNS_H_
+
+#include <chrono>
+#include <optional>
+
+#include "base/time.h"
+
+namespace trefoil::gate {
+
+// Not synchronised; the owner holds a lock.
+class late_turns {
+public:
+    // Starts are counted over about this time: some ten service times of usual upstreams.
+    static constexpr std::chrono::milliseconds window{1000};
+
+    // A late call waits. Begins a new count when there was room before.
+    void waiting(mono_time now) {
+        if (!this->since.has_value()) {
+            this->since = now;
+            this->starts = 0;
+        }
+    }
+    // A late call would start at once. Its absence alone says nothing: late calls may have given
+    // up.
+    void room() { this->since.reset(); }
+    void started() { ++this->starts; }
+
+    // Starts a second; nothing when the count began less than `shortest` ago.
+    std::optional<double> rate(mono_time now, mono_duration shortest) const;
+
+    // Forgets older starts little by little.
+    void age(mono_time now);
+
+private:
+    std::optional<mono_time> since;  // There was no room from here on.
+    double starts = 0;               // From then on.
+};
+
+}  // namespace trefoil::gate
+
+#endif  // TREFOIL_GATE_LATE_TURNS_H_
--- a/packages/gate/service_times.cc
+++ b/packages/gate/service_times.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace trefoil::gate {
 
@@ -15,6 +16,16 @@
 
 }  // namespace
 
+void service_times::distribution::add(double took, double weight) {
+    if (this->mean == 0) {
+        this->mean = took;
+        return;
+    }
+    double distance = took - this->mean;
+    this->mean += weight * distance;
+    this->deviation += weight * (std::abs(distance) - this->deviation);
+}
+
 void service_times::started(const call_id& id, const std::string& route, mono_time now) {
     this->running[id] = {.route = route, .started = now};
 }
@@ -26,18 +37,13 @@
     }
     double took = std::chrono::duration<double>(now - found->second.started).count();
     if (counts) {
-        auto [mean, first] = this->by_route.emplace(found->second.route, took);
-        if (!first) {
-            mean->second += this->options.latest_weight * (took - mean->second);
-        }
-        this->overall = this->overall == 0
-                            ? took
-                            : this->overall + this->options.latest_weight * (took - this->overall);
+        this->by_route[found->second.route].add(took, this->options.latest_weight);
+        this->overall.add(took, this->options.latest_weight);
     }
     this->running.erase(found);
 }
 
-double service_times::usual(const std::string& route) const {
+service_times::distribution service_times::usual(const std::string& route) const {
     auto found = this->by_route.find(route);
     return found == this->by_route.end() ? this->overall : found->second;
 }
@@ -50,7 +56,7 @@
     double expected_ages = 0;
     for (const auto& [id, each] : this->running) {
         ages += std::chrono::duration<double>(now - each.started).count();
-        expected_ages += this->usual(each.route);
+        expected_ages += this->usual(each.route).mean;
     }
     if (expected_ages <= 0) {
         return 1;
@@ -60,11 +66,17 @@
 }
 
 mono_duration service_times::expected(const std::string& route, mono_time now) const {
-    return to_duration(this->usual(route) * this->slowness(now));
+    return to_duration(this->usual(route).mean * this->slowness(now));
+}
+
+mono_duration service_times::cautious(const std::string& route, mono_time now) const {
+    distribution times = this->usual(route);
+    double within = times.mean + this->options.cautious_distances * times.deviation;
+    return to_duration(within * this->slowness(now));
 }
 
 mono_duration service_times::mean(mono_time now) const {
-    return to_duration(this->overall * this->slowness(now));
+    return to_duration(this->overall.mean * this->slowness(now));
 }
 
 }  // namespace trefoil::gate
--- a/packages/gate/service_times.h
+++ b/packages/gate/service_times.h
@@ -28,6 +28,9 @@
     // their usual times.
     double slow_ages = 2.0;
     std::size_t fewest_running = 3;  // Below this the ages say too little.
+    // Mean distances that a cautious estimate adds to the mean. Two of them make 1.6 standard
+    // deviations of a normal distribution, within which 95 of 100 requests end.
+    double cautious_distances = 2.0;
 };
 
 // Not synchronised; the owner holds a lock.
@@ -41,6 +44,8 @@
 
     // Usual time of a request of the route that starts now; 0 before the first response of any.
     mono_duration expected(const std::string& route, mono_time now) const;
+    // A time within which most requests of the route end: the mean and the usual distance from it.
+    mono_duration cautious(const std::string& route, mono_time now) const;
     // Over the requests of all routes.
     mono_duration mean(mono_time now) const;
 
@@ -50,12 +55,21 @@
         mono_time started;
     };
 
-    double usual(const std::string& route) const;
+    // In seconds.
+    struct distribution {
+        double mean = 0;
+        double deviation = 0;  // Mean distance from the mean.
+
+        void add(double took, double weight);
+    };
+
+    // Of the route, or of all routes before its first response.
+    distribution usual(const std::string& route) const;
     double slowness(mono_time now) const;
 
     service_times_options options;
-    absl::flat_hash_map<std::string, double> by_route;  // Mean seconds.
-    double overall = 0;  // Mean seconds; 0 before the first response.
+    absl::flat_hash_map<std::string, distribution> by_route;
+    distribution overall;  // Zero before the first response.
     absl::flat_hash_map<call_id, running_request> running;
 };
 
--- a/packages/gate/upstream_gate.cc
+++ b/packages/gate/upstream_gate.cc
@@ -31,8 +31,12 @@
       waiting(initial.queue),
       duplicates(initial.duplicates) {}
 
-offer_result upstream_gate::offer(const offered_call& call, mono_time now) {
+offer_result upstream_gate::offer(const offered_call& offered, mono_time now) {
     absl::MutexLock lock(&this->mutex);
+    offered_call call = offered;
+    if (call.objective_at.has_value()) {
+        call.latest_start = *call.objective_at - this->times.cautious(call.route, now);
+    }
     offer_result result;
     this->refuse_expiring(now, now, result.changes);
     this->start_waiting(now, result.changes);
@@ -78,7 +82,11 @@
     if (expires <= this->limit->paused_until()) {
         return not_run(refusal_reason::overloaded);
     }
-    auto pushed = this->waiting.push({.call = call, .expires = expires});
+    bool late = this->comes_late(call, now);
+    if (late) {
+        this->late_calls.waiting(now);
+    }
+    auto pushed = this->waiting.push({.call = call, .expires = expires}, late);
     auto* added = std::get_if<queue_added>(&pushed);
     if (added == nullptr) {
         return not_run(refusal_reason::overloaded);
@@ -94,6 +102,9 @@
     this->running.insert(call.id);
     this->times.started(call.id, call.route, now);
     this->limit->on_start(now);
+    if (call.latest_start.has_value() && *call.latest_start < now) {
+        this->late_calls.started();
+    }
 }
 
 mono_duration upstream_gate::expected_wait(const offered_call& call, bool late,
@@ -107,7 +118,14 @@
         wait = std::max(wait, (ahead + 1) / *rate);
     }
     auto queued = std::chrono::duration_cast<mono_duration>(std::chrono::duration<double>(wait));
-    return std::max(queued, this->limit->paused_until() - now);
+    // The time of a rule that never paused is so early that subtracting from it would overflow.
+    mono_time unpaused = std::max(this->limit->paused_until(), now);
+    return std::max(queued, unpaused - now);
+}
+
+bool upstream_gate::comes_late(const offered_call& call, mono_time now) const {
+    return call.latest_start.has_value() &&
+           now + this->expected_wait(call, false, now) > *call.latest_start;
 }
 
 // A call that would start too late to be of use is better refused at once: its ingress can look
@@ -118,12 +136,15 @@
         return std::nullopt;
     }
     mono_duration wait = this->expected_wait(call, false, now);
-    bool late = now + wait > *call.latest_start;
+    bool late = this->comes_late(call, now);
+    bool in_vain = late && !call.may_be_late;
     if (late && call.may_be_late) {
-        wait = this->expected_wait(call, true, now);
+        auto expected = this->expected_late_wait(call, now);
+        wait = expected.value_or(wait);
+        in_vain = !expected.has_value();
     }
     bool unfinished = now + wait + this->times.expected(call.route, now) > call.deadline;
-    if (unfinished || (late && !call.may_be_late)) {
+    if (unfinished || in_vain) {
         return refusal{.reason = refusal_reason::overloaded,
                        .outcome = messages::call_outcome::not_run,
                        .retry_after = wait};
@@ -131,6 +152,24 @@
     return std::nullopt;
 }
 
+// The calls that wait now do not tell how long a late call will wait, because calls in time that
+// come later go first. So the starts of late calls are counted, once each slot was free twice.
+std::optional<mono_duration> upstream_gate::expected_late_wait(const offered_call& call,
+                                                               mono_time now) const {
+    constexpr int turns = 2;
+    mono_duration wait = this->expected_wait(call, true, now);
+    auto rate = this->late_calls.rate(now, turns * this->times.mean(now));
+    if (!rate.has_value()) {
+        return wait;
+    }
+    if (*rate <= 0) {
+        return std::nullopt;
+    }
+    auto ahead = static_cast<double>(this->waiting.late_size() + 1);
+    return std::max(wait, std::chrono::duration_cast<mono_duration>(
+                              std::chrono::duration<double>(ahead / *rate)));
+}
+
 mono_time upstream_gate::expiry_of(const offered_call& call, mono_time now) const {
     if (!call.latest_start.has_value()) {
         return std::min(call.deadline, now + this->longest_wait);
@@ -271,6 +310,10 @@
         this->begin(next, now);
         changes.start.push_back(std::move(next.id));
     }
+    this->late_calls.age(now);
+    if (this->waiting.empty()) {
+        this->late_calls.room();
+    }
 }
 
 }  // namespace trefoil::gate
--- a/packages/gate/upstream_gate.h
+++ b/packages/gate/upstream_gate.h
@@ -31,6 +31,7 @@
 #include "gate/duplicate_filter.h"
 #include "gate/fair_queue.h"
 #include "gate/gate_types.h"
+#include "gate/late_turns.h"
 #include "gate/service_times.h"
 #include "gate/start_limit.h"
 #include "messages/messages.h"
@@ -86,7 +87,7 @@
     // Uses another rule than concurrency_limit; `initial.limit` is ignored.
     upstream_gate(upstream_gate_options initial, std::unique_ptr<start_limit> rule);
 
-    offer_result offer(const offered_call& call, mono_time now);
+    offer_result offer(const offered_call& offered, mono_time now);
 
     // Reports the end of a started call after `latency`. A call that is not running is ignored.
     gate_changes finish(const call_id& id, call_result_kind kind, mono_duration latency,
@@ -127,10 +128,16 @@
     // When a call that is offered now would start, from `now`.
     mono_duration expected_wait(const offered_call& call, bool late, mono_time now) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Whether it would miss its objective.
+    bool comes_late(const offered_call& call, mono_time now) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     mono_time expiry_of(const offered_call& call, mono_time now) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     std::optional<refusal> refuse_hopeless(const offered_call& call, mono_time now) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // The wait of a late call, or nothing while late calls start so rarely that it cannot be told.
+    std::optional<mono_duration> expected_late_wait(const offered_call& call, mono_time now) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void begin(const offered_call& call, mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     std::optional<refusal> refuse_new(const offered_call& call, mono_time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
@@ -149,6 +156,7 @@
     std::unique_ptr<start_limit> limit;  // Never null.
     fair_queue waiting;
     service_times times;
+    late_turns late_calls;
     duplicate_filter duplicates;
     absl::flat_hash_set<call_id> running;
     bool draining = false;  // Never reset.
