Let the status tell the truth about the outcome where callers see nothing else

Cause: on the platform 503 promises that a request has not run. The other way round, a request that had reached no upstream at its route's time-out got 504, which promises nothing, so that a caller with time left could not repeat it. Change: a header profile says that the status alone tells the outcome; then an unknown outcome is never a promise (502 or 504), and not run is always one (503). The product's own interface, which has a header for the outcome, stays as it is. Test: refusal_test fails before (503 for unknown, 504 for not run), passes after.

--- a/packages/daemon/refusal.cc
+++ b/packages/daemon/refusal.cc
@@ -41,9 +41,9 @@
 }  // namespace
 
 unsigned status_of(std::string_view reason) {
-    constexpr unsigned status_bad_gateway = 502;
+    constexpr unsigned unknown_reason = 502;
     const reason_status* found = find_reason(reason);
-    return found == nullptr ? status_bad_gateway : found->status;
+    return found == nullptr ? unknown_reason : found->status;
 }
 
 std::string_view known_reason(std::string_view text) {
@@ -51,10 +51,34 @@
     return found == nullptr ? reasons::upstream_failed : found->reason;
 }
 
+namespace {
+
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_unavailable = 503;
+
+// The statuses that promise that the request has not run.
+bool is_promise(unsigned status) {
+    constexpr std::array<unsigned, 4> promises = {408, 421, 429, status_unavailable};
+    return std::find(promises.begin(), promises.end(), status) != promises.end();
+}
+
+unsigned status_for(const call_refusal& refusal, const edge::header_profile& names) {
+    unsigned status = status_of(refusal.reason);
+    if (!names.status_tells_outcome) {
+        return status;
+    }
+    if (refusal.outcome == messages::call_outcome::unknown) {
+        return is_promise(status) ? status_bad_gateway : status;
+    }
+    return refusal.reason == reasons::deadline_exceeded ? status_unavailable : status;
+}
+
+}  // namespace
+
 edge::http_response make_refusal(const call_refusal& refusal, const edge::header_profile& names) {
     std::string outcome =
         refusal.outcome == messages::call_outcome::not_run ? "not_run" : "unknown";
-    edge::http_response response{.status = status_of(refusal.reason),
+    edge::http_response response{.status = status_for(refusal, names),
                                  .headers = {{.name = "Content-Type", .value = "application/json"}},
                                  .body = fmt::format("{{\"error\": \"{}\", \"outcome\": \"{}\"}}\n",
                                                      refusal.reason, outcome)};
--- a/packages/edge/header_profile.h
+++ b/packages/edge/header_profile.h
@@ -29,6 +29,10 @@
     // Whether callers understand fractions of a second, which RFC 9110 does not define.
     bool fractional_retry_after = false;
 
+    // Callers see from the status alone whether a request has run: 408, 421, 429 and 503 promise
+    // that it has not, 502 and 504 promise nothing.
+    bool status_tells_outcome = false;
+
     // Between callers, the daemon and upstreams.
     std::string deadline = "Trefoil-Deadline-Ms";  // Milliseconds that are left.
     std::string context = "Trefoil-Context";       // Handle for calls that the upstream sends.
