--- a/packages/edge/http_session.cc
+++ b/packages/edge/http_session.cc
@@ -39,8 +39,7 @@
     return error == http::error::body_limit ? status_too_large : status_bad_request;
 }
 
-http_request take_request(http_session::clock::time_point /*arrived*/,
-                          http::request<http::string_body> message) {
+http_request take_request(http::request<http::string_body> message) {
     http_request request;
     request.method = std::string(message.method_string());
     std::string_view target(message.target().data(), message.target().size());
@@ -223,7 +222,7 @@
     this->head_request = message.method() == http::verb::head;
     this->enter(phase::handling);
     this->waiting = std::make_shared<pending_response>(this->weak_from_this(), this->owner.loop());
-    this->owner.handler().handle(take_request(this->since, std::move(message)), this->waiting);
+    this->owner.handler().handle(take_request(std::move(message)), this->waiting);
 }
 
 void http_session::deliver(const pending_response* from, http_response response) {
