--- a/packages/daemon/belief_log.cc
+++ b/packages/daemon/belief_log.cc
@@ -103,7 +103,9 @@
     }
     std::string text = age.has_value() ? whole_ms(*age) : "none";
     if (now) {
-        log(log_level::info, "confirmation_regained", {{"age_ms", text}});
+        bool again = std::exchange(this->confirmed_before, true);
+        log(log_level::info, again ? "confirmation_regained" : "confirmed_first",
+            {{"age_ms", text}});
     } else {
         log(log_level::warning, "confirmation_lost", {{"age_ms", text}});
     }
--- a/packages/daemon/belief_log.h
+++ b/packages/daemon/belief_log.h
@@ -62,6 +62,7 @@
     upstream_belief upstream;
     bool upstream_known = false;
     bool confirmed = false;
+    bool confirmed_before = false;
     bool ready = false;
 };
 
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -123,12 +123,24 @@
         if (outcome.admitted) {
             this->dispatch(call, reasons::no_upstream);
         } else {
-            this->respond_refused(
-                call, {.reason = reasons::rate_limited, .retry_after = outcome.retry_after});
+            this->refuse_over_limit(call, outcome);
         }
     });
 }
 
+void ingress::refuse_over_limit(const call_ptr& call, const admission_outcome& outcome) {
+    const std::string& workspace = call->message.workspace;
+    auto state = this->limits.inspect_demand(workspace).value_or(admission::demand_state{});
+    log_limit({.id = call->message.request_id,
+               .workspace = workspace,
+               .demand = state.demand,
+               .fleet_demand = state.total,
+               .share = state.share,
+               .retry_after = outcome.retry_after.value_or(std::chrono::milliseconds(0))});
+    this->respond_refused(call,
+                          {.reason = reasons::rate_limited, .retry_after = outcome.retry_after});
+}
+
 routing::pick_context ingress::context_of(const entry_call& call) const {
     constexpr double bytes_per_kib = 1024;
     double request = static_cast<double>(call.message.body.size()) / bytes_per_kib;
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -80,6 +80,7 @@
     // Lets a call that no upstream can serve in time take a late place.
     bool accept_late_place(entry_call& call) const;
     void dispatch(const call_ptr& call, std::string_view last_reason);
+    void refuse_over_limit(const call_ptr& call, const admission_outcome& outcome);
     void send_attempt(const call_ptr& call, const routing::candidate& target);
     void note_choice(attempt& started, const routing::candidate& target, mono_time now) const;
     void note_end(const attempt& each, std::string_view outcome, std::string_view reason,
--- a/packages/daemon/request_log.cc
+++ b/packages/daemon/request_log.cc
@@ -72,6 +72,16 @@
            {"held_ms", ms(line.held)}});
 }
 
+void log_limit(const limit_line& line) {
+    write(false, "limit", line.id,
+          {{"id", text(line.id)},
+           {"workspace", text(line.workspace)},
+           {"demand", fmt::format("{:.1f}", line.demand)},
+           {"fleet_demand", fmt::format("{:.1f}", line.fleet_demand)},
+           {"share", fmt::format("{:.1f}", line.share)},
+           {"retry_after_ms", fmt::to_string(line.retry_after.count())}});
+}
+
 void log_call(const call_line& line) {
     write(line.outcome == "answered" && line.status < first_failure_status, "call", line.id,
           {{"id", text(line.id)},
--- a/packages/daemon/request_log.h
+++ b/packages/daemon/request_log.h
@@ -8,6 +8,7 @@
 #ifndef TREFOIL_DAEMON_REQUEST_LOG_H_
 #define TREFOIL_DAEMON_REQUEST_LOG_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -51,6 +52,17 @@
 };
 void log_attempt(const attempt_line& line);
 
+// Why the limit of a workspace refused a request. Rates are requests per second.
+struct limit_line {
+    std::string_view id;
+    std::string_view workspace;
+    double demand = 0;        // Of this daemon.
+    double fleet_demand = 0;  // 0 when it is not known.
+    double share = 0;         // What this daemon may admit.
+    std::chrono::milliseconds retry_after{0};
+};
+void log_limit(const limit_line& line);
+
 // What the egress did with a call.
 struct call_line {
     std::string_view id;
