Let the buckets of limits hold several requests where the tolerance has room

Cause: each of 12 daemons sees less than one request a second of such a workspace, and its own bucket held one request and 0.3 s of its share; two requests in a row emptied it. The room that the tolerance leaves went into a higher rate instead, which such a workspace does not need. Ruled out: the shares themselves; demand and totals agree, and refusals are as frequent at every daemon. Change: a daemon's bucket holds one to three requests, 85% of the room divided by the daemons; a quarter of the overage raises the rate (0.9 before).

--- a/packages/admission/demand_limiter.cc
+++ b/packages/admission/demand_limiter.cc
@@ -31,23 +31,36 @@
     return std::max(this->fleet_size, this->heard + this->missing);
 }
 
+// What may be admitted in a window beyond the fleet's rate, and beyond what is admitted at that
+// rate before the totals tell and from the part of the daemons' buckets that follows their shares.
+double demand_limiter::free_of_rate(const workspace_limit& limit) const {
+    const limit_tolerance& allowed = this->options.tolerance;
+    double most =
+        (limit.rate * this->window_s() + limit.burst) * (1 + allowed.overage) + allowed.slack;
+    double time_s = this->window_s() + seconds(this->options.report_interval) +
+                    seconds(this->options.bucket_time);
+    return most - this->fleet_rate(limit) * time_s;
+}
+
+// A part of what is free, divided among the daemons; the fleet's own bucket gets what is left.
+double demand_limiter::bucket_requests(const workspace_limit& limit) const {
+    return std::clamp(this->options.bucket_part * this->free_of_rate(limit) / this->known_daemons(),
+                      this->options.fewest_bucket_requests, this->options.most_bucket_requests);
+}
+
 // What may be admitted in a window beyond the rate, less what full buckets of all daemons hold,
 // what the shares of different totals add up to beyond the rate while demand moves, and what is
 // admitted before the totals tell (a report crosses two collectors, so up to two intervals):
 //
 //     rate * (window + report_interval) + capacity
-//         + daemons + bucket_time * (rate + capacity / spread_time)
+//         + bucket_requests * daemons + bucket_time * (rate + capacity / spread_time)
 //         + 2 * report_interval * capacity / spread_time <= most.
 //
 // Below zero, where the daemons' own buckets hold more than that, the fleet's rate is lowered.
 double demand_limiter::fleet_capacity(const workspace_limit& limit) const {
-    const limit_tolerance& allowed = this->options.tolerance;
     double bucket_s = seconds(this->options.bucket_time);
     double interval_s = seconds(this->options.report_interval);
-    double rate = this->fleet_rate(limit);
-    double most =
-        (limit.rate * this->window_s() + limit.burst) * (1 + allowed.overage) + allowed.slack;
-    double free = most - rate * (this->window_s() + interval_s + bucket_s) - this->known_daemons();
+    double free = this->free_of_rate(limit) - this->bucket_requests(limit) * this->known_daemons();
     return free / (1 + (bucket_s + 2 * interval_s) / seconds(this->options.spread_time));
 }
 
@@ -97,7 +110,8 @@
 
 void demand_limiter::refill(bucket& each, mono_time now) {
     double share = this->share_of(each, now);
-    double capacity = 1 + share * seconds(this->options.bucket_time);
+    double capacity =
+        this->bucket_requests(each.limit) + share * seconds(this->options.bucket_time);
     each.tokens = std::min(capacity, each.tokens + share * seconds_between(each.counted_at, now));
     each.counted_at = now;
 }
--- a/packages/admission/demand_limiter.h
+++ b/packages/admission/demand_limiter.h
@@ -60,8 +60,9 @@
 
 struct demand_limiter_options {
     limit_tolerance tolerance = {};
-    // Part of the overage that is used on purpose. The rest covers what is admitted between totals.
-    double used_overage = 0.9;
+    // Part of the overage by which the fleet's rate is raised. The rest gives room to buckets: a
+    // workspace within its rate needs depth and not rate.
+    double used_overage = 0.25;
     std::chrono::milliseconds report_interval{250};
     // Weight of the latest interval in the measured demand. With intervals of 250 ms the demand
     // follows a step within half a second.
@@ -72,8 +73,14 @@
     // Time over which the free part of the fleet's bucket is handed out. Three times the age of
     // totals, so that the level is known before it passes the capacity.
     std::chrono::milliseconds spread_time{1000};
-    // A daemon's own bucket holds this time at its share, and one request.
+    // A daemon's own bucket holds this time at its share, and some requests: arrivals at one of
+    // many daemons are so few that several in a row are usual. It holds as many requests as the
+    // tolerance has room for, within these bounds. With three, one in a hundred of a daemon's
+    // arrivals at half of its share finds the bucket empty.
     std::chrono::milliseconds bucket_time{300};
+    double bucket_part = 0.85;  // Of that room; the rest evens out the fleet's own level.
+    double fewest_bucket_requests = 1;
+    double most_bucket_requests = 3;
     // Least part of the rate that the fleet uses while its bucket is over its capacity.
     double least_rate = 0.5;
     // Age at which totals say nothing any more. Twice the longest gap of an exchange with one loss.
@@ -144,6 +151,8 @@
 
     double window_s() const;
     double fleet_rate(const workspace_limit& limit) const;
+    double free_of_rate(const workspace_limit& limit) const;
+    double bucket_requests(const workspace_limit& limit) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     double fleet_capacity(const workspace_limit& limit) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     std::uint32_t known_daemons() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     bool totals_valid(mono_time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
--- a/packages/admission/testing/demand_limiter_test.cc
+++ b/packages/admission/testing/demand_limiter_test.cc
@@ -67,6 +67,23 @@
     }
 }
 
+// The pattern: a small workspace within its rate whose callers are spread over all daemons. Each
+// daemon sees less than one request a second, and several in a row now and then.
+BOOST_AUTO_TEST_CASE(a_small_workspace_within_its_rate_is_not_refused_anywhere) {
+    for (std::uint64_t seed : {1, 2, 3}) {
+        for (double rate : {11.0, 25.0, 60.0}) {
+            demand_fleet_options setup = options_with(seed);
+            setup.limit.rate = rate;
+            setup.limit.burst = rate;
+            demand_fleet fleet(setup);
+            fleet.load(rate / 1.6, fleet.all(), seconds(3));  // The demand becomes known.
+            auto [refused, calls] = fleet.load(rate / 1.6, fleet.all(), seconds(60));
+            BOOST_TEST_MESSAGE("rate " << rate << ": refused " << refused << " of " << calls);
+            BOOST_TEST(refused * 100 <= calls);
+        }
+    }
+}
+
 // The pattern: one workspace suddenly sends many times its rate at every daemon at once.
 BOOST_AUTO_TEST_CASE(a_sudden_rise_everywhere_stays_within_the_tolerance) {
     for (std::uint64_t seed : {1, 2, 3, 4, 5}) {
