--- a/packages/admission/demand_limiter.h
+++ b/packages/admission/demand_limiter.h
@@ -75,8 +75,8 @@
     std::chrono::milliseconds spread_time{1000};
     // A daemon's own bucket holds this time at its share, and some requests: arrivals at one of
     // many daemons are so few that several in a row are usual. It holds as many requests as the
-    // tolerance has room for, within these bounds. With three, one in a hundred of a daemon's
-    // arrivals at half of its share finds the bucket empty.
+    // tolerance has room for, within these bounds. With three, a fleet of 12 refuses under 1% of
+    // a workspace that asks for 1/1.6 of its rate (demand_limiter_test).
     std::chrono::milliseconds bucket_time{300};
     double bucket_part = 0.85;  // Of that room; the rest evens out the fleet's own level.
     double fewest_bucket_requests = 1;
--- a/packages/daemon/blackboard.h
+++ b/packages/daemon/blackboard.h
@@ -25,8 +25,8 @@
 
 namespace trefoil::daemon {
 
-// How long a configuration counts as the newest after it was last known to be. The brief allows an
-// unconfirmed configuration for four seconds.
+// How long a configuration counts as the newest after it was last known to be. A withdrawn key must
+// stop working within 5 s, and a change takes up to 1 s to arrive.
 inline constexpr std::chrono::milliseconds confirmation_limit{4000};
 
 // What the control loop knows about the documents. Published on every change and every tick.
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -51,6 +51,7 @@
     // Longest time for requests that are held, with `within` taken into account. The last
     // `closing_time` of it is left for the refusals of what is still held.
     std::chrono::milliseconds holding_limit() const;
+    // Enough to send the refusals and to end the threads of a daemon with its usual processor.
     static constexpr std::chrono::milliseconds closing_time{300};
 
     friend bool operator==(const stop_settings&, const stop_settings&) = default;
--- a/packages/gate/late_turns.h
+++ b/packages/gate/late_turns.h
@@ -30,8 +30,8 @@
             this->starts = 0;
         }
     }
-    // A late call would start at once. Its absence alone says nothing: late calls may have given
-    // up.
+    // A late call would start at once. That none waits does not show this, because those that did
+    // may have expired.
     void room() { this->since.reset(); }
     void started() { ++this->starts; }
 
