Start late calls that are about to expire before calls that can wait

Cause: late calls are let in because there will be room before their deadlines, and calls in time that come later then use that room up, though they could wait: in the model's bursts of 400 ms most refusals were of calls held until they expired (39, 95 and 48 of 73, 144 and 79). Ruled out: doing the same without regard to lasting overload. In a trial the starts counted as room, so late calls were let in all the time and in-time ones fell from 3,572 to 2,991 of 3,650. Change: among calls of one priority, or a more urgent late one, the call that must start first goes first; such a start of a late call is no sign of room. New case of the queue.

--- a/packages/gate/fair_queue.cc
+++ b/packages/gate/fair_queue.cc
@@ -13,6 +13,12 @@
     return waiting.call.latest_start.has_value() && *waiting.call.latest_start < now;
 }
 
+// By when a call in time must start to meet its objective, and a late one to end at all.
+mono_time must_start(const waiting_call& waiting, bool late) {
+    return late ? waiting.expires
+                : std::min(waiting.call.latest_start.value_or(waiting.expires), waiting.expires);
+}
+
 }  // namespace
 
 std::variant<queue_added, queue_full> fair_queue::push(waiting_call waiting, bool late) {
@@ -54,7 +60,7 @@
 
 std::optional<waiting_call> fair_queue::pop(mono_time now) {
     while (!this->ranks.empty()) {
-        auto first = this->ranks.begin();
+        auto first = this->next_rank();
         rank where = first->first;
         rotation& lanes = first->second;
         auto next = lanes.begin();
@@ -70,6 +76,23 @@
     return std::nullopt;
 }
 
+// A late call goes before calls in time of its priority while they can wait for longer than it can.
+std::map<fair_queue::rank, fair_queue::rotation>::iterator fair_queue::next_rank() {
+    auto first = this->ranks.begin();
+    auto late = this->ranks.lower_bound({true, 0});
+    bool both = !first->first.first && late != this->ranks.end();
+    if (!both || late->first.second > first->first.second) {
+        return first;
+    }
+    return must_start(next_call(late->second), true) < must_start(next_call(first->second), false)
+               ? late
+               : first;
+}
+
+const waiting_call& fair_queue::next_call(const rotation& lanes) {
+    return lanes.front().calls.front();
+}
+
 std::optional<waiting_call> fair_queue::remove(const call_id& id) {
     auto found = this->positions.find(id);
     if (found == this->positions.end()) {
--- a/packages/gate/fair_queue.h
+++ b/packages/gate/fair_queue.h
@@ -53,7 +53,8 @@
 
     // Removes and returns the next call: the most urgent rank first, round robin over workspaces,
     // first in first out within one. Calls whose latest useful start has passed at `now` come after
-    // all others. Call expire() before it.
+    // all others, except that one which is about to expire goes before calls in time of no more
+    // urgent priority that can wait for longer. Call expire() before it.
     std::optional<waiting_call> pop(mono_time now);
 
     // Removes one call, wherever it waits.
@@ -81,7 +82,7 @@
     void set_capacity(std::size_t next) { this->capacity = next; }
 
 private:
-    // Late calls after all others, then by priority.
+    // Whether late, and the priority.
     using rank = std::pair<bool, std::uint32_t>;
     struct lane {
         std::string workspace;
@@ -94,6 +95,8 @@
         std::list<waiting_call>::iterator call;
     };
 
+    std::map<rank, rotation>::iterator next_rank();  // Not to be called while empty.
+    static const waiting_call& next_call(const rotation& lanes);
     void insert(rank where, waiting_call waiting);
     rotation::iterator lane_of(rank where, const std::string& workspace);
     static rotation::iterator longest_lane(rotation& lanes);
--- a/packages/gate/testing/fair_queue_test.cc
+++ b/packages/gate/testing/fair_queue_test.cc
@@ -82,6 +82,22 @@
     BOOST_TEST(this->order(start + milliseconds(11)) == "b1 a0 ");
 }
 
+// The pattern: a burst has passed. Its late calls were let in because there would be room for them;
+// calls in time that can wait must not use it up.
+BOOST_FIXTURE_TEST_CASE(a_late_call_about_to_expire_goes_before_calls_that_can_wait,
+                        queue_fixture) {
+    mono_time useful = start + milliseconds(100);
+    for (auto [workspace, wait] : {std::pair("a", 50), std::pair("b", 200)}) {
+        waiting_call late = this->call(workspace, 1);
+        late.expires = start + milliseconds(wait);
+        this->queue.push(late, true);
+    }
+    this->queue.push(this->call("c", 1, useful));
+    this->queue.push(this->call("d", 0, useful));
+    // The more urgent call in time first, then the late one that must start before the other.
+    BOOST_TEST(this->order() == "d0 a1 c1 b1 ");
+}
+
 BOOST_FIXTURE_TEST_CASE(a_full_queue_keeps_the_urgent_and_drops_the_late, queue_fixture) {
     for (int i = 0; i < 7; ++i) {
         this->push("a", 1);
--- a/packages/gate/upstream_gate.cc
+++ b/packages/gate/upstream_gate.cc
@@ -102,7 +102,9 @@
     this->running.insert(call.id);
     this->times.started(call.id, call.route, now);
     this->limit->on_start(now);
-    if (call.latest_start.has_value() && *call.latest_start < now) {
+    // A late call that starts before calls in time shows no room: it was about to expire.
+    bool before_others = this->waiting.size() > this->waiting.late_size();
+    if (call.latest_start.has_value() && *call.latest_start < now && !before_others) {
         this->late_calls.started();
     }
 }
