Do not ask again for late room that was just refused; ask the only upstream once

Ruled out: a wrong refusal. The upstream runs 12 of 12, requests take 38 and 109 ms there, and 21 slots would be needed. A memory for refusals in time as well: such a queue has room again within milliseconds, and the upstream would stand idle.

--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -149,18 +149,32 @@
             .payload_kib = request + this->response_kib.find(call.message.route).value_or(0)};
 }
 
-bool ingress::accept_late_place(entry_call& call) const {
+bool ingress::accept_late_place(entry_call& call, mono_time now) const {
     if (call.message.may_be_late || call.refused.empty()) {
         return false;
     }
     call.message.may_be_late = true;
-    std::erase_if(call.tried, [&call](const std::string& each) {
-        return std::find(call.refused.begin(), call.refused.end(), each) != call.refused.end();
+    std::erase_if(call.tried, [&](const std::string& each) {
+        bool refused =
+            std::find(call.refused.begin(), call.refused.end(), each) != call.refused.end();
+        return refused && !this->late_places.expected(each, call.message.route, now);
     });
     call.refused.clear();
     return true;
 }
 
+void ingress::ask_once(entry_call& call, const std::vector<routing::candidate>& candidates,
+                       mono_time now) const {
+    if (call.message.may_be_late || call.sent > 0) {
+        return;
+    }
+    auto accepts_work = [](const routing::candidate& each) { return each.accepts_work(); };
+    auto first = std::find_if(candidates.begin(), candidates.end(), accepts_work);
+    bool only = std::count_if(candidates.begin(), candidates.end(), accepts_work) == 1;
+    call.message.may_be_late =
+        only && !this->late_places.expected(first->instance, call.message.route, now);
+}
+
 void ingress::dispatch(const call_ptr& call, std::string_view last_reason) {
     mono_time now = this->clock.now();
     if (now >= call->history.deadline) {
@@ -173,10 +187,11 @@
     if (list != nullptr) {
         const auto& candidates = list->of_service(call->message.service);
         routing::pick_context context = this->context_of(*call);
+        this->ask_once(*call, candidates, now);
         choice =
             this->chooser.pick(candidates, call->tried, this->load, context, now, thread_random());
         bool none = !std::holds_alternative<routing::picked_upstream>(choice);
-        if (none && this->accept_late_place(*call)) {
+        if (none && this->accept_late_place(*call, now)) {
             choice = this->chooser.pick(candidates, call->tried, this->load, context, now,
                                         thread_random());
         }
@@ -308,6 +323,9 @@
         return;
     }
     call.refused.push_back(instance);
+    if (by_time && call.message.may_be_late && call.objective.count() > 0) {
+        this->late_places.add(instance, call.message.route, now);
+    }
     if (result.retry_after_ms > 0) {
         std::chrono::milliseconds wait(result.retry_after_ms);
         call.retry_after = std::min(call.retry_after.value_or(wait), wait);
@@ -449,6 +467,7 @@
 void ingress::tick() {
     mono_time now = this->clock.now();
     this->stalls.tick(now);
+    this->late_places.expire(now);
     std::vector<std::pair<std::uint64_t, std::shared_ptr<attempt>>> expired;
     this->attempts.for_each([&](std::uint64_t sequence, const std::shared_ptr<attempt>& each) {
         if (each->expires <= now || this->peer_is_silent(*each, now)) {
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -32,6 +32,7 @@
 #include "daemon/settings.h"
 #include "edge/header_profile.h"
 #include "edge/http_server.h"
+#include "routing/late_refusals.h"
 #include "routing/load_table.h"
 #include "routing/retry_policy.h"
 #include "routing/traffic_split.h"
@@ -77,8 +78,12 @@
     using call_ptr = std::shared_ptr<entry_call>;
 
     routing::pick_context context_of(const entry_call& call) const;
-    // Lets a call that no upstream can serve in time take a late place.
-    bool accept_late_place(entry_call& call) const;
+    // Lets a call that no upstream can serve in time take a late place. False: there is none.
+    bool accept_late_place(entry_call& call, mono_time now) const;
+    // Likewise before the first attempt when only one upstream is left to ask: then nothing is won
+    // by asking it twice.
+    void ask_once(entry_call& call, const std::vector<routing::candidate>& candidates,
+                  mono_time now) const;
     void dispatch(const call_ptr& call, std::string_view last_reason);
     void refuse_over_limit(const call_ptr& call, const admission_outcome& outcome);
     void send_attempt(const call_ptr& call, const routing::candidate& target);
@@ -112,6 +117,7 @@
     const time_source& clock;
     peer_links* links = nullptr;
     routing::load_table load;
+    routing::late_refusals late_places;
     routing::upstream_picker chooser;
     routing::retry_policy policy;
     sharded_map<std::string, double> response_kib;  // Mean size of responses, by route.
--- /dev/null
+++ b/packages/routing/late_refusals.cc
@@ -0,0 +1,24 @@
+// Implements the memory of refused late calls.
+
+#include "routing/late_refusals.h"
+
+#include "routing/instance_route.h"
+
+namespace trefoil::routing {
+
+void late_refusals::add(const std::string& instance, const std::string& route, mono_time now) {
+    this->latest.update(instance_route(instance, route), [now](mono_time& slot) { slot = now; });
+}
+
+bool late_refusals::expected(const std::string& instance, const std::string& route,
+                             mono_time now) const {
+    auto refused = this->latest.find(instance_route(instance, route));
+    return refused.has_value() && now - *refused < memory;
+}
+
+void late_refusals::expire(mono_time now) {
+    this->latest.erase_if(
+        [now](const std::string& /*key*/, mono_time refused) { return now - refused >= memory; });
+}
+
+}  // namespace trefoil::routing
--- a/packages/routing/load_table.cc
+++ b/packages/routing/load_table.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include "routing/instance_route.h"
+
 namespace trefoil::routing {
 
 namespace {
@@ -12,11 +14,6 @@
 constexpr std::chrono::milliseconds shortest_backoff{25};
 constexpr std::uint32_t highest_doublings = 5;  // 25 ms to 800 ms.
 
-// Names of instances have no line end.
-std::string key_of(const std::string& instance, const std::string& route) {
-    return instance + "\n" + route;
-}
-
 }  // namespace
 
 void load_table::call_sent(const std::string& instance, mono_time now) {
@@ -48,7 +45,7 @@
 
 void load_table::measured(const std::string& instance, const std::string& route,
                           mono_duration service, mono_duration distance) {
-    this->service_times.update(key_of(instance, route),
+    this->service_times.update(instance_route(instance, route),
                                [service](mono_duration& slot) { slot = service; });
     this->loads.update(instance, [distance](instance_load& load) {
         bool first = load.distance == mono_duration(0);
@@ -58,7 +55,7 @@
 
 mono_duration load_table::service_time(const std::string& instance,
                                        const std::string& route) const {
-    return this->service_times.find(key_of(instance, route)).value_or(mono_duration(0));
+    return this->service_times.find(instance_route(instance, route)).value_or(mono_duration(0));
 }
 
 void load_table::refused(const std::string& instance, mono_time now) {
