--- a/packages/admission/demand_limiter.cc
+++ b/packages/admission/demand_limiter.cc
@@ -31,11 +31,6 @@
     return std::max(this->fleet_size, this->heard + this->missing);
 }
 
-double demand_limiter::least_demand(const workspace_limit& limit) const {
-    double even_share = limit.rate / this->known_daemons();
-    return std::min(this->options.least_demand, this->options.least_demand_part * even_share);
-}
-
 // What may be admitted in a window beyond the fleet's rate, and beyond what is admitted at that
 // rate before the totals tell and from the part of the daemons' buckets that follows their shares.
 double demand_limiter::free_of_rate(const workspace_limit& limit) const {
@@ -157,7 +152,7 @@
         each.admitted = 0;
         each.demand += this->options.latest_weight * (latest - each.demand);
         report.demands.push_back({.workspace = name,
-                                  .rate = std::max(each.demand, this->least_demand(each.limit)),
+                                  .rate = std::max(each.demand, this->options.least_demand),
                                   .admitted = admitted});
     }
     return report;
@@ -172,7 +167,7 @@
     double elapsed = this->totals_valid(now) ? seconds_between(this->totals_at, now) : 0;
     for (auto& [name, each] : this->buckets) {
         this->refill(each, now);
-        each.own_in_total = std::max(each.demand, this->least_demand(each.limit));
+        each.own_in_total = std::max(each.demand, this->options.least_demand);
         each.total = each.own_in_total;
     }
     // Daemons that were not heard count as using their even shares.
--- a/packages/admission/demand_limiter.h
+++ b/packages/admission/demand_limiter.h
@@ -68,10 +68,8 @@
     // follows a step within half a second.
     double latest_weight = 0.5;
     // Demand that a daemon without requests reports, in requests per second, so that its first
-    // requests find a share; at most this part of an even share of the rate, because what idle
-    // daemons report adds up and is taken from those with requests.
+    // requests find a share.
     double least_demand = 0.5;
-    double least_demand_part = 0.25;
     // Time over which the free part of the fleet's bucket is handed out. Three times the age of
     // totals, so that the level is known before it passes the capacity.
     std::chrono::milliseconds spread_time{1000};
@@ -152,7 +150,6 @@
     };
 
     double window_s() const;
-    double least_demand(const workspace_limit& limit) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     double fleet_rate(const workspace_limit& limit) const;
     double free_of_rate(const workspace_limit& limit) const;
     double bucket_requests(const workspace_limit& limit) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
