--- a/packages/daemon/admin.cc
+++ b/packages/daemon/admin.cc
@@ -400,17 +400,19 @@
     }
     mono_time now = this->clock.now();
     for (const routing::candidate& each : candidates->of_service(service)) {
-        routing::instance_load load = this->sources.local_ingress.loads().find(each.instance);
+        routing::instance_load load =
+            this->sources.local_ingress.upstreams().loads().find(each.instance);
         std::string_view reason = each.taken_out ? "taken out" : "";
         if (!each.taken_out && each.state != routing::candidate_state::live) {
             reason = each.state == routing::candidate_state::leaving ? "leaving" : "suspected";
         }
-        list.push_back({{"instance", each.instance},
-                        {"failure_domain", each.failure_domain},
-                        {"local", each.failure_domain == this->options.failure_domain},
-                        {"usable", each.accepts_work()},
-                        {"reason", reason},
-                        {"score", this->sources.local_ingress.picker().score(load, now)}});
+        list.push_back(
+            {{"instance", each.instance},
+             {"failure_domain", each.failure_domain},
+             {"local", each.failure_domain == this->options.failure_domain},
+             {"usable", each.accepts_work()},
+             {"reason", reason},
+             {"score", this->sources.local_ingress.upstreams().picker().score(load, now)}});
     }
     return list;
 }
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -6,7 +6,6 @@
 #include <optional>
 #include <utility>
 
-#include "base/random.h"
 #include "daemon/request_log.h"
 
 namespace trefoil::daemon {
@@ -23,23 +22,12 @@
 constexpr unsigned status_bad_gateway = 502;
 constexpr unsigned status_gateway_timeout = 504;
 
-random_source& thread_random() {
-    thread_local seeded_random random(entropy_seed());
-    return random;
-}
-
 // Responses that a gateway or an overloaded upstream sends; another upstream may answer better.
 bool suggests_retry(unsigned status) {
     return status == status_unavailable || status == status_bad_gateway ||
            status == status_gateway_timeout;
 }
 
-// Reasons for which the next calls would be refused at the same upstream as well.
-bool avoids_upstream(std::string_view reason) {
-    return reason == reasons::overloaded || reason == reasons::no_upstream ||
-           reason == reasons::stopping;
-}
-
 // When a refused caller finds a better chance.
 std::optional<std::chrono::milliseconds> return_time(
     std::string_view reason, const std::optional<std::chrono::milliseconds>& free_after) {
@@ -73,7 +61,7 @@
       local(own_egress),
       observer(watcher),
       clock(time),
-      chooser({.failure_domain = this->options.failure_domain}),
+      choice(this->options.failure_domain, shared),
       policy({}),
       budgets(shared) {}
 
@@ -141,40 +129,6 @@
                           {.reason = reasons::rate_limited, .retry_after = outcome.retry_after});
 }
 
-routing::pick_context ingress::context_of(const entry_call& call) const {
-    constexpr double bytes_per_kib = 1024;
-    double request = static_cast<double>(call.message.body.size()) / bytes_per_kib;
-    return {.route = call.message.route,
-            .objective = call.objective,
-            .payload_kib = request + this->response_kib.find(call.message.route).value_or(0)};
-}
-
-bool ingress::accept_late_place(entry_call& call, mono_time now) const {
-    if (call.message.may_be_late || call.refused.empty()) {
-        return false;
-    }
-    call.message.may_be_late = true;
-    std::erase_if(call.tried, [&](const std::string& each) {
-        bool refused =
-            std::find(call.refused.begin(), call.refused.end(), each) != call.refused.end();
-        return refused && !this->late_places.expected(each, call.message.route, now);
-    });
-    call.refused.clear();
-    return true;
-}
-
-void ingress::ask_once(entry_call& call, const std::vector<routing::candidate>& candidates,
-                       mono_time now) const {
-    if (call.message.may_be_late || call.sent > 0) {
-        return;
-    }
-    auto accepts_work = [](const routing::candidate& each) { return each.accepts_work(); };
-    auto first = std::find_if(candidates.begin(), candidates.end(), accepts_work);
-    bool only = std::count_if(candidates.begin(), candidates.end(), accepts_work) == 1;
-    call.message.may_be_late =
-        only && !this->late_places.expected(first->instance, call.message.route, now);
-}
-
 void ingress::dispatch(const call_ptr& call, std::string_view last_reason) {
     mono_time now = this->clock.now();
     if (now >= call->history.deadline) {
@@ -182,21 +136,8 @@
                                      .outcome = routing::retry_policy::outcome(call->history)});
         return;
     }
-    auto list = this->board.candidates.read();
-    routing::pick_result choice = routing::no_upstream_available{};
-    if (list != nullptr) {
-        const auto& candidates = list->of_service(call->message.service);
-        routing::pick_context context = this->context_of(*call);
-        this->ask_once(*call, candidates, now);
-        choice =
-            this->chooser.pick(candidates, call->tried, this->load, context, now, thread_random());
-        bool none = !std::holds_alternative<routing::picked_upstream>(choice);
-        if (none && this->accept_late_place(*call, now)) {
-            choice = this->chooser.pick(candidates, call->tried, this->load, context, now,
-                                        thread_random());
-        }
-    }
-    if (const auto* picked = std::get_if<routing::picked_upstream>(&choice)) {
+    auto found = this->choice.pick(*call, now);
+    if (const auto* picked = std::get_if<routing::picked_upstream>(&found)) {
         this->send_attempt(call, picked->chosen);
         return;
     }
@@ -215,9 +156,9 @@
     call->tried.push_back(target.instance);
     call->last_sequence = sequence;
     ++call->sent;
-    this->note_choice(*started, target, now);
+    this->choice.describe(*started, target, now);
     this->attempts.update(sequence, [&](std::shared_ptr<attempt>& slot) { slot = started; });
-    this->load.call_sent(target.instance, now);
+    this->choice.sent(target.instance, now);
     if (target.instance == this->options.instance) {
         this->send_local(sequence, call);
     } else {
@@ -225,16 +166,6 @@
     }
 }
 
-// Keeps the inputs of a choice for the log.
-void ingress::note_choice(attempt& started, const routing::candidate& target, mono_time now) const {
-    auto list = this->board.candidates.read();
-    started.candidates = list->of_service(started.call->message.service).size();
-    started.expected =
-        this->chooser.expected_time(target, this->load, this->context_of(*started.call), now);
-    auto reported = this->load.find(target.instance).reported_at;
-    started.report_age = reported.has_value() ? now - *reported : mono_duration(-1);
-}
-
 void ingress::send_local(std::uint64_t sequence, const call_ptr& call) {
     messages::call message = call->message;
     mono_time now = this->clock.now();
@@ -283,23 +214,14 @@
     }
     mono_time now = this->clock.now();
     const call_ptr& call = (*found)->call;
-    this->load.call_ended((*found)->instance);
-    this->load.reported((*found)->instance, result.load, now);
-    if (result.load.service_us > 0) {
-        mono_duration held = std::chrono::microseconds(result.held_us);
-        this->load.measured((*found)->instance, call->message.route,
-                            std::chrono::microseconds(result.load.service_us),
-                            std::max(mono_duration(0), now - (*found)->sent_at - held));
-    }
+    this->choice.result_came(**found, result, now);
     this->note_end(**found, outcome_name(result.outcome), result.reason,
                    std::chrono::microseconds(result.held_us));
     switch (result.outcome) {
         case messages::call_outcome::answered:
-            this->load.accepted((*found)->instance);
             this->deliver(call, std::move(result));
             break;
         case messages::call_outcome::not_run:
-            this->note_refusal(*call, (*found)->instance, result, now);
             this->after_failure(call,
                                 result.reached_upstream ? routing::attempt_end::not_run_reply
                                                         : routing::attempt_end::refused,
@@ -312,26 +234,6 @@
     }
 }
 
-void ingress::note_refusal(entry_call& call, const std::string& instance,
-                           const messages::call_result& result, mono_time now) {
-    // An egress that says how long requests take is avoided by its expected time.
-    bool by_time = result.load.mean_service_us > 0 && result.reason == reasons::overloaded;
-    if (avoids_upstream(result.reason) && !by_time) {
-        this->load.refused(instance, now);
-    }
-    if (result.reached_upstream) {
-        return;
-    }
-    call.refused.push_back(instance);
-    if (by_time && call.message.may_be_late && call.objective.count() > 0) {
-        this->late_places.add(instance, call.message.route, now);
-    }
-    if (result.retry_after_ms > 0) {
-        std::chrono::milliseconds wait(result.retry_after_ms);
-        call.retry_after = std::min(call.retry_after.value_or(wait), wait);
-    }
-}
-
 void ingress::note_end(const attempt& each, std::string_view outcome, std::string_view reason,
                        mono_duration held) const {
     log_attempt({.id = each.call->message.request_id,
@@ -353,11 +255,11 @@
     if (!found.has_value()) {
         return;
     }
-    this->load.call_ended((*found)->instance);
+    this->choice.ended_without_result((*found)->instance);
     this->note_end(**found, end == routing::attempt_end::not_sent ? "not_sent" : "no_reply", reason,
                    {});
     if (end == routing::attempt_end::not_sent) {
-        this->load.connection_failed((*found)->instance, this->clock.now());
+        this->choice.connection_failed((*found)->instance, this->clock.now());
     }
     bool sent = end != routing::attempt_end::not_sent;
     this->after_failure((*found)->call, sent ? end : routing::attempt_end::refused, reason);
@@ -377,12 +279,7 @@
 }
 
 void ingress::deliver(const call_ptr& call, messages::call_result result) {
-    constexpr double bytes_per_kib = 1024;
-    constexpr double latest_weight = 1.0 / 16;
-    double kib = static_cast<double>(result.body.size()) / bytes_per_kib;
-    this->response_kib.update(call->message.route, [kib](double& mean) {
-        mean = mean == 0 ? kib : mean + latest_weight * (kib - mean);
-    });
+    this->choice.response_delivered(call->message.route, result.body.size());
     edge::http_response response{.status = result.status,
                                  .headers = edge::forwardable(result.headers),
                                  .body = std::move(result.body)};
@@ -457,7 +354,7 @@
         }
     });
     if (!lost.empty()) {
-        this->load.connection_failed(instance, this->clock.now());
+        this->choice.connection_failed(instance, this->clock.now());
     }
     for (std::uint64_t sequence : lost) {
         this->end_attempt(sequence, routing::attempt_end::no_reply, reasons::connection_lost);
@@ -467,7 +364,7 @@
 void ingress::tick() {
     mono_time now = this->clock.now();
     this->stalls.tick(now);
-    this->late_places.expire(now);
+    this->choice.expire(now);
     std::vector<std::pair<std::uint64_t, std::shared_ptr<attempt>>> expired;
     this->attempts.for_each([&](std::uint64_t sequence, const std::shared_ptr<attempt>& each) {
         if (each->expires <= now || this->peer_is_silent(*each, now)) {
@@ -517,7 +414,7 @@
         return;
     }
     if (auto current = this->attempts.take(call->last_sequence)) {
-        this->load.call_ended((*current)->instance);
+        this->choice.ended_without_result((*current)->instance);
         this->note_end(**current, "abandoned", reasons::caller_gone, {});
         this->tell_egress(call->last_sequence, **current);
     }
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -30,10 +30,9 @@
 #include "daemon/request_observer.h"
 #include "daemon/service_budgets.h"
 #include "daemon/settings.h"
+#include "daemon/upstream_choice.h"
 #include "edge/header_profile.h"
 #include "edge/http_server.h"
-#include "routing/late_refusals.h"
-#include "routing/load_table.h"
 #include "routing/retry_policy.h"
 #include "routing/traffic_split.h"
 #include "routing/upstream_picker.h"
@@ -68,8 +67,7 @@
     void tick();
 
     std::size_t calls_in_progress() const { return this->in_progress.load(); }
-    const routing::load_table& loads() const { return this->load; }
-    const routing::upstream_picker& picker() const { return this->chooser; }
+    const upstream_choice& upstreams() const { return this->choice; }
     service_budgets& retry_budgets() { return this->budgets; }
 
 private:
@@ -77,17 +75,9 @@
     using attempt = detail::attempt;
     using call_ptr = std::shared_ptr<entry_call>;
 
-    routing::pick_context context_of(const entry_call& call) const;
-    // Lets a call that no upstream can serve in time take a late place. False: there is none.
-    bool accept_late_place(entry_call& call, mono_time now) const;
-    // Likewise before the first attempt when only one upstream is left to ask: then nothing is won
-    // by asking it twice.
-    void ask_once(entry_call& call, const std::vector<routing::candidate>& candidates,
-                  mono_time now) const;
     void dispatch(const call_ptr& call, std::string_view last_reason);
     void refuse_over_limit(const call_ptr& call, const admission_outcome& outcome);
     void send_attempt(const call_ptr& call, const routing::candidate& target);
-    void note_choice(attempt& started, const routing::candidate& target, mono_time now) const;
     void note_end(const attempt& each, std::string_view outcome, std::string_view reason,
                   mono_duration held) const;
     void send_local(std::uint64_t sequence, const call_ptr& call);
@@ -99,8 +89,6 @@
     void tell_egress(std::uint64_t sequence, attempt& given_up);
     void abandon(const call_ptr& call);
     void finish(const call_ptr& call, unsigned status, std::string_view reason);
-    void note_refusal(entry_call& call, const std::string& instance,
-                      const messages::call_result& result, mono_time now);
     void end_attempt(std::uint64_t sequence, routing::attempt_end end, std::string_view reason);
     void after_failure(const call_ptr& call, routing::attempt_end end, std::string_view reason);
     void deliver(const call_ptr& call, messages::call_result result);
@@ -116,11 +104,8 @@
     request_observer& observer;
     const time_source& clock;
     peer_links* links = nullptr;
-    routing::load_table load;
-    routing::late_refusals late_places;
-    routing::upstream_picker chooser;
+    upstream_choice choice;
     routing::retry_policy policy;
-    sharded_map<std::string, double> response_kib;  // Mean size of responses, by route.
     service_budgets budgets;
     stall_guard stalls;  // Used by tick() only.
     std::atomic<std::uint64_t> next_sequence{1};
--- /dev/null
+++ b/packages/daemon/upstream_choice.cc
@@ -0,0 +1,159 @@
+// Implements the choice of an upstream from what results told.
+
+#include "daemon/upstream_choice.h"
+
+#include <algorithm>
+#include <chrono>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+#include "base/random.h"
+#include "daemon/refusal.h"
+
+namespace trefoil::daemon {
+
+namespace {
+
+constexpr double bytes_per_kib = 1024;
+
+random_source& thread_random() {
+    thread_local seeded_random random(entropy_seed());
+    return random;
+}
+
+// Reasons for which the next calls would be refused at the same upstream as well.
+bool avoids_upstream(std::string_view reason) {
+    return reason == reasons::overloaded || reason == reasons::no_upstream ||
+           reason == reasons::stopping;
+}
+
+}  // namespace
+
+upstream_choice::upstream_choice(std::string failure_domain, const blackboard& shared)
+    : board(shared), chooser({.failure_domain = std::move(failure_domain)}) {}
+
+routing::pick_context upstream_choice::context_of(const detail::entry_call& call) const {
+    double request = static_cast<double>(call.message.body.size()) / bytes_per_kib;
+    return {.route = call.message.route,
+            .objective = call.objective,
+            .payload_kib = request + this->response_kib.find(call.message.route).value_or(0)};
+}
+
+routing::pick_result upstream_choice::pick(detail::entry_call& call, mono_time now) const {
+    auto list = this->board.candidates.read();
+    if (list == nullptr) {
+        return routing::no_upstream_available{};
+    }
+    const auto& candidates = list->of_service(call.message.service);
+    routing::pick_context context = this->context_of(call);
+    auto choose = [&] {
+        return this->chooser.pick(candidates, call.tried, this->load, context, now,
+                                  thread_random());
+    };
+    this->ask_once(call, candidates, now);
+    routing::pick_result choice = choose();
+    bool none = !std::holds_alternative<routing::picked_upstream>(choice);
+    return none && this->accept_late_place(call, now) ? choose() : choice;
+}
+
+void upstream_choice::ask_once(detail::entry_call& call,
+                               const std::vector<routing::candidate>& candidates,
+                               mono_time now) const {
+    if (call.message.may_be_late || call.sent > 0) {
+        return;
+    }
+    auto accepts_work = [](const routing::candidate& each) { return each.accepts_work(); };
+    auto first = std::find_if(candidates.begin(), candidates.end(), accepts_work);
+    bool only = std::count_if(candidates.begin(), candidates.end(), accepts_work) == 1;
+    call.message.may_be_late =
+        only && !this->late_places.expected(first->instance, call.message.route, now);
+}
+
+bool upstream_choice::accept_late_place(detail::entry_call& call, mono_time now) const {
+    if (call.message.may_be_late || call.refused.empty()) {
+        return false;
+    }
+    call.message.may_be_late = true;
+    std::erase_if(call.tried, [&](const std::string& each) {
+        bool refused =
+            std::find(call.refused.begin(), call.refused.end(), each) != call.refused.end();
+        return refused && !this->late_places.expected(each, call.message.route, now);
+    });
+    call.refused.clear();
+    return true;
+}
+
+void upstream_choice::describe(detail::attempt& started, const routing::candidate& target,
+                               mono_time now) const {
+    auto list = this->board.candidates.read();
+    started.candidates = list->of_service(started.call->message.service).size();
+    started.expected =
+        this->chooser.expected_time(target, this->load, this->context_of(*started.call), now);
+    auto reported = this->load.find(target.instance).reported_at;
+    started.report_age = reported.has_value() ? now - *reported : mono_duration(-1);
+}
+
+void upstream_choice::sent(const std::string& instance, mono_time now) {
+    this->load.call_sent(instance, now);
+}
+
+void upstream_choice::result_came(const detail::attempt& ended, const messages::call_result& result,
+                                  mono_time now) {
+    const std::string& instance = ended.instance;
+    this->load.call_ended(instance);
+    this->load.reported(instance, result.load, now);
+    if (result.load.service_us > 0) {
+        mono_duration held = std::chrono::microseconds(result.held_us);
+        this->load.measured(instance, ended.call->message.route,
+                            std::chrono::microseconds(result.load.service_us),
+                            std::max(mono_duration(0), now - ended.sent_at - held));
+    }
+    if (result.outcome == messages::call_outcome::answered) {
+        this->load.accepted(instance);
+    } else if (result.outcome == messages::call_outcome::not_run) {
+        this->note_refusal(*ended.call, instance, result, now);
+    }
+}
+
+void upstream_choice::note_refusal(detail::entry_call& call, const std::string& instance,
+                                   const messages::call_result& result, mono_time now) {
+    // An egress that says how long requests take is avoided by its expected time.
+    bool by_time = result.load.mean_service_us > 0 && result.reason == reasons::overloaded;
+    if (avoids_upstream(result.reason) && !by_time) {
+        this->load.refused(instance, now);
+    }
+    if (result.reached_upstream) {
+        return;
+    }
+    call.refused.push_back(instance);
+    if (by_time && call.message.may_be_late && call.objective.count() > 0) {
+        this->late_places.add(instance, call.message.route, now);
+    }
+    if (result.retry_after_ms > 0) {
+        std::chrono::milliseconds wait(result.retry_after_ms);
+        call.retry_after = std::min(call.retry_after.value_or(wait), wait);
+    }
+}
+
+void upstream_choice::ended_without_result(const std::string& instance) {
+    this->load.call_ended(instance);
+}
+
+void upstream_choice::connection_failed(const std::string& instance, mono_time now) {
+    this->load.connection_failed(instance, now);
+}
+
+void upstream_choice::response_delivered(const std::string& route, std::size_t bytes) {
+    constexpr double latest_weight = 1.0 / 16;
+    double kib = static_cast<double>(bytes) / bytes_per_kib;
+    this->response_kib.update(route, [kib](double& mean) {
+        mean = mean == 0 ? kib : mean + latest_weight * (kib - mean);
+    });
+}
+
+void upstream_choice::expire(mono_time now) {
+    this->late_places.expire(now);
+}
+
+}  // namespace trefoil::daemon
--- /dev/null
+++ b/packages/daemon/upstream_choice.h
@@ -0,0 +1,74 @@
+// Where an ingress sends a call: what it learned from the results of earlier calls, and the choice
+// that follows from it.
+//
+// Example:
+//
+//     upstream_choice choice("d1", board);
+//     auto picked = choice.pick(call, now);
+//     choice.sent(target.instance, now);
+//     choice.result_came(*attempt, result, now);
+
+#ifndef TREFOIL_DAEMON_UPSTREAM_CHOICE_H_
+#define TREFOIL_DAEMON_UPSTREAM_CHOICE_H_
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "base/sharded_map.h"
+#include "base/time.h"
+#include "daemon/blackboard.h"
+#include "daemon/entry_call.h"
+#include "messages/messages.h"
+#include "routing/late_refusals.h"
+#include "routing/load_table.h"
+#include "routing/upstream_picker.h"
+
+namespace trefoil::daemon {
+
+// Safe for concurrent use; a call is handed in by one thread at a time.
+class upstream_choice {
+public:
+    upstream_choice(std::string failure_domain, const blackboard& shared);
+
+    // The upstream for the call's next attempt. A call that no upstream can serve in time is
+    // changed to one that may be late.
+    routing::pick_result pick(detail::entry_call& call, mono_time now) const;
+
+    // Keeps what led to the choice of `target`, for the log.
+    void describe(detail::attempt& started, const routing::candidate& target, mono_time now) const;
+
+    void sent(const std::string& instance, mono_time now);
+    void result_came(const detail::attempt& ended, const messages::call_result& result,
+                     mono_time now);
+    void ended_without_result(const std::string& instance);
+    void connection_failed(const std::string& instance, mono_time now);
+    void response_delivered(const std::string& route, std::size_t bytes);
+
+    // Forgets what says nothing any more. To be called every few milliseconds.
+    void expire(mono_time now);
+
+    const routing::load_table& loads() const { return this->load; }
+    const routing::upstream_picker& picker() const { return this->chooser; }
+
+private:
+    routing::pick_context context_of(const detail::entry_call& call) const;
+    // Lets a call that no upstream can serve in time take a late place. False: there is none.
+    bool accept_late_place(detail::entry_call& call, mono_time now) const;
+    // Likewise before the first attempt when only one upstream is left to ask: then nothing is won
+    // by asking it twice.
+    void ask_once(detail::entry_call& call, const std::vector<routing::candidate>& candidates,
+                  mono_time now) const;
+    void note_refusal(detail::entry_call& call, const std::string& instance,
+                      const messages::call_result& result, mono_time now);
+
+    const blackboard& board;
+    routing::load_table load;
+    routing::late_refusals late_places;
+    const routing::upstream_picker chooser;
+    sharded_map<std::string, double> response_kib;  // Mean size of responses, by route.
+};
+
+}  // namespace trefoil::daemon
+
+#endif  // TREFOIL_DAEMON_UPSTREAM_CHOICE_H_
