Start a new daemon with full buckets of its own

Cause: platform_whole_path_test failed in one run: a read right after an order got 429 though the workspace may send 1,000 requests a second; reproduced in 5 of 9 runs of the case alone. A new daemon gave each workspace one token, and the next came after 3 ms. Ruled out: the limits as read, and the fleet's totals: none had come yet. Change: a new daemon starts with what a full bucket of its own holds, in whole requests, which the fleet's level accounts for already; the level itself still starts full. New cases: several requests at once at a new daemon (5 of 6 refused before, none after) and a rolling restart under load, which stays within the tolerance at 60 and 1,000 a second.

--- a/packages/admission/demand_limiter.cc
+++ b/packages/admission/demand_limiter.cc
@@ -3,6 +3,7 @@
 #include "admission/demand_limiter.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace trefoil::admission {
@@ -75,10 +76,12 @@
         } else {
             // A new process cannot know what the fleet has admitted lately.
             target.level = std::max(0.0, this->fleet_capacity(each));
-            target.tokens = 1;
             target.counted_at = now;
         }
         target.limit = each;
+        if (before == this->buckets.end()) {
+            target.tokens = std::floor(this->bucket_capacity(target, now));
+        }
     }
     this->buckets = std::move(next);
 }
@@ -108,10 +111,14 @@
     return each.total > 0 ? available * each.own_in_total / each.total : available / this->heard;
 }
 
+double demand_limiter::bucket_capacity(const bucket& each, mono_time now) const {
+    return this->bucket_requests(each.limit) +
+           this->share_of(each, now) * seconds(this->options.bucket_time);
+}
+
 void demand_limiter::refill(bucket& each, mono_time now) {
     double share = this->share_of(each, now);
-    double capacity =
-        this->bucket_requests(each.limit) + share * seconds(this->options.bucket_time);
+    double capacity = this->bucket_capacity(each, now);
     each.tokens = std::min(capacity, each.tokens + share * seconds_between(each.counted_at, now));
     each.counted_at = now;
 }
--- a/packages/admission/demand_limiter.h
+++ b/packages/admission/demand_limiter.h
@@ -157,6 +157,8 @@
     std::uint32_t known_daemons() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     bool totals_valid(mono_time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     double share_of(const bucket& each, mono_time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    double bucket_capacity(const bucket& each, mono_time now) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void refill(bucket& each, mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     const demand_limiter_options options;
--- a/packages/admission/testing/demand_limiter_test.cc
+++ b/packages/admission/testing/demand_limiter_test.cc
@@ -158,6 +158,38 @@
     }
 }
 
+// The pattern: callers come back to a daemon that has just started, several in a row.
+BOOST_AUTO_TEST_CASE(a_new_daemon_admits_several_requests_at_once) {
+    demand_fleet_options setup = options_with(1);
+    setup.daemons = 3;
+    setup.limit.rate = 1000;
+    setup.limit.burst = 100;
+    demand_fleet fleet(setup);
+    for (int i = 0; i < 6; ++i) {
+        BOOST_TEST(fleet.call(0));
+    }
+}
+
+// Guards against the same where daemons restart one after the other under a large workspace.
+BOOST_AUTO_TEST_CASE(a_rolling_restart_under_load_stays_within_the_tolerance) {
+    for (std::uint64_t seed : {1, 2, 3, 4}) {
+        for (double rate : {60.0, 1000.0}) {
+            demand_fleet_options setup = options_with(seed);
+            setup.limit.rate = rate;
+            setup.limit.burst = rate;
+            demand_fleet fleet(setup);
+            fleet.load(rate / 2, fleet.all(), seconds(6));
+            fleet.load(rate * 4 / 5, fleet.all(), seconds(1));
+            for (int i = 0; i < setup.daemons; ++i) {
+                fleet.restart(i);
+                fleet.load(rate * 4 / 5, fleet.all(), milliseconds(300));
+            }
+            fleet.load(rate * 4 / 5, fleet.all(), seconds(5));
+            BOOST_TEST(fleet.most_in(seconds(5)) <= allowed(setup.limit));
+        }
+    }
+}
+
 // The pattern: a workspace at its rate loses the daemons of a failure domain; its callers move on.
 BOOST_AUTO_TEST_CASE(lost_daemons_keep_only_their_even_share) {
     demand_fleet_options setup = options_with(7);
