--- a/packages/daemon/admin.cc
+++ b/packages/daemon/admin.cc
@@ -2,14 +2,11 @@
 
 #include "daemon/admin.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <map>
 #include <tuple>
 #include <utility>
 
-#include "base/log.h"
 #include "base/result.h"
 #include "daemon/refusal.h"
 #include "telemetry/prometheus_text.h"
@@ -41,11 +38,6 @@
     return milliseconds(now - *since);
 }
 
-template <class Value>
-std::int64_t gauge(Value value) {
-    return static_cast<std::int64_t>(value);
-}
-
 json versions_json(const control_state& control) {
     json list = json::array();
     for (const config::held_versions& each : control.versions) {
@@ -96,25 +88,12 @@
 
 }  // namespace
 
-// Series of the daemon's parts, with the common prefix.
-class admin::series_list {
-public:
-    template <class Value>
-    void add(std::string_view name, Value value, std::string_view help,
-             telemetry::label_list labels = {}) {
-        this->all.push_back({.name = fmt::format("trefoil_{}", name),
-                             .labels = std::move(labels),
-                             .help = std::string(help),
-                             .value = value});
-    }
-    std::vector<telemetry::series> take() { return std::move(this->all); }
-
-private:
-    std::vector<telemetry::series> all;
-};
-
 admin::admin(admin_options given, blackboard& shared, admin_sources parts, const time_source& time)
-    : options(std::move(given)), board(shared), sources(parts), clock(time) {}
+    : options(std::move(given)),
+      board(shared),
+      sources(parts),
+      parts_series(shared, parts, time),
+      clock(time) {}
 
 edge::http_response admin::refuse(unsigned status) {
     return {.status = status};
@@ -159,105 +138,9 @@
                          {{"ready", reasons.empty()}, {"reasons", reasons}});
 }
 
-std::vector<telemetry::series> admin::own_series() const {
-    series_list all;
-    this->add_control_series(all);
-    this->add_traffic_series(all);
-    this->add_gate_series(all);
-    this->add_limit_series(all);
-    log_totals lines = read_log_totals();
-    all.add("log_lines_written_total", lines.written, "Log lines within the budget.");
-    all.add("log_lines_over_budget_total", lines.over_budget, "Log lines that were not written.");
-    all.add("log_lines_overrun_total", lines.overrun, "Log lines lost because nobody read them.");
-    return all.take();
-}
-
-void admin::add_control_series(series_list& all) const {
-    mono_time now = this->clock.now();
-    if (auto control = this->board.control.read()) {
-        all.add("ready", gauge(control->ready), "1 when the start is complete.");
-        all.add("confirmed", gauge(control->confirmed(this->clock.now())),
-                "1 when the configuration is confirmed.");
-        if (control->confirmed_at.has_value()) {
-            all.add("confirmation_age_ms", gauge(milliseconds(now - *control->confirmed_at)),
-                    "Time since the configuration in force was known to be the newest.");
-        }
-        all.add("reader", gauge(control->reader), "1 when this daemon watches the platform.");
-        all.add("configuration_rejected", gauge(control->rejected.has_value()),
-                "1 when the newest documents are not in force.");
-        all.add("list_revision", gauge(control->list_revision), "Instance list in force.");
-        all.add("documents_read_total", control->platform_reads,
-                "Reads of documents of the platform.");
-        all.add("platform_stale_answers_total", control->stale_answers,
-                "Answers of the platform with an older revision.");
-        all.add("document_conflicts_total", control->checksum_conflicts,
-                "Revisions seen with two different bodies.");
-        all.add("documents_received_total", control->documents_received, "Documents from peers.");
-        all.add("documents_sent_total", control->documents_sent, "Documents sent to peers.");
-    }
-    source::service_calls calls = this->sources.platform.calls();
-    all.add("platform_reads_total", calls.started, "Calls to the platform.");
-    all.add("platform_failures_total", calls.failed, "Calls to the platform that failed.");
-    if (auto snapshot = this->board.snapshot.read()) {
-        all.add("base_revision", gauge(snapshot->base_revision()), "Base document in force.");
-        all.add("overlay_revision", gauge(snapshot->overlay_revision()), "Overlay in force.");
-    }
-}
-
-void admin::add_traffic_series(series_list& all) const {
-    transport::traffic_totals traffic = this->sources.links.totals();
-    all.add("peer_connections", gauge(this->sources.links.open_count()), "Open peer connections.");
-    all.add("peer_frames_sent_total", traffic.frames_sent, "Frames sent to peers.");
-    all.add("peer_bytes_sent_total", traffic.bytes_sent, "Bytes of all frames sent to peers.");
-    all.add("peer_bytes_received_total", traffic.bytes_received, "Bytes of all frames from peers.");
-    all.add("control_bytes_sent_total", traffic.control_bytes_sent, "Bytes sent, without calls.");
-    all.add("control_bytes_received_total", traffic.control_bytes_received,
-            "Bytes received, without calls.");
-    all.add("peer_connections_rejected_total", traffic.rejected_connections,
-            "Connections closed for a wrong proof or a bad frame.");
-    all.add("calls_in_progress", gauge(this->sources.local_ingress.calls_in_progress()),
-            "Requests of callers without a response.");
-    for (const auto& [service, left] :
-         this->sources.local_ingress.retry_budgets().left(this->clock.now())) {
-        all.add("retry_budget_left", gauge(left), "Retries that this daemon may make now.",
-                {{"service", service}});
-    }
-}
-
-void admin::add_gate_series(series_list& all) const {
-    messages::load_report load = this->sources.local_egress.load();
-    all.add("gate_limit", gauge(load.limit), "Concurrent calls that the gate allows.");
-    all.add("gate_running", gauge(load.running), "Calls that run at the upstream.");
-    all.add("gate_queued", gauge(load.queued), "Calls that wait in the gate.");
-    egress_totals egress = this->sources.local_egress.totals();
-    all.add("egress_started_total", egress.started, "Calls started at the upstream.");
-    all.add("egress_answered_total", egress.answered, "Calls with a whole response.");
-    all.add("egress_refused_total", egress.refused, "Calls that the gate refused.");
-    all.add("egress_unknown_total", egress.unknown, "Calls with an unknown outcome.");
-    all.add("egress_upstream_busy_us_total", egress.upstream_busy_us,
-            "Time spent at the upstream.");
-}
-
-void admin::add_limit_series(series_list& all) const {
-    auto snapshot = this->board.snapshot.read();
-    if (snapshot == nullptr) {
-        return;
-    }
-    for (const auto& [name, each] : snapshot->contents().workspaces) {
-        if (auto state = this->sources.limits.inspect_demand(name)) {
-            all.add("limit_demand", gauge(state->demand), "Requests a second at this daemon.",
-                    {{"workspace", name}});
-            all.add("limit_fleet_demand", gauge(state->total), "Requests a second of the fleet.",
-                    {{"workspace", name}});
-            all.add("limit_share", gauge(state->share), "Requests a second allowed here.",
-                    {{"workspace", name}});
-        }
-    }
-}
-
 edge::http_response admin::metrics() const {
     std::vector<telemetry::series> all = this->sources.metrics.read();
-    for (telemetry::series& each : this->own_series()) {
+    for (telemetry::series& each : this->parts_series.read()) {
         all.push_back(std::move(each));
     }
     std::sort(all.begin(), all.end(), [](const auto& left, const auto& right) {
--- a/packages/daemon/admin.h
+++ b/packages/daemon/admin.h
@@ -16,15 +16,10 @@
 #include <vector>
 
 #include "base/time.h"
+#include "daemon/admin_sources.h"
 #include "daemon/blackboard.h"
-#include "daemon/egress.h"
-#include "daemon/ingress.h"
-#include "daemon/limit_service.h"
-#include "daemon/peer_links.h"
-#include "daemon/request_metrics.h"
+#include "daemon/state_series.h"
 #include "edge/http_server.h"
-#include "source/configuration_service.h"
-#include "telemetry/registry.h"
 
 namespace trefoil::daemon {
 
@@ -35,16 +30,6 @@
     std::string site;
 };
 
-// What the endpoint reads besides the blackboard.
-struct admin_sources {
-    egress& local_egress;
-    ingress& local_ingress;
-    limit_service& limits;
-    peer_links& links;
-    request_metrics& metrics;
-    const source::configuration_service& platform;
-};
-
 // Safe for concurrent use.
 class admin final : public edge::request_handler {
 public:
@@ -62,12 +47,6 @@
     edge::http_response status() const;
     edge::http_response burn() const;
     edge::http_response explain(const edge::http_request& request) const;
-    class series_list;
-    std::vector<telemetry::series> own_series() const;
-    void add_control_series(series_list& all) const;
-    void add_traffic_series(series_list& all) const;
-    void add_gate_series(series_list& all) const;
-    void add_limit_series(series_list& all) const;
     std::string_view refusal_of(const config::route& route, const config::snapshot& snapshot,
                                 const std::string& workspace) const;
     nlohmann::json candidates_json(const std::string& service) const;
@@ -75,6 +54,7 @@
     const admin_options options;
     blackboard& board;
     const admin_sources sources;
+    const state_series parts_series;
     const time_source& clock;
 };
 
--- /dev/null
+++ b/packages/daemon/admin_sources.h
@@ -0,0 +1,31 @@
+// The parts of the daemon that the admin endpoint reads.
+//
+// Example:
+//
+//     admin_sources sources{.local_egress = egress, .local_ingress = ingress, ...};
+
+#ifndef TREFOIL_DAEMON_ADMIN_SOURCES_H_
+#define TREFOIL_DAEMON_ADMIN_SOURCES_H_
+
+#include "daemon/egress.h"
+#include "daemon/ingress.h"
+#include "daemon/limit_service.h"
+#include "daemon/peer_links.h"
+#include "daemon/request_metrics.h"
+#include "source/configuration_service.h"
+
+namespace trefoil::daemon {
+
+// What the endpoint reads besides the blackboard.
+struct admin_sources {
+    egress& local_egress;
+    ingress& local_ingress;
+    limit_service& limits;
+    peer_links& links;
+    request_metrics& metrics;
+    const source::configuration_service& platform;
+};
+
+}  // namespace trefoil::daemon
+
+#endif  // TREFOIL_DAEMON_ADMIN_SOURCES_H_
--- /dev/null
+++ b/packages/daemon/state_series.h
@@ -0,0 +1,46 @@
+// The series of the metrics endpoint that are read from the daemon's parts when they are asked for.
+// Those that are counted at each request are in request_metrics.
+//
+// Example:
+//
+//     state_series series(board, sources, clock);
+//     std::vector<telemetry::series> all = series.read();
+
+#ifndef TREFOIL_DAEMON_STATE_SERIES_H_
+#define TREFOIL_DAEMON_STATE_SERIES_H_
+
+#include <vector>
+
+#include "base/time.h"
+#include "daemon/admin_sources.h"
+#include "daemon/blackboard.h"
+#include "telemetry/registry.h"
+
+namespace trefoil::daemon {
+
+namespace detail {
+class series_list;
+}  // namespace detail
+
+// Safe for concurrent use.
+class state_series {
+public:
+    state_series(const blackboard& shared, admin_sources parts, const time_source& time)
+        : board(shared), sources(parts), clock(time) {}
+
+    std::vector<telemetry::series> read() const;
+
+private:
+    void add_control_series(detail::series_list& all) const;
+    void add_traffic_series(detail::series_list& all) const;
+    void add_gate_series(detail::series_list& all) const;
+    void add_limit_series(detail::series_list& all) const;
+
+    const blackboard& board;
+    const admin_sources sources;
+    const time_source& clock;
+};
+
+}  // namespace trefoil::daemon
+
+#endif  // TREFOIL_DAEMON_STATE_SERIES_H_
