Take a transfer out in one place; count late calls as they come and go

upstream_client had the same removal in finish() and abort(), and an aborted transfer did not count the connection that it opened; fair_queue walked its lanes at each late call.

--- a/packages/edge/upstream_client.cc
+++ b/packages/edge/upstream_client.cc
@@ -235,10 +235,11 @@
         set_method(handle, request);
     }
 
-    void finish(request_number number, CURLcode code) {
+    // Null when the request is over already.
+    std::shared_ptr<transfer> take(request_number number) {
         auto found = this->running.find(number);
         if (found == this->running.end()) {
-            return;
+            return nullptr;
         }
         auto state = std::move(found->second);
         this->running.erase(found);
@@ -246,9 +247,21 @@
         long connects = 0;
         curl_easy_getinfo(state->easy, CURLINFO_NUM_CONNECTS, &connects);
         this->opened += static_cast<std::uint64_t>(connects);
+        return state;
+    }
+
+    static void release(transfer& state) {
+        curl_easy_cleanup(state.easy);
+        state.easy = nullptr;
+    }
+
+    void finish(request_number number, CURLcode code) {
+        auto state = this->take(number);
+        if (state == nullptr) {
+            return;
+        }
         upstream_result result = interpret(code, *state);
-        curl_easy_cleanup(state->easy);
-        state->easy = nullptr;
+        release(*state);
         if (const auto* response = std::get_if<http_response>(&result)) {
             this->note_idle_limit(*response);
         }
@@ -262,16 +275,12 @@
     }
 
     void abort(request_number number) {
-        auto found = this->running.find(number);
-        if (found == this->running.end()) {
+        auto state = this->take(number);
+        if (state == nullptr) {
             return;
         }
-        auto state = std::move(found->second);
-        this->running.erase(found);
-        this->sent += state->sends;
         this->transfers.remove(state->easy);
-        curl_easy_cleanup(state->easy);
-        state->easy = nullptr;
+        release(*state);
         if (state->sends == 0) {
             state->done(not_started{});
         } else {
--- a/packages/gate/fair_queue.cc
+++ b/packages/gate/fair_queue.cc
@@ -153,21 +153,12 @@
     return ahead;
 }
 
-std::size_t fair_queue::late_size() const {
-    std::size_t size = 0;
-    for (auto each = this->ranks.lower_bound({true, 0}); each != this->ranks.end(); ++each) {
-        for (const lane& workspace : each->second) {
-            size += workspace.calls.size();
-        }
-    }
-    return size;
-}
-
 void fair_queue::insert(rank where, waiting_call waiting) {
     auto owner = this->lane_of(where, waiting.call.workspace);
     call_id id = waiting.call.id;
     owner->calls.push_back(std::move(waiting));
     this->positions[id] = {where, owner, std::prev(owner->calls.end())};
+    this->late_calls += where.first ? 1 : 0;
 }
 
 fair_queue::rotation::iterator fair_queue::lane_of(rank where, const std::string& workspace) {
@@ -191,6 +182,7 @@
     waiting_call taken = std::move(*where.call);
     where.owner->calls.erase(where.call);
     this->positions.erase(taken.call.id);
+    this->late_calls -= where.where.first ? 1 : 0;
     auto lanes = this->ranks.find(where.where);
     if (where.owner->calls.empty()) {
         lanes->second.erase(where.owner);
--- a/packages/gate/fair_queue.h
+++ b/packages/gate/fair_queue.h
@@ -73,7 +73,7 @@
     std::size_t ahead_of(std::uint32_t priority, bool late) const;
 
     // Waiting calls that come after all others because they are late.
-    std::size_t late_size() const;
+    std::size_t late_size() const { return this->late_calls; }
 
     std::size_t size() const { return this->positions.size(); }
     bool empty() const { return this->positions.empty(); }
@@ -106,6 +106,7 @@
     std::size_t capacity;  // Waiting calls, all workspaces together.
     std::map<rank, rotation> ranks;
     absl::flat_hash_map<call_id, position> positions;  // One entry per waiting call.
+    std::size_t late_calls = 0;                        // Of them in late ranks.
 };
 
 }  // namespace trefoil::gate
