--- a/packages/base/log.cc
+++ b/packages/base/log.cc
@@ -81,6 +81,9 @@
 struct log_writer {
     std::shared_ptr<spdlog::details::thread_pool> pool;
     std::shared_ptr<spdlog::async_logger> logger;
+    std::size_t queue_lines;
+    std::atomic<std::uint64_t> reported_overrun{0};
+    std::atomic<mono_time> overrun_looked_at{mono_time::min()};
 };
 
 // Set once by start_log_writer() and never destroyed, because threads may log until the end.
@@ -110,6 +113,30 @@
     }
 }
 
+// Says how many lines were lost because nobody read, as soon as there is room for it again.
+void report_overrun(log_writer& target) {
+    std::uint64_t lost = target.pool->overrun_counter();
+    std::uint64_t before = target.reported_overrun.load();
+    bool room = target.pool->queue_size() < target.queue_lines / 2;
+    if (lost > before && room && target.reported_overrun.compare_exchange_strong(before, lost)) {
+        write_line(log_level::warning, "log_lines_overrun",
+                   {{"count", fmt::to_string(lost - before)}});
+    }
+}
+
+// The same at most once in the interval of reports, because looking takes the queue's lock.
+void report_overrun_in_turn(mono_time time) {
+    auto* target = writer.load(std::memory_order_acquire);
+    if (target == nullptr) {
+        return;
+    }
+    mono_time looked = target->overrun_looked_at.load(std::memory_order_relaxed);
+    bool due = looked == mono_time::min() || time - looked >= log_budget::report_interval;
+    if (due && target->overrun_looked_at.compare_exchange_strong(looked, time)) {
+        report_overrun(*target);
+    }
+}
+
 bool is_printed(log_level level) {
     return level >= lowest_level.load(std::memory_order_relaxed);
 }
@@ -134,6 +161,7 @@
         return;
     }
     mono_time time = now();
+    report_overrun_in_turn(time);
     report_refused(budget().take_unreported(time));
     if (budget().take(time)) {
         write_line(level, event, fields);
@@ -146,6 +174,7 @@
         return;
     }
     mono_time time = now();
+    report_overrun_in_turn(time);
     report_refused(budget().take_unreported(time));
     if (budget().take_of_request(urgency, request_id, time)) {
         write_line(log_level::info, event, fields);
@@ -160,8 +189,9 @@
     auto logger = std::make_shared<spdlog::async_logger>(
         "trefoil", std::move(sink), pool, spdlog::async_overflow_policy::overrun_oldest);
     logger->set_pattern("%v");
-    writer.store(new log_writer{.pool = std::move(pool), .logger = std::move(logger)},
-                 std::memory_order_release);
+    auto* started = new log_writer{
+        .pool = std::move(pool), .logger = std::move(logger), .queue_lines = options.queue_lines};
+    writer.store(started, std::memory_order_release);
 }
 
 bool flush_log(std::chrono::milliseconds limit) {
@@ -170,6 +200,7 @@
         return true;
     }
     report_refused(budget().take_last_unreported(now()));
+    report_overrun(*target);
     auto end = std::chrono::steady_clock::now() + limit;
     constexpr std::chrono::milliseconds step{5};
     while (target->pool->queue_size() > 0) {
