Take over new limits before the first request under them

Cause: platform_whole_path_test failed again in one run: the very first request got 429. Limits were taken over from the blackboard at a tick, every 10 ms; a request that was accepted under a new configuration before that tick met the limiter for fleets of fixed size, which refuses workspaces that it does not know. A new workspace under a running configuration was admitted without limit until the tick, or refused in fleets of fixed size. Ruled out: the demand limiter, which never starts below one token; 12 runs of the case alone passed, so it depends on when the tick comes. Test without network (limit_service_test): 4 checks fail before, none after.

--- a/packages/daemon/demand_exchange.h
+++ b/packages/daemon/demand_exchange.h
@@ -42,6 +42,9 @@
     // To be called once, before any other member.
     void set_links(peer_links& target) { this->links = &target; }
 
+    // Daemons that are listed. tick() counts them again.
+    void set_fleet_size(std::uint32_t daemons) { this->limiter.set_fleet_size(daemons); }
+
     void set_limits(const std::vector<admission::workspace_limit>& limits, mono_time now) {
         this->limiter.set_limits(limits, now);
     }
--- a/packages/daemon/limit_service.cc
+++ b/packages/daemon/limit_service.cc
@@ -3,6 +3,7 @@
 #include "daemon/limit_service.h"
 
 #include <chrono>
+#include <cstdint>
 #include <utility>
 
 namespace trefoil::daemon {
@@ -20,6 +21,8 @@
     : self(own.instance), exchange(own), board(shared), clock(time), limiter(options, time.now()) {}
 
 void limit_service::admit(const std::string& workspace, admission_callback decided) {
+    // A request that was accepted under a new snapshot may come before the next tick.
+    this->follow_snapshot();
     if (this->by_demand) {
         auto decision = this->exchange.try_admit(workspace, this->clock.now());
         if (const auto* over = std::get_if<admission::request_over_limit>(&decision)) {
@@ -63,7 +66,8 @@
 }
 
 void limit_service::tick() {
-    this->follow_blackboard();
+    this->follow_snapshot();
+    this->follow_members();
     if (this->by_demand) {
         if (auto view = this->board.members.read()) {
             this->exchange.tick(*view, this->clock.now());
@@ -75,12 +79,17 @@
     this->execute(output);
 }
 
-void limit_service::follow_blackboard() {
+void limit_service::follow_snapshot() {
+    absl::MutexLock lock(&this->mutex);
+    // Read under the lock, so that no thread goes back to an older one.
     auto snapshot = this->board.snapshot.read();
     if (snapshot != nullptr && snapshot != this->applied_snapshot) {
         this->applied_snapshot = snapshot;
         this->set_limits(*snapshot);
     }
+}
+
+void limit_service::follow_members() {
     mono_time now = this->clock.now();
     auto view = this->board.members.read();
     if (view == nullptr || now < this->next_member_check) {
@@ -101,13 +110,19 @@
             limits.push_back({.workspace = name, .rate = each.rate, .burst = each.burst});
         }
     }
-    this->by_demand = snapshot.fleet().counts_list;
-    if (this->by_demand) {
+    bool counts_list = snapshot.fleet().counts_list;
+    if (counts_list) {
+        // The number of daemons first, because a new workspace starts with an even share.
+        if (auto view = this->board.members.read()) {
+            this->exchange.set_fleet_size(static_cast<std::uint32_t>(view->listed().size()));
+        }
         this->exchange.set_limits(limits, this->clock.now());
     } else {
         this->limiter.set_limits(limits, static_cast<int>(snapshot.fleet().max_instances),
                                  this->clock.now());
     }
+    // Last, because another thread may ask the chosen limiter at once.
+    this->by_demand = counts_list;
 }
 
 std::optional<admission::demand_state> limit_service::inspect_demand(const std::string& workspace) {
--- a/packages/daemon/limit_service.h
+++ b/packages/daemon/limit_service.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/synchronization/mutex.h"
 #include "admission/rate_limiter.h"
 #include "base/sharded_map.h"
 #include "base/time.h"
@@ -66,8 +67,10 @@
 
 private:
     void execute(const admission::limiter_output& output);
-    void set_limits(const config::snapshot& snapshot);
-    void follow_blackboard();
+    // Takes over the limits of the snapshot in force.
+    void follow_snapshot();
+    void set_limits(const config::snapshot& snapshot) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void follow_members();
     std::vector<std::string> possible_homes(const membership::view& view) const;
 
     const std::string self;
@@ -79,8 +82,9 @@
     admission::rate_limiter limiter;
     sharded_map<std::uint64_t, admission_callback> waiting;  // By call number.
     std::atomic<std::uint64_t> next_call{1};
+    absl::Mutex mutex;
+    std::shared_ptr<const config::snapshot> applied_snapshot;  // Guarded by mutex.
     // Used by tick() only.
-    std::shared_ptr<const config::snapshot> applied_snapshot;
     std::vector<std::string> applied_live;
     mono_time next_member_check = mono_time::min();
 };
--- /dev/null
+++ b/packages/daemon/testing/limit_service_test.cc
@@ -0,0 +1,61 @@
+// Tests of the limits of a daemon that has just taken over a configuration.
+
+#define BOOST_TEST_MODULE daemon_limit_service
+#include "daemon/limit_service.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "config/build_snapshot.h"
+
+namespace trefoil::daemon {
+
+namespace {
+
+struct service_fixture {
+    blackboard board;
+    machine_time_source clock;
+    limit_service limits{{}, {.instance = "i-1", .failure_domain = "d1"}, this->board, this->clock};
+
+    void publish(std::uint64_t revision, const std::string& workspaces) {
+        std::string body = "fleet: {max_instances: listed}\nworkspaces: {" + workspaces + "}\n";
+        auto built = config::build_snapshot(config::make_document("base", revision, body),
+                                            config::empty_overlay("north"));
+        BOOST_REQUIRE(std::holds_alternative<config::snapshot>(built));
+        this->board.snapshot.publish(
+            std::make_shared<const config::snapshot>(std::get<config::snapshot>(built)));
+    }
+    bool admits(const std::string& workspace) {
+        bool admitted = false;
+        this->limits.admit(workspace,
+                           [&](const admission_outcome& outcome) { admitted = outcome.admitted; });
+        return admitted;
+    }
+};
+
+}  // namespace
+
+// Guards against requests that come between a new configuration and the next tick: they were
+// refused by the limiter of another kind of fleet, which knows no workspace.
+BOOST_FIXTURE_TEST_CASE(the_first_request_under_a_configuration_is_admitted, service_fixture) {
+    this->publish(1, "north: {rate: 1000, burst: 100}");
+    BOOST_TEST(this->admits("north"));
+    this->publish(2, "north: {rate: 1000, burst: 100}, south: {rate: 10, burst: 10}");
+    BOOST_TEST(this->admits("south"));
+}
+
+// Guards against a limit that does not hold until the next tick.
+BOOST_FIXTURE_TEST_CASE(a_new_limit_holds_at_once, service_fixture) {
+    this->publish(1, "north: {rate: unlimited}");
+    BOOST_TEST(this->admits("north"));
+    this->publish(2, "north: {rate: 0.01, burst: 1}");
+    int admitted = 0;
+    for (int i = 0; i < 10; ++i) {
+        admitted += this->admits("north") ? 1 : 0;
+    }
+    BOOST_TEST(admitted == 1);
+}
+
+}  // namespace trefoil::daemon
