Look for an unread request before a caller's connection is closed

Cause: when the announcement of a stop ended, every connection without a parsed request was closed, also one with a request in its receive buffer that a slow machine had not read yet. The same close without a look came from the making of room at max_connections, the idle time after a stall, and the end of the server. The close of the listener reset connections that waited to be accepted, and a response that was being written when the stop began was followed by a close that its caller was not told of.

Evidence: the new cases of http_server_test, with the loop blocked while the request arrives. Before the change 5 of the 6 fail; the one of the idle time after a stall passed, since a socket is read before the check.

Now a connection that is to end first takes what has arrived, without waiting, and is closed only when nothing has; otherwise the request is served and the response says "Connection: close". A request that comes while the server ends is refused as not run.

--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -199,7 +199,7 @@
 void daemon::wait_until_idle(std::chrono::milliseconds limit) {
     mono_time end = this->clock.now() + limit;
     while (this->clock.now() < end) {
-        bool idle = this->callers_server.pending_requests() == 0 &&
+        bool idle = this->callers_server.open_connections() == 0 &&
                     this->local_ingress.calls_in_progress() == 0 && this->local_egress.idle();
         if (idle) {
             return;
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -82,6 +82,12 @@
     return make_refusal({.reason = reason}, this->options.headers);
 }
 
+edge::http_response ingress::refuse_late() {
+    return make_refusal(
+        {.reason = reasons::stopping, .retry_after = return_time(reasons::stopping, std::nullopt)},
+        this->options.headers);
+}
+
 void ingress::handle(edge::http_request request, std::shared_ptr<edge::responder> responder) {
     auto call = std::make_shared<entry_call>();
     ++this->in_progress;
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -58,6 +58,7 @@
 
     void handle(edge::http_request request, std::shared_ptr<edge::responder> responder) override;
     edge::http_response refuse(unsigned status) override;
+    edge::http_response refuse_late() override;
 
     void on_result(messages::call_result result);
     // Calls whose bytes may have left over this connection get no reply any more.
--- a/packages/edge/http_server.cc
+++ b/packages/edge/http_server.cc
@@ -25,8 +25,9 @@
 constexpr std::chrono::milliseconds check_interval{250};
 // Pause after the system has no descriptor for a new connection.
 constexpr std::chrono::milliseconds accept_pause{50};
-// How long responses may take to leave when the server ends.
-constexpr std::chrono::milliseconds flush_time{100};
+// How long responses may take to leave, and callers to close, when the server ends.
+constexpr std::chrono::milliseconds flush_time{150};
+constexpr std::chrono::milliseconds flush_check_interval{5};
 
 }  // namespace
 
@@ -74,14 +75,8 @@
 
     void stop_accepting() {
         this->run([this] {
-            this->accepting = false;
-            error_code ignored;
-            this->acceptor.close(ignored);
-            for (const auto& each : this->copy_of_sessions()) {
-                if (each->idle()) {
-                    each->close();
-                }
-            }
+            this->close_listener();
+            this->check_sessions();
         });
     }
 
@@ -102,15 +97,15 @@
             return;
         }
         this->asks_to_leave = true;
-        this->stop_accepting();
         this->run([this] {
+            this->ending = true;
+            this->close_listener();
             for (const auto& each : this->copy_of_sessions()) {
                 each->refuse_waiting(status_unavailable);
+                each->end();
             }
         });
-        if (this->connections.load() > 0) {
-            std::this_thread::sleep_for(flush_time);
-        }
+        this->await_close();
         this->run([this] {
             this->checks.reset();
             for (const auto& each : this->copy_of_sessions()) {
@@ -128,7 +123,8 @@
     request_handler& handler() override { return this->receiving; }
     io::event_loop& loop() override { return this->event_loop; }
     bool closing() const override { return this->asks_to_leave.load(); }
-    bool closes_idle() const override { return !this->accepting; }
+    bool closes_unused() const override { return !this->accepting; }
+    bool takes_requests() const override { return !this->ending; }
     void on_closed(const std::shared_ptr<detail::http_session>& session) override {
         this->sessions.erase(session);
         this->connections = this->sessions.size();
@@ -178,27 +174,56 @@
         });
     }
 
+    // A connection that was accepted in the moment in which the server stops to accept is served.
     void on_accept(const error_code& error, asio::ip::tcp::socket accepted) {
-        if (!this->accepting || error == asio::error::operation_aborted) {
-            return;
-        }
-        if (error) {
+        if (!error) {
+            this->admit(std::move(accepted));
+        } else if (this->accepting && error != asio::error::operation_aborted) {
             log(log_level::warning, "accept_failed", {{"detail", error.message()}});
             this->accept_retry.emplace(this->event_loop, [this] { this->accept(); });
             this->accept_retry->arm(accept_pause);
             return;
         }
+        this->accept();
+    }
+
+    void admit(asio::ip::tcp::socket accepted) {
         if (this->sessions.size() >= this->options.max_connections) {
-            this->close_longest_idle();
+            this->end_longest_idle();
         }
         auto session = std::make_shared<detail::http_session>(std::move(accepted), *this);
         this->sessions.insert(session);
         this->connections = this->sessions.size();
         session->start();
-        this->accept();
     }
 
-    void close_longest_idle() {
+    // Closing a listener resets the connections that wait to be accepted, so those are taken first.
+    void close_listener() {
+        if (!std::exchange(this->accepting, false)) {
+            return;
+        }
+        error_code error;
+        this->acceptor.non_blocking(true, error);
+        for (int i = 0; i < listen_backlog && !error; ++i) {
+            asio::ip::tcp::socket waiting(this->event_loop.context());
+            this->acceptor.accept(waiting, error);
+            if (!error) {
+                this->admit(std::move(waiting));
+            }
+        }
+        error_code ignored;
+        this->acceptor.close(ignored);
+    }
+
+    // Waits until the connections have closed, for at most flush_time.
+    void await_close() const {
+        auto end = std::chrono::steady_clock::now() + flush_time;
+        while (this->connections.load() > 0 && std::chrono::steady_clock::now() < end) {
+            std::this_thread::sleep_for(flush_check_interval);
+        }
+    }
+
+    void end_longest_idle() {
         std::shared_ptr<detail::http_session> oldest;
         for (const auto& each : this->sessions) {
             if (each->idle() && (oldest == nullptr || each->idle_since() < oldest->idle_since())) {
@@ -206,15 +231,19 @@
             }
         }
         if (oldest != nullptr) {
-            oldest->close();
+            oldest->end();
         }
     }
 
-    void check_times() {
+    void check_sessions() {
         auto now = detail::http_session::clock::now();
         for (const auto& each : this->copy_of_sessions()) {
             each->check_time(now);
         }
+    }
+
+    void check_times() {
+        this->check_sessions();
         this->checks->arm(check_interval);
     }
 
@@ -229,6 +258,7 @@
     // Used on the loop only.
     asio::ip::tcp::acceptor acceptor;
     bool accepting = true;
+    bool ending = false;
     server_limits current_limits;
     session_set sessions;
     std::optional<io::loop_timer> checks;
--- a/packages/edge/http_server.h
+++ b/packages/edge/http_server.h
@@ -42,6 +42,11 @@
     // headers above their limits, 408 for headers that take too long, 400 for a request that cannot
     // be read, and 503 for one that waits when the server ends.
     virtual http_response refuse(unsigned status) = 0;
+    // Builds the response to a whole request that comes while the server ends. It has not run.
+    virtual http_response refuse_late() { return this->refuse(status_unavailable); }
+
+private:
+    static constexpr unsigned status_unavailable = 503;
 };
 
 // What callers may send. May change while the server runs.
@@ -58,7 +63,8 @@
     std::string ip;
     std::uint16_t port = 0;
     server_limits limits = {};
-    // At this number the connection that has been idle for longest gives way to a new one.
+    // At this number the connection that has been idle for longest gives way to a new one, unless a
+    // request has arrived on it.
     std::size_t max_connections = 4096;
     // Null: the server has a loop of its own.
     io::event_loop* loop = nullptr;
@@ -90,14 +96,18 @@
     // Asks callers to leave: every response from now on closes its connection.
     void begin_close();
 
-    // Stops to accept connections and closes idle ones; others go on.
+    // Takes the connections that wait to be accepted, and no more. From now on a connection is
+    // closed once it has been unused for settle_time and no byte has arrived on it.
     void stop_accepting();
+    // Long enough for a request that was on its way, or behind the one that opened the connection.
+    static constexpr std::chrono::milliseconds settle_time{500};
 
     // Requests of which a byte has arrived and that have not been answered in full.
     std::size_t pending_requests() const;
     std::size_t open_connections() const;
 
-    // Closes all connections. Requests still waiting are answered with 503 first.
+    // Closes all connections. Requests that wait, and those that arrived unread, are answered with
+    // 503 first.
     void stop();
 
 private:
--- a/packages/edge/http_session.cc
+++ b/packages/edge/http_session.cc
@@ -125,6 +125,7 @@
 void http_session::start() {
     error_code ignored;
     this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    this->socket.non_blocking(true, ignored);  // For read_last().
     this->read();
 }
 
@@ -151,6 +152,10 @@
     if (this->state == phase::closed) {
         return;
     }
+    if (error == asio::error::operation_aborted && this->ending && this->state == phase::idle) {
+        this->read_last();
+        return;
+    }
     if (error) {
         this->caller_left = true;
         if (this->state == phase::responding) {
@@ -168,6 +173,35 @@
     this->read();
 }
 
+void http_session::end() {
+    this->ending = true;
+    if (this->state == phase::idle) {
+        this->end_idle();
+    }
+}
+
+void http_session::end_idle() {
+    if (this->reading) {
+        error_code ignored;
+        this->socket.cancel(ignored);  // on_read() goes on, with bytes if some came before.
+    } else {
+        this->read_last();
+    }
+}
+
+// Takes what has arrived on an idle connection that is to end. Does not wait.
+void http_session::read_last() {
+    error_code error;
+    std::size_t bytes = this->socket.read_some(this->buffer.prepare(read_bytes), error);
+    this->buffer.commit(bytes);
+    if (bytes == 0) {
+        this->close();
+        return;
+    }
+    this->parse();
+    this->read();
+}
+
 void http_session::parse() {
     if (this->buffer.size() == 0) {
         return;
@@ -221,6 +255,10 @@
     this->keep_alive = message.keep_alive();
     this->head_request = message.method() == http::verb::head;
     this->enter(phase::handling);
+    if (!this->owner.takes_requests()) {
+        this->write(this->owner.handler().refuse_late(), false);
+        return;
+    }
     this->waiting = std::make_shared<pending_response>(this->weak_from_this(), this->owner.loop());
     this->owner.handler().handle(take_request(std::move(message)), this->waiting);
 }
@@ -230,7 +268,8 @@
         return;
     }
     this->waiting.reset();
-    bool keep = this->keep_alive && !response.close_connection && !this->owner.closing();
+    bool keep =
+        this->keep_alive && !this->ending && !response.close_connection && !this->owner.closing();
     this->write(std::move(response), keep);
 }
 
@@ -284,12 +323,15 @@
     }
     if (this->caller_left) {
         this->close();
-    } else if (!keep_connection || this->owner.closes_idle()) {
+    } else if (!keep_connection) {
         this->linger();
     } else {
         this->enter(phase::idle);
         this->parse();
         this->read();
+        if (this->ending && this->state == phase::idle) {
+            this->end_idle();
+        }
     }
 }
 
@@ -308,6 +350,11 @@
     auto waited = now - this->since;
     switch (this->state) {
         case phase::idle:
+            if (waited > limits.idle_timeout ||
+                (this->owner.closes_unused() && waited > http_server::settle_time)) {
+                this->end();
+            }
+            break;
         case phase::responding:
             if (waited > limits.idle_timeout) {
                 this->close();
--- a/packages/edge/http_session.h
+++ b/packages/edge/http_session.h
@@ -28,8 +28,10 @@
     virtual io::event_loop& loop() = 0;
     // Whether callers are asked to leave.
     virtual bool closing() const = 0;
-    // Whether a connection is closed as soon as it has no request.
-    virtual bool closes_idle() const = 0;
+    // Whether connections are closed that have been unused for settle_time.
+    virtual bool closes_unused() const = 0;
+    // Whether requests still go to the handler; otherwise they are refused as late.
+    virtual bool takes_requests() const = 0;
     virtual void on_closed(const std::shared_ptr<http_session>& session) = 0;
 };
 
@@ -44,8 +46,11 @@
     http_session& operator=(const http_session&) = delete;
 
     void start();
-    // Closes the connection when it has waited for too long.
+    // Ends the connection when it has waited for too long.
     void check_time(clock::time_point now);
+    // Ends the connection after the response to the request that it has, or that has arrived and
+    // was not read. Without one it is closed. A close with bytes unread would lose a request.
+    void end();
     // No byte of a request has arrived since the last response.
     bool idle() const { return this->state == phase::idle; }
     clock::time_point idle_since() const { return this->since; }
@@ -65,6 +70,8 @@
 
     void read();
     void on_read(const boost::system::error_code& error, std::size_t bytes);
+    void end_idle();
+    void read_last();
     void parse();
     bool accept_header();
     void refuse(unsigned status);
@@ -83,6 +90,7 @@
     phase state = phase::idle;
     clock::time_point since;  // When the phase began.
     bool reading = false;     // Whether a read is in progress.
+    bool ending = false;      // Whether no further request is taken after the present one.
     bool caller_left = false;
     bool keep_alive = true;  // Of the request that was read last.
     bool head_request = false;
--- a/packages/edge/testing/http_server_test.cc
+++ b/packages/edge/testing/http_server_test.cc
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <future>
 #include <thread>
 #include <vector>
 
@@ -35,6 +36,7 @@
         target->respond({.status = 200, .body = request.path + "|" + request.body});
     }
     http_response refuse(unsigned status) override { return {.status = status}; }
+    http_response refuse_late() override { return {.status = 503, .body = "not run"}; }
 
     std::atomic<int> handled{0};
     std::atomic<int> gone{0};
@@ -42,6 +44,25 @@
     std::vector<std::shared_ptr<responder>> held;
 };
 
+// Occupies the loop, as a machine without processor time would, until this object ends.
+class blocked_loop {
+public:
+    explicit blocked_loop(io::event_loop& loop) {
+        loop.post([entered = &this->entered, over = this->release.get_future().share()] {
+            entered->set_value();
+            over.wait();
+        });
+        this->entered.get_future().wait();
+    }
+    ~blocked_loop() { this->release.set_value(); }
+    blocked_loop(const blocked_loop&) = delete;
+    blocked_loop& operator=(const blocked_loop&) = delete;
+
+private:
+    std::promise<void> entered;
+    std::promise<void> release;
+};
+
 struct fixture {
     fixture() { this->start({}); }
 
@@ -62,6 +83,14 @@
 
     raw_socket connect() const { return raw_socket::connect_to(this->port); }
 
+    // A connection that has had one response and is idle.
+    raw_socket connect_idle() const {
+        raw_socket socket = this->connect();
+        socket.write("GET /first HTTP/1.1\r\nHost: a\r\n\r\n");
+        socket.read_until("/first|");
+        return socket;
+    }
+
     // Sends bytes on a new connection and returns everything until the server closes it.
     std::string exchange(std::string_view bytes) const {
         raw_socket socket = this->connect();
@@ -215,4 +244,133 @@
     BOOST_TEST(answer.find("Connection: close") != std::string::npos);
 }
 
+// Guards against an idle connection that is closed with a request in its receive buffer, which its
+// caller then loses (incident hbf-pumpnet-grown).
+BOOST_FIXTURE_TEST_CASE(a_stop_answers_a_request_that_arrived_unread, fixture) {
+    io::event_loop loop;
+    loop.start();
+    this->start({.loop = &loop});
+    raw_socket idle = this->connect_idle();
+    std::this_thread::sleep_for(milliseconds(700));
+    std::thread stopping;
+    {
+        blocked_loop blocked(loop);
+        stopping = std::thread([this] { this->server->stop_accepting(); });
+        std::this_thread::sleep_for(milliseconds(150));
+        idle.write("GET /late HTTP/1.1\r\nHost: a\r\n\r\n");
+        std::this_thread::sleep_for(milliseconds(150));
+    }
+    stopping.join();
+    std::string answer = idle.read_all();
+    BOOST_TEST(has_status(answer, "200"));
+    BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+    this->server.reset();
+    loop.stop();
+}
+
+// Guards against a connection that is reset when the listener closes before it was accepted.
+BOOST_FIXTURE_TEST_CASE(a_stop_answers_connections_that_wait_to_be_accepted, fixture) {
+    io::event_loop loop;
+    loop.start();
+    this->start({.loop = &loop});
+    std::vector<raw_socket> waiting;
+    std::thread stopping;
+    {
+        blocked_loop blocked(loop);
+        stopping = std::thread([this] { this->server->stop_accepting(); });
+        std::this_thread::sleep_for(milliseconds(100));
+        for (int i = 0; i < 3; ++i) {
+            waiting.push_back(this->connect());
+            waiting.back().write("GET /late HTTP/1.1\r\nHost: a\r\n\r\n");
+        }
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    stopping.join();
+    for (const raw_socket& each : waiting) {
+        BOOST_TEST(has_status(each.read_until("/late|"), "200"));
+    }
+    this->server.reset();
+    loop.stop();
+}
+
+// Guards against a request that is lost because its connection made room for another.
+BOOST_FIXTURE_TEST_CASE(a_connection_with_an_unread_request_does_not_give_way, fixture) {
+    io::event_loop loop;
+    loop.start();
+    this->start({.max_connections = 1, .loop = &loop});
+    raw_socket idle = this->connect_idle();
+    std::vector<raw_socket> coming;
+    {
+        blocked_loop blocked(loop);
+        coming.push_back(this->connect());
+        std::this_thread::sleep_for(milliseconds(50));
+        idle.write("GET /late HTTP/1.1\r\nHost: a\r\n\r\n");
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    BOOST_TEST(has_status(idle.read_until("/late|"), "200"));
+    this->server.reset();
+    loop.stop();
+}
+
+// Guards against idleness that is judged by a clock that ran while the process could not read.
+BOOST_FIXTURE_TEST_CASE(a_stall_longer_than_the_idle_time_loses_no_request, fixture) {
+    io::event_loop loop;
+    loop.start();
+    this->start({.limits = {.idle_timeout = milliseconds(300)}, .loop = &loop});
+    raw_socket idle = this->connect_idle();
+    {
+        blocked_loop blocked(loop);
+        idle.write("GET /late HTTP/1.1\r\nHost: a\r\n\r\n");
+        std::this_thread::sleep_for(milliseconds(900));
+    }
+    BOOST_TEST(has_status(idle.read_until("/late|"), "200"));
+    this->server.reset();
+    loop.stop();
+}
+
+// Guards against a close that its caller was not told of with the response before it.
+BOOST_FIXTURE_TEST_CASE(a_connection_closes_only_after_a_response_that_says_so, fixture) {
+    raw_socket slow = this->connect();
+    std::string body(std::size_t{8} << 20U, 'x');
+    this->server->set_limits({.body_bytes = body.size()});
+    std::string request =
+        "POST /large HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\n\r\n" + body;
+    std::thread writer([&] { slow.write(request); });
+    BOOST_TEST(eventually([&] { return this->handler.handled == 1; }, milliseconds(5000)));
+    writer.join();
+    std::string first = slow.read_some(1);
+    this->server->begin_close();
+    this->server->stop_accepting();
+    first += slow.read_until("", 300);
+    BOOST_TEST(first.size() > body.size());
+    BOOST_TEST(first.substr(0, 200).find("Connection: close") == std::string::npos);
+    slow.write("GET /next HTTP/1.1\r\nHost: a\r\n\r\n");
+    std::string next = slow.read_all();
+    BOOST_TEST(has_status(next, "200"));
+    BOOST_TEST(next.find("Connection: close") != std::string::npos);
+}
+
+// Guards against a request that is read and dropped in the moment in which the server ends.
+BOOST_FIXTURE_TEST_CASE(a_request_that_comes_at_the_very_end_is_refused_as_not_run, fixture) {
+    io::event_loop loop;
+    loop.start();
+    this->start({.loop = &loop});
+    raw_socket idle = this->connect_idle();
+    std::thread stopping;
+    {
+        blocked_loop blocked(loop);
+        stopping = std::thread([this] { this->server->stop(); });
+        std::this_thread::sleep_for(milliseconds(50));
+        idle.write("GET /late HTTP/1.1\r\nHost: a\r\n\r\n");
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    std::string answer = idle.read_all();
+    stopping.join();
+    BOOST_TEST(has_status(answer, "503"));
+    BOOST_TEST(answer.find("not run") != std::string::npos);
+    this->server.reset();
+    loop.stop();
+}
+
 }  // namespace trefoil::edge
--- a/packages/edge/testing/raw_peer.h
+++ b/packages/edge/testing/raw_peer.h
@@ -73,6 +73,18 @@
     }
     std::string read_all(int patience_ms = 2000) const { return this->read_until("", patience_ms); }
 
+    // Waits for bytes and returns at most `most`; nothing when the peer closes or none come.
+    std::string read_some(std::size_t most, int patience_ms = 2000) const {
+        std::string bytes(most, '\0');
+        pollfd waiting{.fd = this->descriptor, .events = POLLIN, .revents = 0};
+        if (::poll(&waiting, 1, patience_ms) <= 0) {
+            return {};
+        }
+        auto got = ::recv(this->descriptor, bytes.data(), bytes.size(), 0);
+        bytes.resize(got > 0 ? static_cast<std::size_t>(got) : 0);
+        return bytes;
+    }
+
     // Whether the peer has closed the connection within the time.
     bool closed_by_peer(int patience_ms) const {
         pollfd waiting{.fd = this->descriptor, .events = POLLIN, .revents = 0};
