Keep the idle time that a caller's connection was given when it is lowered

Test first: a_lower_idle_time_spares_connections_that_are_idle_already failed before. A connection now keeps the idle time that was in force when it became idle; a longer one applies at once.

--- a/packages/edge/http_session.cc
+++ b/packages/edge/http_session.cc
@@ -126,12 +126,16 @@
     error_code ignored;
     this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     this->socket.non_blocking(true, ignored);  // For read_last().
+    this->enter(phase::idle);
     this->read();
 }
 
 void http_session::enter(phase next) {
     this->state = next;
     this->since = clock::now();
+    if (next == phase::idle) {
+        this->idle_limit = this->owner.limits().idle_timeout;
+    }
 }
 
 void http_session::read() {
@@ -350,7 +354,7 @@
     auto waited = now - this->since;
     switch (this->state) {
         case phase::idle:
-            if (waited > limits.idle_timeout ||
+            if (waited > std::max(limits.idle_timeout, this->idle_limit) ||
                 (this->owner.closes_unused() && waited > http_server::settle_time)) {
                 this->end();
             }
--- a/packages/edge/http_session.h
+++ b/packages/edge/http_session.h
@@ -89,8 +89,10 @@
     std::shared_ptr<pending_response> waiting;  // Set while the handler has the request.
     phase state = phase::idle;
     clock::time_point since;  // When the phase began.
-    bool reading = false;     // Whether a read is in progress.
-    bool ending = false;      // Whether no further request is taken after the present one.
+    // The idle time that was in force when the connection became idle. Its caller may count on it.
+    std::chrono::milliseconds idle_limit{0};
+    bool reading = false;  // Whether a read is in progress.
+    bool ending = false;   // Whether no further request is taken after the present one.
     bool caller_left = false;
     bool keep_alive = true;  // Of the request that was read last.
     bool head_request = false;
--- a/packages/edge/testing/http_server_test.cc
+++ b/packages/edge/testing/http_server_test.cc
@@ -328,6 +328,17 @@
     loop.stop();
 }
 
+// Guards against a caller that is cut off because the idle time was lowered after it was told.
+BOOST_FIXTURE_TEST_CASE(a_lower_idle_time_spares_connections_that_are_idle_already, fixture) {
+    this->start({.limits = {.idle_timeout = milliseconds(2000)}});
+    raw_socket idle = this->connect_idle();
+    this->server->set_limits({.idle_timeout = milliseconds(200)});
+    BOOST_TEST(!idle.closed_by_peer(1400));
+    idle.write("GET /again HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(has_status(idle.read_until("/again|"), "200"));
+    BOOST_TEST(idle.closed_by_peer(1400));
+}
+
 // Guards against a close that its caller was not told of with the response before it.
 BOOST_FIXTURE_TEST_CASE(a_connection_closes_only_after_a_response_that_says_so, fixture) {
     raw_socket slow = this->connect();
