Count the time limit of a response from its last progress

Test first: a_slow_reader_gets_its_whole_response got 5,556,947 of more than 8,388,608 bytes before. The response is written in steps now, and each step begins the time anew.

--- a/packages/edge/http_session.cc
+++ b/packages/edge/http_session.cc
@@ -285,6 +285,16 @@
     }
 }
 
+// A response that is being written.
+struct http_session::outgoing_response {
+    outgoing_response(http::response<http::string_body> given, bool keep)
+        : message(std::move(given)), serializer(this->message), keep_connection(keep) {}
+
+    http::response<http::string_body> message;
+    http::response_serializer<http::string_body> serializer;
+    const bool keep_connection;
+};
+
 void http_session::write(http_response response, bool keep_connection) {
     this->enter(phase::responding);
     bool bodiless = response.status == status_no_content || response.status == status_not_modified;
@@ -298,16 +308,23 @@
         message.body() = std::move(response.body);
         message.prepare_payload();
     }
-    auto kept_message = std::make_shared<http::response<http::string_body>>(std::move(message));
-    http::async_write(this->socket, *kept_message,
-                      [kept = this->shared_from_this(), kept_message, keep_connection](
-                          const error_code& error, std::size_t) {
-                          if (error) {
-                              kept->close();
-                          } else {
-                              kept->on_written(keep_connection);
-                          }
-                      });
+    this->write_some(std::make_shared<outgoing_response>(std::move(message), keep_connection));
+}
+
+// Writes in steps, so that the time limit counts from the last progress.
+void http_session::write_some(const std::shared_ptr<outgoing_response>& response) {
+    http::async_write_some(
+        this->socket, response->serializer,
+        [kept = this->shared_from_this(), response](const error_code& error, std::size_t) {
+            if (error) {
+                kept->close();
+            } else if (response->serializer.is_done()) {
+                kept->on_written(response->keep_connection);
+            } else if (kept->state == phase::responding) {
+                kept->enter(phase::responding);
+                kept->write_some(response);
+            }
+        });
 }
 
 void http_session::send(std::string bytes, std::function<void()> then) {
--- a/packages/edge/http_session.h
+++ b/packages/edge/http_session.h
@@ -65,6 +65,7 @@
     void deliver(const pending_response* from, http_response response);
 
 private:
+    struct outgoing_response;
     enum class phase { idle, receiving, handling, responding, lingering, closed };
     using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
@@ -77,6 +78,7 @@
     void refuse(unsigned status);
     void hand_over();
     void write(http_response response, bool keep_connection);
+    void write_some(const std::shared_ptr<outgoing_response>& response);
     void send(std::string bytes, std::function<void()> then);
     void on_written(bool keep_connection);
     void linger();
--- a/packages/edge/testing/http_server_test.cc
+++ b/packages/edge/testing/http_server_test.cc
@@ -362,6 +362,32 @@
     BOOST_TEST(next.find("Connection: close") != std::string::npos);
 }
 
+// Guards against a response that is cut off because its reader takes longer than the idle time.
+BOOST_FIXTURE_TEST_CASE(a_slow_reader_gets_its_whole_response, fixture) {
+    raw_socket slow = this->connect();
+    std::string body(std::size_t{8} << 20U, 'x');
+    this->server->set_limits({.body_bytes = body.size(), .idle_timeout = milliseconds(400)});
+    std::string request =
+        "POST /large HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\n\r\n" + body;
+    std::thread writer([&] { slow.write(request); });
+    BOOST_TEST(eventually([&] { return this->handler.handled == 1; }, milliseconds(5000)));
+    writer.join();
+    std::size_t got = 0;
+    constexpr std::size_t part = std::size_t{256} << 10U;
+    while (true) {
+        std::size_t more = slow.read_some(part).size();
+        if (more == 0) {
+            break;
+        }
+        got += more;
+        if (got < body.size() / 2) {
+            std::this_thread::sleep_for(milliseconds(80));
+        }
+    }
+    BOOST_TEST(got > body.size());
+}
+
 // Guards against a request that is read and dropped in the moment in which the server ends.
 BOOST_FIXTURE_TEST_CASE(a_request_that_comes_at_the_very_end_is_refused_as_not_run, fixture) {
     io::event_loop loop;
