Define the default refusal of late requests where its status is known

The build failed: the private constant request_handler::status_unavailable hid the constant of the same name in admin.cc, which is a request_handler. The default of refuse_late() is now in http_server.cc. Found by building trefoild; the unit tests of the server alone did build.

--- a/packages/edge/http_server.cc
+++ b/packages/edge/http_server.cc
@@ -265,6 +265,10 @@
     std::optional<io::loop_timer> accept_retry;
 };
 
+http_response request_handler::refuse_late() {
+    return this->refuse(status_unavailable);
+}
+
 http_server::http_server(http_server_options options, request_handler& handler)
     : self(std::make_shared<implementation>(std::move(options), handler)) {}
 
--- a/packages/edge/http_server.h
+++ b/packages/edge/http_server.h
@@ -43,10 +43,7 @@
     // be read, and 503 for one that waits when the server ends.
     virtual http_response refuse(unsigned status) = 0;
     // Builds the response to a whole request that comes while the server ends. It has not run.
-    virtual http_response refuse_late() { return this->refuse(status_unavailable); }
-
-private:
-    static constexpr unsigned status_unavailable = 503;
+    virtual http_response refuse_late();
 };
 
 // What callers may send. May change while the server runs.
