Bound what a caller that stands still adds to a stop

Ruled out: idle and lingering connections, which the wait for open_connections() == 0 has added, end after 0.75 s and 1.25 s at most.

Test first: a_caller_that_stands_still_does_not_hold_a_stop and a_part_of_a_request_is_refused_as_not_run_at_the_very_end failed before (no answer; connections open after 2.5 s). While the server stops, a caller that neither sends nor takes a byte for 5 s is answered 408 or closed. When the server ends, a part of a request is refused as not run.

--- a/packages/edge/http_server.cc
+++ b/packages/edge/http_server.cc
@@ -124,6 +124,7 @@
     io::event_loop& loop() override { return this->event_loop; }
     bool closing() const override { return this->asks_to_leave.load(); }
     bool closes_unused() const override { return !this->accepting; }
+    std::chrono::milliseconds stall_limit() const override { return this->options.stall_limit; }
     bool takes_requests() const override { return !this->ending; }
     void on_closed(const std::shared_ptr<detail::http_session>& session) override {
         this->sessions.erase(session);
--- a/packages/edge/http_server.h
+++ b/packages/edge/http_server.h
@@ -63,6 +63,10 @@
     // At this number the connection that has been idle for longest gives way to a new one, unless a
     // request has arrived on it.
     std::size_t max_connections = 4096;
+    // After stop_accepting(), how long a caller may neither send nor take a byte before its request
+    // is refused or the rest of its response is given up. Longer than a lost segment takes to be
+    // sent again a few times.
+    std::chrono::milliseconds stall_limit{5000};
     // Null: the server has a loop of its own.
     io::event_loop* loop = nullptr;
 };
@@ -103,8 +107,8 @@
     std::size_t pending_requests() const;
     std::size_t open_connections() const;
 
-    // Closes all connections. Requests that wait, and those that arrived unread, are answered with
-    // 503 first.
+    // Closes all connections. Requests that wait, those that arrived unread and those that have
+    // arrived in part are answered with 503 first.
     void stop();
 
 private:
--- a/packages/edge/http_session.cc
+++ b/packages/edge/http_session.cc
@@ -2,6 +2,7 @@
 
 #include "edge/http_session.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/field.hpp>
@@ -169,6 +170,7 @@
         return;
     }
     this->buffer.commit(bytes);
+    this->last_read = clock::now();
     if (this->state == phase::lingering) {
         this->buffer.consume(this->buffer.size());
     } else if (this->state == phase::idle || this->state == phase::receiving) {
@@ -181,9 +183,15 @@
     this->ending = true;
     if (this->state == phase::idle) {
         this->end_idle();
+    } else if (this->state == phase::receiving && !this->owner.takes_requests()) {
+        this->refuse_late();
     }
 }
 
+void http_session::refuse_late() {
+    this->write(this->owner.handler().refuse_late(), false);
+}
+
 void http_session::end_idle() {
     if (this->reading) {
         error_code ignored;
@@ -202,6 +210,7 @@
         this->close();
         return;
     }
+    this->last_read = clock::now();
     this->parse();
     this->read();
 }
@@ -260,7 +269,7 @@
     this->head_request = message.method() == http::verb::head;
     this->enter(phase::handling);
     if (!this->owner.takes_requests()) {
-        this->write(this->owner.handler().refuse_late(), false);
+        this->refuse_late();
         return;
     }
     this->waiting = std::make_shared<pending_response>(this->weak_from_this(), this->owner.loop());
@@ -366,6 +375,13 @@
     this->read();
 }
 
+// Whether the caller makes no progress while the server stops. Its time limits can be much longer
+// than a stop may take.
+bool http_session::holds_stop(clock::time_point now) const {
+    auto last_progress = std::max(this->since, this->last_read);
+    return this->owner.closes_unused() && now - last_progress > this->owner.stall_limit();
+}
+
 void http_session::check_time(clock::time_point now) {
     const server_limits& limits = this->owner.limits();
     auto waited = now - this->since;
@@ -377,7 +393,7 @@
             }
             break;
         case phase::responding:
-            if (waited > limits.idle_timeout) {
+            if (waited > limits.idle_timeout || this->holds_stop(now)) {
                 this->close();
             }
             break;
@@ -385,7 +401,7 @@
             bool in_body = this->parser.has_value() && this->parser->is_header_done();
             auto allowed =
                 in_body ? limits.header_timeout + limits.idle_timeout : limits.header_timeout;
-            if (waited > allowed) {
+            if (waited > allowed || this->holds_stop(now)) {
                 this->refuse(status_request_timeout);
             }
             break;
--- a/packages/edge/http_session.h
+++ b/packages/edge/http_session.h
@@ -30,6 +30,8 @@
     virtual bool closing() const = 0;
     // Whether connections are closed that have been unused for settle_time.
     virtual bool closes_unused() const = 0;
+    // How long a caller may neither send nor take a byte while such connections are closed.
+    virtual std::chrono::milliseconds stall_limit() const = 0;
     // Whether requests still go to the handler; otherwise they are refused as late.
     virtual bool takes_requests() const = 0;
     virtual void on_closed(const std::shared_ptr<http_session>& session) = 0;
@@ -49,7 +51,8 @@
     // Ends the connection when it has waited for too long.
     void check_time(clock::time_point now);
     // Ends the connection after the response to the request that it has, or that has arrived and
-    // was not read. Without one it is closed. A close with bytes unread would lose a request.
+    // was not read. Without one it is closed. A close with bytes unread would lose a request. When
+    // the server takes no requests any more, a part of one is refused.
     void end();
     // No byte of a request has arrived since the last response.
     bool idle() const { return this->state == phase::idle; }
@@ -76,6 +79,7 @@
     void parse();
     bool accept_header();
     void refuse(unsigned status);
+    void refuse_late();
     void hand_over();
     void write(http_response response, bool keep_connection);
     void write_some(const std::shared_ptr<outgoing_response>& response);
@@ -83,6 +87,7 @@
     void on_written(bool keep_connection);
     void linger();
     void enter(phase next);
+    bool holds_stop(clock::time_point now) const;
 
     boost::asio::ip::tcp::socket socket;
     session_owner& owner;
@@ -90,7 +95,8 @@
     std::optional<parser_type> parser;          // Of the request that arrives.
     std::shared_ptr<pending_response> waiting;  // Set while the handler has the request.
     phase state = phase::idle;
-    clock::time_point since;  // When the phase began.
+    clock::time_point since;      // When the phase began.
+    clock::time_point last_read;  // When the last bytes arrived.
     // The idle time that was in force when the connection became idle. Its caller may count on it.
     std::chrono::milliseconds idle_limit{0};
     bool reading = false;  // Whether a read is in progress.
--- a/packages/edge/testing/http_server_test.cc
+++ b/packages/edge/testing/http_server_test.cc
@@ -388,6 +388,37 @@
     BOOST_TEST(got > body.size());
 }
 
+// Guards against a stop that lasts until its limit because one caller stands still: half a request
+// would be awaited, or a response offered, for the 75 s that callers have otherwise.
+BOOST_FIXTURE_TEST_CASE(a_caller_that_stands_still_does_not_hold_a_stop, fixture) {
+    this->start(
+        {.limits = {.body_bytes = std::size_t{32} << 20U}, .stall_limit = milliseconds(300)});
+    raw_socket half = this->connect_idle();
+    half.write("POST /half HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n12345");
+    raw_socket deaf = this->connect();
+    std::string body(std::size_t{8} << 20U, 'x');
+    deaf.write("POST /large HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) +
+               "\r\n\r\n" + body);
+    BOOST_TEST(eventually([&] { return this->handler.handled == 2; }, milliseconds(5000)));
+    this->server->stop_accepting();
+    BOOST_TEST(has_status(half.read_all(), "408"));
+    BOOST_TEST(
+        eventually([&] { return this->server->open_connections() == 0; }, milliseconds(2500)));
+}
+
+// Guards against a caller that is cut off, without an answer, while it still sends its request.
+BOOST_FIXTURE_TEST_CASE(a_part_of_a_request_is_refused_as_not_run_at_the_very_end, fixture) {
+    raw_socket half = this->connect_idle();
+    half.write("POST /half HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n12345");
+    BOOST_TEST(
+        eventually([&] { return this->server->pending_requests() == 1; }, milliseconds(2000)));
+    this->server->stop();
+    std::string answer = half.read_all();
+    BOOST_TEST(has_status(answer, "503"));
+    BOOST_TEST(answer.find("not run") != std::string::npos);
+    BOOST_TEST(this->handler.handled == 1);
+}
+
 // Guards against a request that is read and dropped in the moment in which the server ends.
 BOOST_FIXTURE_TEST_CASE(a_request_that_comes_at_the_very_end_is_refused_as_not_run, fixture) {
     io::event_loop loop;
