Keep the least demand of idle daemons under the rate of a workspace

Cause: each daemon reports at least 0.5 requests a second for each workspace. Over 91 daemons this is 45/s, above the whole rate of most workspaces, so that the fleet's demand counts as above the rate and each share shrinks to rate * own / total.

The least demand of all daemons together is now at most 5% of the rate. The sum of the shares is unchanged, because it follows from the reported demands whatever they are. Buckets of a fleet of this size remain too small; that is a fault of its own.

--- a/packages/admission/demand_limiter.cc
+++ b/packages/admission/demand_limiter.cc
@@ -117,6 +117,11 @@
            this->share_of(each, now) * seconds(this->options.bucket_time);
 }
 
+double demand_limiter::reported_demand(const bucket& each) const {
+    double even = this->options.least_demand_part * each.limit.rate / this->known_daemons();
+    return std::max(each.demand, std::min(this->options.least_demand, even));
+}
+
 void demand_limiter::refill(bucket& each, mono_time now) {
     double share = this->share_of(each, now);
     double capacity = this->bucket_capacity(each, now);
@@ -159,9 +164,8 @@
         each.arrived = 0;
         each.admitted = 0;
         each.demand += this->options.latest_weight * (latest - each.demand);
-        report.demands.push_back({.workspace = name,
-                                  .rate = std::max(each.demand, this->options.least_demand),
-                                  .admitted = admitted});
+        report.demands.push_back(
+            {.workspace = name, .rate = this->reported_demand(each), .admitted = admitted});
     }
     return report;
 }
@@ -175,7 +179,7 @@
     double elapsed = this->totals_valid(now) ? seconds_between(this->totals_at, now) : 0;
     for (auto& [name, each] : this->buckets) {
         this->refill(each, now);
-        each.own_in_total = std::max(each.demand, this->options.least_demand);
+        each.own_in_total = this->reported_demand(each);
         each.total = each.own_in_total;
     }
     // Daemons that were not heard count as using their even shares.
--- a/packages/admission/demand_limiter.h
+++ b/packages/admission/demand_limiter.h
@@ -70,6 +70,9 @@
     // Demand that a daemon without requests reports, in requests per second, so that its first
     // requests find a share.
     double least_demand = 0.5;
+    // The least demand of all daemons together is at most this part of the rate. With 91 daemons
+    // 0.5 each is above the whole rate of most workspaces, which then counted as exceeded.
+    double least_demand_part = 0.05;
     // Time over which the free part of the fleet's bucket is handed out. Three times the age of
     // totals, so that the level is known before it passes the capacity.
     std::chrono::milliseconds spread_time{1000};
@@ -152,6 +155,8 @@
     double window_s() const;
     double fleet_rate(const workspace_limit& limit) const;
     double free_of_rate(const workspace_limit& limit) const;
+    // What this daemon reports as its demand.
+    double reported_demand(const bucket& each) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     double bucket_requests(const workspace_limit& limit) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     double fleet_capacity(const workspace_limit& limit) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     std::uint32_t known_daemons() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
--- a/packages/admission/testing/demand_limiter_test.cc
+++ b/packages/admission/testing/demand_limiter_test.cc
@@ -98,6 +98,22 @@
     }
 }
 
+// Guards against the least demand of many daemons without requests, added up, that passes for a
+// workspace above its rate and shrinks the shares of the daemons that have its requests.
+BOOST_AUTO_TEST_CASE(daemons_without_requests_do_not_add_up_to_a_demand_above_the_rate) {
+    demand_fleet_options setup = options_with(1);
+    setup.daemons = 91;
+    setup.domains = 4;
+    setup.limit.rate = 14;
+    setup.limit.burst = 14;
+    demand_fleet fleet(setup);
+    fleet.load(7, {0}, seconds(20));
+    auto seen = fleet.inspect(0);
+    BOOST_REQUIRE(seen.has_value());
+    BOOST_TEST(seen->total <= setup.limit.rate);
+    BOOST_TEST(seen->share >= seen->demand);
+}
+
 // The pattern: one workspace suddenly sends many times its rate at every daemon at once.
 BOOST_AUTO_TEST_CASE(a_sudden_rise_everywhere_stays_within_the_tolerance) {
     for (std::uint64_t seed : {1, 2, 3, 4, 5}) {
