--- /dev/null
+++ b/packages/base/lock_checks.cc
@@ -0,0 +1,13 @@
+// Implements the switch of the lock order checks.
+
+#include "base/lock_checks.h"
+
+#include "absl/synchronization/mutex.h"
+
+namespace trefoil {
+
+void disable_lock_order_checks() {
+    absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
+}
+
+}  // namespace trefoil
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -12,6 +12,7 @@
 #include <string>
 #include <variant>
 
+#include "base/lock_checks.h"
 #include "base/log.h"
 #include "daemon/daemon.h"
 #include "daemon/settings.h"
@@ -102,6 +103,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+    trefoil::disable_lock_order_checks();
     program_options::options_description options("trefoild --settings FILE");
     options.add_options()("help", "print this text")(
         "settings", program_options::value<std::string>(), "YAML file with the settings");
