Compare a few random upstreams of a large service instead of all

Cause: each ingress compared all upstreams and took the quickest. It calls the same one every few seconds only, so its knowledge is old, and all ingresses of a failure domain prefer the same quick ones, which are full while others have room. Each refusal costs a round trip and the processor time of two daemons.

Ruled out: a service without room.

--- a/packages/routing/candidate_list.h
+++ b/packages/routing/candidate_list.h
@@ -45,6 +45,8 @@
     // All candidates of the service, also those that accept no work; empty for an unknown service.
     const std::vector<candidate>& of_service(std::string_view service) const;
 
+    const services& all() const { return this->by_service; }
+
     friend bool operator==(const candidate_list&, const candidate_list&) = default;
 
 private:
--- a/packages/routing/load_table.h
+++ b/packages/routing/load_table.h
@@ -32,6 +32,7 @@
     std::uint32_t own_at_report = 0;       // Own calls in flight then.
     // Time that a call spends between here and the egress, both ways; 0 before the first reply.
     mono_duration distance{0};
+    bool connected = false;  // Whether a connection to its daemon is open.
     std::optional<mono_time> connection_failed_at;
     std::uint32_t refusals = 0;  // Backoff steps since the last call that the egress accepted.
     mono_time avoid_until = mono_time::min();  // End of the latest backoff step.
@@ -64,6 +65,9 @@
     // The egress ran a call, whatever the result.
     void accepted(const std::string& instance);
 
+    // The first connection to the instance's daemon is open, or the last one is closed.
+    void set_connected(const std::string& instance, bool connected);
+
     // A connection could not be opened, or was lost.
     void connection_failed(const std::string& instance, mono_time now);
 
--- a/packages/routing/upstream_picker.cc
+++ b/packages/routing/upstream_picker.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace trefoil::routing {
 
@@ -96,12 +97,35 @@
     return no_upstream_available{};
 }
 
+bool upstream_picker::take_place(std::size_t& wanted) {
+    if (wanted == 0) {
+        return false;
+    }
+    --wanted;
+    return true;
+}
+
+// Visits the candidates in random order until enough are found. Those without a connection fill the
+// places that are left in the end.
 upstream_picker::usable_candidates upstream_picker::usable(const std::vector<candidate>& candidates,
                                                            const std::vector<std::string>& tried,
-                                                           const load_table& loads,
-                                                           mono_time now) const {
+                                                           const load_table& loads, mono_time now,
+                                                           random_source& random) const {
     usable_candidates result;
-    for (const candidate& each : candidates) {
+    bool all = candidates.size() <= this->options.full_comparison;
+    std::size_t local = all ? candidates.size() : this->options.compared_local;
+    std::size_t remote = all ? candidates.size() : this->options.compared_remote;
+    std::vector<const candidate*> unconnected;
+    std::vector<std::size_t> order(candidates.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    auto wanted_of = [&](const candidate& each) -> std::size_t& {
+        return each.failure_domain == this->options.failure_domain ? local : remote;
+    };
+    for (std::size_t visited = 0; visited < order.size() && local + remote > 0; ++visited) {
+        if (!all) {
+            std::swap(order[visited], order[visited + random.below(order.size() - visited)]);
+        }
+        const candidate& each = candidates[order[visited]];
         if (!each.accepts_work()) {
             continue;
         }
@@ -109,11 +133,25 @@
             result.any_tried = true;
             continue;
         }
+        if (wanted_of(each) == 0) {
+            continue;
+        }
         instance_load load = loads.find(each.instance);
         if (this->recently_failed(load, now)) {
             continue;
         }
-        (now < load.avoid_until ? result.avoided : result.fresh).push_back(&each);
+        if (now < load.avoid_until) {
+            result.avoided.push_back(&each);
+        } else if (!all && !load.connected) {
+            unconnected.push_back(&each);
+        } else if (take_place(wanted_of(each))) {
+            result.fresh.push_back(&each);
+        }
+    }
+    for (const candidate* each : unconnected) {
+        if (take_place(wanted_of(*each))) {
+            result.fresh.push_back(each);
+        }
     }
     return result;
 }
@@ -147,7 +185,8 @@
                    (this->options.crossing_share +
                     this->options.crossing_share_per_kib * context.payload_kib);
     }
-    double total = usual + wait + crossing + seconds(load.distance).count();
+    double connecting = load.connected ? 0 : seconds(this->options.connection_time).count();
+    double total = usual + wait + crossing + connecting + seconds(load.distance).count();
     return std::chrono::duration_cast<mono_duration>(seconds(total));
 }
 
@@ -171,7 +210,7 @@
                                   const std::vector<std::string>& tried, const load_table& loads,
                                   const pick_context& context, mono_time now,
                                   random_source& random) const {
-    usable_candidates found = this->usable(candidates, tried, loads, now);
+    usable_candidates found = this->usable(candidates, tried, loads, now, random);
     const candidate* best = this->quickest(found.fresh, loads, context, now, random);
     // When every candidate refused a call a moment ago, one of them is tried again.
     if (best == nullptr) {
--- a/packages/routing/upstream_picker.h
+++ b/packages/routing/upstream_picker.h
@@ -40,6 +40,15 @@
     // than those within one.
     double crossing_share = 0.12;
     double crossing_share_per_kib = 0.25;
+    // Of more candidates than this only a few random ones are compared. What an ingress knows of an
+    // instance of a large service is old, since it seldom calls the same one twice: all ingresses
+    // would prefer the same instances and find them full.
+    std::size_t full_comparison = 12;
+    // How many are compared then, of the own failure domain and of the others.
+    std::size_t compared_local = 3;
+    std::size_t compared_remote = 2;
+    // What a call waits for a connection to be opened, some round trips between busy machines.
+    std::chrono::milliseconds connection_time{100};
     // Expected times this close count as equal, so that ingresses with the same picture spread.
     double equal_share = 0.1;
     // An instance is expected to be as slow as its silence, counted in its usual times, when no
@@ -76,7 +85,8 @@
 // Immutable and therefore safe for concurrent use, with a random source per thread.
 //
 // While egresses report how long requests take, the upstream with the shortest expected time wins:
-// the way there, the wait for a slot, and the time of such a request at that upstream. Otherwise
+// the way there, the wait for a slot, and the time of such a request at that upstream. In a large
+// service only some random ones are compared; those with an open connection come first. Otherwise
 // the less loaded of two random ones, "the power of two choices" (M. Mitzenmacher, 2001).
 class upstream_picker {
 public:
@@ -113,7 +123,9 @@
     };
     usable_candidates usable(const std::vector<candidate>& candidates,
                              const std::vector<std::string>& tried, const load_table& loads,
-                             mono_time now) const;
+                             mono_time now, random_source& random) const;
+    // Counts down what is still wanted of the candidate's kind. False: none is.
+    static bool take_place(std::size_t& wanted);
     const candidate* quickest(const std::vector<const candidate*>& from, const load_table& loads,
                               const pick_context& context, mono_time now,
                               random_source& random) const;
