Open connections to neighbours before calls need them

Cause: a call to an instance without a connection waits for the dial, some round trips between machines of 0.1 core. A dial that the rate of new connections put off was not tried again for the message that waited.

--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -299,6 +299,9 @@
         log(log_level::info, "peer_reached",
             {{"instance", peer.instance}, {"address", peer.address}});
     }
+    if (first) {
+        this->local_ingress.on_connected(peer.instance);
+    }
     this->control.on_link_open(peer, first);
 }
 
@@ -309,6 +312,9 @@
     }
     this->local_egress.connection_lost(connection);
     this->local_ingress.on_connection_lost(connection, peer.instance);
+    if (last) {
+        this->local_ingress.on_disconnected(peer.instance);
+    }
     this->control.on_link_closed(peer, last);
 }
 
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -13,6 +13,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds silence_limit{750};
+// Connections to instances of the own failure domain that are kept open before calls need them. A
+// connection costs some KB and a few heartbeats.
+constexpr std::size_t neighbour_connections = 32;
+constexpr std::chrono::milliseconds neighbour_check_interval{250};
 constexpr unsigned status_too_large = 413;
 constexpr unsigned status_request_timeout = 408;
 // No response is sent; for metrics and logs.
@@ -63,7 +67,9 @@
       clock(time),
       choice(this->options.failure_domain, shared),
       policy({}),
-      budgets(shared) {}
+      budgets(shared) {
+    this->choice.set_connected(this->options.instance, true);
+}
 
 edge::http_response ingress::refuse(unsigned status) {
     std::string_view reason = reasons::bad_request;
@@ -346,6 +352,25 @@
     --this->in_progress;
 }
 
+void ingress::on_connected(const std::string& instance) {
+    this->choice.set_connected(instance, true);
+}
+
+void ingress::on_disconnected(const std::string& instance) {
+    this->choice.set_connected(instance, false);
+}
+
+// A call that has to wait for its connection often misses its objective where machines are slow.
+void ingress::connect_neighbours(mono_time now) {
+    if (now < this->next_neighbour_check || this->links == nullptr) {
+        return;
+    }
+    this->next_neighbour_check = now + neighbour_check_interval;
+    for (const std::string& address : this->choice.unconnected_neighbours(neighbour_connections)) {
+        this->links->dial(address);
+    }
+}
+
 void ingress::on_connection_lost(transport::connection_id connection, const std::string& instance) {
     std::vector<std::uint64_t> lost;
     this->attempts.for_each([&](std::uint64_t sequence, const std::shared_ptr<attempt>& each) {
@@ -365,6 +390,7 @@
     mono_time now = this->clock.now();
     this->stalls.tick(now);
     this->choice.expire(now);
+    this->connect_neighbours(now);
     std::vector<std::pair<std::uint64_t, std::shared_ptr<attempt>>> expired;
     this->attempts.for_each([&](std::uint64_t sequence, const std::shared_ptr<attempt>& each) {
         if (each->expires <= now || this->peer_is_silent(*each, now)) {
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -60,6 +60,9 @@
     edge::http_response refuse(unsigned status) override;
 
     void on_result(messages::call_result result);
+    void on_connected(const std::string& instance);
+    // The last connection to the instance has closed.
+    void on_disconnected(const std::string& instance);
     // Calls whose bytes may have left over this connection get no reply any more.
     void on_connection_lost(transport::connection_id connection, const std::string& instance);
 
@@ -84,6 +87,7 @@
     void send_remote(std::uint64_t sequence, const call_ptr& call,
                      const routing::candidate& target);
     void finish_attempt(std::uint64_t sequence, messages::call_result result);
+    void connect_neighbours(mono_time now);
     bool peer_is_silent(const attempt& each, mono_time now) const;
     void give_up_attempt(std::uint64_t sequence, attempt& given_up);
     void tell_egress(std::uint64_t sequence, attempt& given_up);
@@ -107,7 +111,8 @@
     upstream_choice choice;
     routing::retry_policy policy;
     service_budgets budgets;
-    stall_guard stalls;  // Used by tick() only.
+    stall_guard stalls;                                 // Used by tick() only.
+    mono_time next_neighbour_check = mono_time::min();  // Likewise.
     std::atomic<std::uint64_t> next_sequence{1};
     std::atomic<std::size_t> in_progress{0};
     sharded_map<std::uint64_t, std::shared_ptr<attempt>> attempts;  // By sequence; not yet over.
--- a/packages/daemon/peer_links.cc
+++ b/packages/daemon/peer_links.cc
@@ -167,6 +167,7 @@
             opened = state.links.back()->id;
         } else if (state.waiting.size() < queue_capacity) {
             state.waiting.push_back(std::move(message));
+            state.address = address;
         } else {
             rejected = std::move(message);
         }
@@ -317,9 +318,23 @@
 void peer_links::tick() {
     mono_time now = this->clock.now();
     this->drop_expired(now);
+    this->dial_for_waiting();
     this->close_idle(now);
 }
 
+// The dial for a message may have been put off by the rate of new connections.
+void peer_links::dial_for_waiting() {
+    std::vector<std::string> addresses;
+    this->by_instance.for_each([&](const std::string&, peer_state& state) {
+        if (state.links.empty() && !state.waiting.empty()) {
+            addresses.push_back(state.address);
+        }
+    });
+    for (const std::string& address : addresses) {
+        this->dial(address);
+    }
+}
+
 void peer_links::drop_expired(mono_time now) {
     std::vector<queued_message> expired;
     this->by_instance.for_each([&](const std::string&, peer_state& state) {
--- a/packages/daemon/peer_links.h
+++ b/packages/daemon/peer_links.h
@@ -128,6 +128,7 @@
     struct peer_state {
         std::vector<std::shared_ptr<link>> links;  // Open; the one used is the last.
         std::deque<queued_message> waiting;        // Empty while a link is open.
+        std::string address;                       // To dial for them.
     };
     struct dial_state {
         bool dialing = false;
@@ -150,6 +151,7 @@
     bool take_dial_token(mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(dial_mutex);
     void close_idle(mono_time now);
     void drop_expired(mono_time now);
+    void dial_for_waiting();
 
     const peer_links_options options;
     link_receiver& receiver;
--- a/packages/daemon/upstream_choice.cc
+++ b/packages/daemon/upstream_choice.cc
@@ -30,8 +30,10 @@
 
 }  // namespace
 
-upstream_choice::upstream_choice(std::string failure_domain, const blackboard& shared)
-    : board(shared), chooser({.failure_domain = std::move(failure_domain)}) {}
+upstream_choice::upstream_choice(std::string own_domain, const blackboard& shared)
+    : failure_domain(std::move(own_domain)),
+      board(shared),
+      chooser({.failure_domain = this->failure_domain}) {}
 
 routing::pick_context upstream_choice::context_of(const detail::entry_call& call) const {
     double request = static_cast<double>(call.message.body.size()) / bytes_per_kib;
@@ -40,6 +42,33 @@
             .payload_kib = request + this->response_kib.find(call.message.route).value_or(0)};
 }
 
+std::vector<std::string> upstream_choice::unconnected_neighbours(std::size_t most) const {
+    std::vector<std::string> addresses;
+    auto list = this->board.candidates.read();
+    if (list == nullptr) {
+        return addresses;
+    }
+    std::size_t connected = 0;
+    for (const auto& [service, candidates] : list->all()) {
+        for (const routing::candidate& each : candidates) {
+            if (!each.accepts_work() || each.failure_domain != this->failure_domain) {
+                continue;
+            }
+            if (this->load.find(each.instance).connected) {
+                ++connected;
+            } else {
+                addresses.push_back(each.address);
+            }
+        }
+    }
+    std::size_t wanted = connected < most ? most - connected : 0;
+    while (addresses.size() > wanted) {
+        std::swap(addresses[thread_random().below(addresses.size())], addresses.back());
+        addresses.pop_back();
+    }
+    return addresses;
+}
+
 routing::pick_result upstream_choice::pick(detail::entry_call& call, mono_time now) const {
     auto list = this->board.candidates.read();
     if (list == nullptr) {
@@ -144,6 +173,10 @@
     this->load.connection_failed(instance, now);
 }
 
+void upstream_choice::set_connected(const std::string& instance, bool connected) {
+    this->load.set_connected(instance, connected);
+}
+
 void upstream_choice::response_delivered(const std::string& route, std::size_t bytes) {
     constexpr double latest_weight = 1.0 / 16;
     double kib = static_cast<double>(bytes) / bytes_per_kib;
--- a/packages/daemon/upstream_choice.h
+++ b/packages/daemon/upstream_choice.h
@@ -29,7 +29,7 @@
 // Safe for concurrent use; a call is handed in by one thread at a time.
 class upstream_choice {
 public:
-    upstream_choice(std::string failure_domain, const blackboard& shared);
+    upstream_choice(std::string own_domain, const blackboard& shared);
 
     // The upstream for the call's next attempt. A call that no upstream can serve in time is
     // changed to one that may be late.
@@ -43,6 +43,10 @@
                      mono_time now);
     void ended_without_result(const std::string& instance);
     void connection_failed(const std::string& instance, mono_time now);
+    void set_connected(const std::string& instance, bool connected);
+    // Addresses of some instances of the own failure domain without a connection, at most `most`.
+    // Calls find a connection there then.
+    std::vector<std::string> unconnected_neighbours(std::size_t most) const;
     void response_delivered(const std::string& route, std::size_t bytes);
 
     // Forgets what says nothing any more. To be called every few milliseconds.
@@ -62,6 +66,7 @@
     void note_refusal(detail::entry_call& call, const std::string& instance,
                       const messages::call_result& result, mono_time now);
 
+    const std::string failure_domain;  // Of this daemon.
     const blackboard& board;
     routing::load_table load;
     routing::late_refusals late_places;
