Ask at most four instances of a service for a place in time

After four refusals a call is offered as one that may be late, and after four more it is refused with the shortest time to come back.

--- a/packages/daemon/upstream_choice.cc
+++ b/packages/daemon/upstream_choice.cc
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr double bytes_per_kib = 1024;
+// What so many instances of a service refuse most others refuse as well. Each refusal costs a round
+// trip and the time of two daemons.
+constexpr std::size_t most_refusals = 4;
 
 random_source& thread_random() {
     thread_local seeded_random random(entropy_seed());
@@ -81,6 +84,9 @@
                                   thread_random());
     };
     this->ask_once(call, candidates, now);
+    if (call.refused.size() >= most_refusals && !this->accept_late_place(call, now)) {
+        return routing::every_upstream_tried{};
+    }
     routing::pick_result choice = choose();
     bool none = !std::holds_alternative<routing::picked_upstream>(choice);
     return none && this->accept_late_place(call, now) ? choose() : choice;
--- a/packages/daemon/upstream_choice.h
+++ b/packages/daemon/upstream_choice.h
@@ -31,8 +31,9 @@
 public:
     upstream_choice(std::string own_domain, const blackboard& shared);
 
-    // The upstream for the call's next attempt. A call that no upstream can serve in time is
-    // changed to one that may be late.
+    // The upstream for the call's next attempt. A call that no upstream can serve in time, or that
+    // several have refused, is changed to one that may be late; after as many further refusals
+    // there is none.
     routing::pick_result pick(detail::entry_call& call, mono_time now) const;
 
     // Keeps what led to the choice of `target`, for the log.
