Tell every connected peer at once that the instance leaves

Cause: the announcement of a stop shared the limit of 16 peers with the announcement of a new document, where gossip does the rest in time.

Now all connected peers are told, and one that connects later, too. That is one digest for each connection, once in a stop.

Test: every_connected_peer_hears_at_once_that_the_instance_leaves fails with the former limit (16 of 90 told).

--- a/packages/dissemination/core.cc
+++ b/packages/dissemination/core.cc
@@ -3,6 +3,7 @@
 #include "dissemination/core.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "base/hash.h"
@@ -171,6 +172,8 @@
     if (this->options.gossip && !this->start.ready()) {
         // A daemon that starts asks each peer at once.
         this->ask(this->rounds.ask(now, peer.id));
+    } else if (this->options.gossip && this->leaving) {
+        this->send(peer.id, this->make_digest());
     }
 }
 
@@ -192,7 +195,8 @@
 
 void core::set_leaving(mono_time now) {
     this->leaving = true;
-    this->announce_pending = true;
+    // Each peer may be about to send a call, so all are told, also those without gossip.
+    this->announce(std::numeric_limits<std::size_t>::max());
     this->finish_input(now);
 }
 
@@ -355,14 +359,15 @@
     }
 }
 
-void core::announce() {
+// Tells the gossip peers and as many other peers as `limit` allows.
+void core::announce(std::size_t limit) {
     this->announce_pending = false;
     if (!this->options.gossip) {
         return;
     }
     std::vector<std::string> targets = this->peers.chosen();
     for (const auto& [id, connection] : this->peers.connections()) {
-        if (targets.size() >= announcement_limit) {
+        if (targets.size() >= limit) {
             break;
         }
         if (std::find(targets.begin(), targets.end(), id) == targets.end()) {
@@ -379,7 +384,7 @@
         this->confirmations.apply_majority(now);
     }
     if (this->announce_pending) {
-        this->announce();
+        this->announce(announcement_limit);
     }
     this->refresh_hanging_watch(now);
     for (const pull& each : this->puller.due(now)) {
--- a/packages/dissemination/core.h
+++ b/packages/dissemination/core.h
@@ -123,7 +123,7 @@
     void send(const std::string& peer, messages::peer_message message);
     void send_rounds(mono_time now);
     void read_platform(mono_time now);
-    void announce();
+    void announce(std::size_t limit);
     void finish_input(mono_time now);
 
     const core_options options;
--- a/packages/dissemination/testing/core_test.cc
+++ b/packages/dissemination/testing/core_test.cc
@@ -244,6 +244,43 @@
     BOOST_TEST(readers() >= 4U);
 }
 
+// Guards against calls that peers still send to an instance that stops, because they have a
+// connection to it but are not among the few that hear of new documents at once.
+BOOST_AUTO_TEST_CASE(every_connected_peer_hears_at_once_that_the_instance_leaves) {
+    constexpr int early_peers = 90;
+    fake_document_store store;
+    seeded_random random(37);
+    mono_time now(std::chrono::hours(1));
+    core_options options;
+    options.instance = "x";
+    options.site = "s0";
+    core subject(options, store, random, now);
+    auto connect = [&](int number) {
+        membership::instance_record peer;
+        peer.id = "peer-" + std::to_string(number);
+        subject.connection_opened(now, peer, "");
+    };
+    auto told = [&] {
+        std::set<std::string> peers;
+        for (const action& each : subject.take_actions()) {
+            const auto* sent = std::get_if<send_message>(&each);
+            const auto* digest =
+                sent == nullptr ? nullptr : std::get_if<messages::digest>(&sent->message);
+            if (digest != nullptr && digest->leaving) {
+                peers.insert(sent->peer);
+            }
+        }
+        return peers.size();
+    };
+    for (int i = 0; i < early_peers; ++i) {
+        connect(i);
+    }
+    subject.set_leaving(now);
+    BOOST_TEST(told() == static_cast<std::size_t>(early_peers));
+    connect(early_peers);
+    BOOST_TEST(told() == 1U);
+}
+
 // Guards against a damaged body that is applied, and against a pull that stops after it.
 BOOST_AUTO_TEST_CASE(damaged_document_is_refused_and_asked_again) {
     fake_document_store store;
