Keep the margin before the idle time of an upstream's connections

Cause: CURLOPT_MAXAGE_CONN counts whole seconds and still uses a connection that was idle for less than one second more. So the margin of 1 s before the stated idle time was 0, a stated time of 1 s did not keep the connection from being used again, and the 4 s without a stated time were 5 s.

Test first: connections_are_not_used_in_the_last_second_of_the_stated_idle_time failed before for 1 s and 2 s. The time given to libcurl is one second shorter now, and below 1 s each request gets a new connection.

Not changed: an upstream that closes earlier than it states. A close that has arrived is seen before the connection is used (curl_loop watches idle sockets); one that crosses the request leaves its outcome unknown.

--- a/packages/edge/testing/upstream_client_test.cc
+++ b/packages/edge/testing/upstream_client_test.cc
@@ -161,4 +161,20 @@
     BOOST_TEST(std::get<http_response>(setup.run(false)).body == "2");
 }
 
+// Guards against a margin before the stated idle time that libcurl's rounding takes away: a request
+// was sent in the last moment of a connection that the upstream closed.
+BOOST_AUTO_TEST_CASE(connections_are_not_used_in_the_last_second_of_the_stated_idle_time) {
+    for (int stated : {1, 2}) {
+        fixture setup([stated](raw_socket socket, int number) {
+            while (!socket.read_until("\r\n\r\n", 4000).empty()) {
+                socket.write("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=" + std::to_string(stated) +
+                             "\r\nContent-Length: 1\r\n\r\n" + std::to_string(number));
+            }
+        });
+        BOOST_TEST(std::get<http_response>(setup.run(false)).body == "1");
+        std::this_thread::sleep_for(milliseconds(stated * 1000 - 700));
+        BOOST_TEST(std::get<http_response>(setup.run(false)).body == "2");
+    }
+}
+
 }  // namespace trefoil::edge
--- a/packages/edge/upstream_client.cc
+++ b/packages/edge/upstream_client.cc
@@ -225,7 +225,7 @@
         curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(left.count()));
         curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(connect.count()));
-        curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, static_cast<long>(this->idle_limit.count()));
+        this->limit_reuse(handle);
         curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &on_body);
         curl_easy_setopt(handle, CURLOPT_WRITEDATA, &state);
         curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &on_header);
@@ -235,6 +235,15 @@
         set_method(handle, request);
     }
 
+    // Libcurl counts whole seconds and uses a connection up to one second beyond the given time.
+    void limit_reuse(CURL* handle) const {
+        auto idle_seconds = static_cast<long>(this->idle_limit.count());
+        curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, std::max(idle_seconds - 1, 0L));
+        if (idle_seconds < 1) {
+            curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+        }
+    }
+
     // Null when the request is over already.
     std::shared_ptr<transfer> take(request_number number) {
         auto found = this->running.find(number);
