Close connections between daemons so that no call is left in doubt

It could happen when a daemon ended after its drain and when the opener of a connection closed it as idle. Results that were still queued when a stopping daemon ended its loop were lost as well. An opener also counted a connection as idle while a call on it ran for more than 60 s, or when it had just sent a result.

Now such a connection is closed with the close frame of websocket, which follows all queued results. Code 1001 says that no call without a result was or will be run, and its ingress sends it elsewhere as not run. It is sent only from the loop on which calls arrive, after a last check that the connection is idle, or after the drain with nothing held; from then on no frame is delivered here. At the drain limit, or when a result could not be queued, code 1012 is sent and outcomes stay unknown as before. The confirmation of a close repeats its code and is not taken as a statement. A stop waits for the confirmations for at most 1 s (0.1 s with within_s).

Ruled out: a margin in which the side that did not open a connection stops using it. It depends on how late the slower machine may be; this does not.

Tests: peer_links_test and a_finished_connection_delivers_everything_and_ says_that_it_is_settled.

--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -21,6 +21,10 @@
 // shorter time costs more messages.
 constexpr std::chrono::milliseconds loan_time{2000};
 constexpr std::chrono::milliseconds loan_renew_interval{700};
+// How long the last results may take to reach peers, and peers to confirm that they have them. The
+// shorter one fits into stop_settings::closing_time.
+constexpr std::chrono::milliseconds flush_time{1000};
+constexpr std::chrono::milliseconds short_flush_time{100};
 
 // Start time in microseconds with random low bits, so that two starts in one microsecond differ and
 // a later start is greater.
@@ -186,27 +190,30 @@
     this->callers_server.begin_close();
     std::this_thread::sleep_for(this->options.stop.announce);
     this->callers_server.stop_accepting();
-    this->wait_until_idle(this->options.stop.holding_limit());
+    bool settled = this->wait_until_idle(this->options.stop.holding_limit());
     this->callers_server.stop();
     this->admin_server.stop();
     this->platform.service->stop();
     this->control.stop();
+    this->links.leave(settled || this->local_egress.idle(),
+                      this->options.stop.within.count() > 0 ? short_flush_time : flush_time);
     this->loop.stop();
     this->links.stop();
     log(log_level::info, "daemon_stopped");
 }
 
-void daemon::wait_until_idle(std::chrono::milliseconds limit) {
+bool daemon::wait_until_idle(std::chrono::milliseconds limit) {
     mono_time end = this->clock.now() + limit;
     while (this->clock.now() < end) {
         bool idle = this->callers_server.open_connections() == 0 &&
                     this->local_ingress.calls_in_progress() == 0 && this->local_egress.idle();
         if (idle) {
-            return;
+            return true;
         }
         std::this_thread::sleep_for(timer_interval);
     }
     log(log_level::warning, "drain_limit_reached");
+    return false;
 }
 
 void daemon::on_timer() {
@@ -303,13 +310,13 @@
 }
 
 void daemon::on_link_closed(transport::connection_id connection, const messages::hello& peer,
-                            bool last) {
-    if (last) {
+                            link_end end) {
+    if (end.last) {
         log(log_level::info, "peer_lost", {{"instance", peer.instance}, {"address", peer.address}});
     }
     this->local_egress.connection_lost(connection);
-    this->local_ingress.on_connection_lost(connection, peer.instance);
-    this->control.on_link_closed(peer, last);
+    this->local_ingress.on_connection_lost(connection, peer.instance, end.finished_by_peer);
+    this->control.on_link_closed(peer, end.last);
 }
 
 void daemon::on_dial_failed(const std::string& address) {
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -66,7 +66,7 @@
 private:
     void on_link_open(const messages::hello& peer, bool first) override;
     void on_link_closed(transport::connection_id connection, const messages::hello& peer,
-                        bool last) override;
+                        link_end end) override;
     void on_dial_failed(const std::string& address) override;
     void on_call(const message_origin& origin, messages::call call, mono_time sent) override;
     void on_message(const message_origin& origin, messages::peer_message message) override;
@@ -76,7 +76,8 @@
     void note_control_state();
     void note_upstream(gate::upstream_availability availability, const membership::view* view);
     void follow_own_record(const config::snapshot& snapshot, const membership::view* view);
-    void wait_until_idle(std::chrono::milliseconds limit);
+    // Returns false when something is still held at the limit.
+    bool wait_until_idle(std::chrono::milliseconds limit);
 
     const settings options;
     const platform_binding platform;
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -49,6 +49,14 @@
                : last;
 }
 
+// Of an attempt that ended without a result.
+std::string_view name_of(routing::attempt_end end) {
+    if (end == routing::attempt_end::refused) {
+        return "not_run";
+    }
+    return end == routing::attempt_end::not_sent ? "not_sent" : "no_reply";
+}
+
 }  // namespace
 
 ingress::ingress(ingress_options given, blackboard& shared, limit_service& limiter,
@@ -262,8 +270,7 @@
         return;
     }
     this->choice.ended_without_result((*found)->instance);
-    this->note_end(**found, end == routing::attempt_end::not_sent ? "not_sent" : "no_reply", reason,
-                   {});
+    this->note_end(**found, name_of(end), reason, {});
     if (end == routing::attempt_end::not_sent) {
         this->choice.connection_failed((*found)->instance, this->clock.now());
     }
@@ -352,18 +359,23 @@
     --this->in_progress;
 }
 
-void ingress::on_connection_lost(transport::connection_id connection, const std::string& instance) {
+void ingress::on_connection_lost(transport::connection_id connection, const std::string& instance,
+                                 bool not_run) {
     std::vector<std::uint64_t> lost;
     this->attempts.for_each([&](std::uint64_t sequence, const std::shared_ptr<attempt>& each) {
         if (each->connection == connection) {
             lost.push_back(sequence);
         }
     });
-    if (!lost.empty()) {
+    if (!lost.empty() && !not_run) {
         this->choice.connection_failed(instance, this->clock.now());
     }
     for (std::uint64_t sequence : lost) {
-        this->end_attempt(sequence, routing::attempt_end::no_reply, reasons::connection_lost);
+        if (not_run) {
+            this->end_attempt(sequence, routing::attempt_end::refused, reasons::stopping);
+        } else {
+            this->end_attempt(sequence, routing::attempt_end::no_reply, reasons::connection_lost);
+        }
     }
 }
 
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -62,7 +62,9 @@
 
     void on_result(messages::call_result result);
     // Calls whose bytes may have left over this connection get no reply any more.
-    void on_connection_lost(transport::connection_id connection, const std::string& instance);
+    // With `not_run` the peer has stated that it runs no call without a result.
+    void on_connection_lost(transport::connection_id connection, const std::string& instance,
+                            bool not_run);
 
     // Ends attempts whose time is over. To be called every few milliseconds.
     void tick();
--- a/packages/daemon/peer_links.cc
+++ b/packages/daemon/peer_links.cc
@@ -4,6 +4,7 @@
 #include "daemon/peer_links.h"
 
 #include <algorithm>
+#include <thread>
 #include <utility>
 
 #include "base/log.h"
@@ -14,6 +15,7 @@
 
 constexpr std::size_t queue_capacity = 64;
 constexpr std::size_t early_call_capacity = 256;
+constexpr std::chrono::milliseconds close_check_interval{5};
 
 }  // namespace
 
@@ -29,7 +31,17 @@
     transport::connection_id id = 0;
     messages::hello peer;
     bool outgoing = false;
-    std::atomic<std::int64_t> last_used_us{0};  // Last message other than a heartbeat.
+    std::atomic<std::int64_t> last_used_us{0};   // Last message other than a heartbeat.
+    std::atomic<std::int64_t> busy_until_us{0};  // Latest deadline of the calls of both sides.
+    std::atomic<bool> result_lost{false};        // A result of a call could not be sent.
+
+    void use(mono_time now) { this->last_used_us = to_microseconds(now); }
+    void expect_result(mono_time deadline) {
+        std::int64_t until = to_microseconds(deadline);
+        std::int64_t known = this->busy_until_us;
+        while (known < until && !this->busy_until_us.compare_exchange_weak(known, until)) {
+        }
+    }
     absl::Mutex mutex;
     routing::clock_offset offset;
     // Calls that came before the first pong, without which their age is unknown. Guarded by mutex.
@@ -123,10 +135,23 @@
         return std::nullopt;
     }
     const auto& used = state->links.back();
-    used->last_used_us = to_microseconds(this->clock.now());
+    used->use(this->clock.now());
     return used->id;
 }
 
+bool peer_links::send_on(transport::connection_id connection,
+                         const messages::peer_message& message) {
+    auto found = this->by_connection.find(connection);
+    if (found.has_value()) {
+        (*found)->use(this->clock.now());
+    }
+    bool sent = this->endpoint.send(connection, message);
+    if (!sent && found.has_value() && std::holds_alternative<messages::call_result>(message)) {
+        (*found)->result_lost = true;
+    }
+    return sent;
+}
+
 bool peer_links::is_open(const std::string& instance) const {
     auto state = this->by_instance.find(instance);
     return state.has_value() && !state->links.empty();
@@ -198,6 +223,9 @@
         return;
     }
     mono_time now = this->clock.now();
+    if (auto found = this->by_connection.find(id); found.has_value()) {
+        (*found)->expect_result(call.deadline);
+    }
     call.call.sent_us = to_microseconds(now);
     call.call.budget_us =
         std::chrono::duration_cast<std::chrono::microseconds>(call.deadline - now).count();
@@ -221,7 +249,7 @@
     opened->id = id;
     opened->peer = peer;
     opened->outgoing = outgoing;
-    opened->last_used_us = to_microseconds(this->clock.now());
+    opened->use(this->clock.now());
     this->by_connection.update(id, [&](std::shared_ptr<link>& slot) { slot = opened; });
     std::deque<queued_message> waiting;
     bool first = false;
@@ -234,9 +262,13 @@
     for (queued_message& each : waiting) {
         this->transmit(id, std::move(each));
     }
+    if (this->leaving) {
+        this->finish(opened);
+    }
 }
 
-void peer_links::on_close(transport::connection_id id, const messages::hello* peer) {
+void peer_links::on_close(transport::connection_id id, const messages::hello* peer,
+                          bool finished_by_peer) {
     this->finish_dial(id, false);
     auto closed = this->by_connection.take(id);
     if (peer == nullptr || !closed.has_value()) {
@@ -247,7 +279,7 @@
         std::erase_if(state.links, [id](const auto& each) { return each->id == id; });
         last = state.links.empty();
     });
-    this->receiver.on_link_closed(id, *peer, last);
+    this->receiver.on_link_closed(id, *peer, {.last = last, .finished_by_peer = finished_by_peer});
 }
 
 void peer_links::on_message(transport::connection_id id, const messages::hello& peer,
@@ -261,8 +293,9 @@
         this->on_pong(from, *pong, received);
         return;
     }
-    from.last_used_us = to_microseconds(received);
+    from.use(received);
     if (auto* call = std::get_if<messages::call>(&message)) {
+        from.expect_result(received + std::chrono::microseconds(call->budget_us));
         this->on_call_message(from, std::move(*call), received);
         return;
     }
@@ -317,7 +350,7 @@
 void peer_links::tick() {
     mono_time now = this->clock.now();
     this->drop_expired(now);
-    this->close_idle(now);
+    this->close_idle();
 }
 
 void peer_links::drop_expired(mono_time now) {
@@ -342,24 +375,68 @@
     }
 }
 
+bool peer_links::is_idle(const link& each) const {
+    std::int64_t oldest =
+        to_microseconds(this->clock.now() - mono_duration(this->options.idle_limit));
+    return each.last_used_us < oldest && each.busy_until_us < oldest;
+}
+
 // Only the side that opened a connection closes it when idle, so that the two sides do not disagree
 // about which of two parallel connections to keep.
-void peer_links::close_idle(mono_time now) {
+void peer_links::close_idle() {
     std::vector<std::string> spared;
     {
         absl::MutexLock lock(&this->dial_mutex);
         spared = this->kept;
     }
-    std::int64_t oldest = to_microseconds(now - mono_duration(this->options.idle_limit));
-    std::vector<transport::connection_id> idle;
-    this->by_connection.for_each([&](transport::connection_id id, const auto& each) {
+    std::vector<std::shared_ptr<link>> idle;
+    this->by_connection.for_each([&](transport::connection_id, const auto& each) {
         bool is_kept = std::find(spared.begin(), spared.end(), each->peer.instance) != spared.end();
-        if (each->outgoing && !is_kept && each->last_used_us < oldest) {
-            idle.push_back(id);
+        if (each->outgoing && !is_kept && this->is_idle(*each)) {
+            idle.push_back(each);
         }
     });
-    for (transport::connection_id id : idle) {
-        this->endpoint.close(id);
+    for (const auto& each : idle) {
+        this->finish_idle(each);
+    }
+}
+
+// The peer may have sent a call in the moment in which the connection closes. The call is not read
+// any more, and the close says so, so that the peer sends it elsewhere.
+void peer_links::finish_idle(const std::shared_ptr<link>& idle) {
+    this->endpoint.finish(idle->id, !idle->result_lost, [this, idle] {
+        if (!this->is_idle(*idle)) {
+            return false;
+        }
+        this->withdraw(*idle);
+        return true;
+    });
+}
+
+// Takes a connection that closes out of use, so that the next message opens another.
+void peer_links::withdraw(const link& each) {
+    this->by_instance.update(each.peer.instance, [&](peer_state& state) {
+        std::erase_if(state.links, [&](const auto& open) { return open->id == each.id; });
+    });
+}
+
+void peer_links::finish(const std::shared_ptr<link>& each) {
+    this->endpoint.finish(each->id, this->leaving_settled && !each->result_lost,
+                          [] { return true; });
+}
+
+void peer_links::leave(bool settled, std::chrono::milliseconds limit) {
+    this->leaving_settled = settled;
+    this->leaving = true;
+    std::vector<std::shared_ptr<link>> open;
+    this->by_connection.for_each(
+        [&](transport::connection_id, const auto& each) { open.push_back(each); });
+    for (const auto& each : open) {
+        this->finish(each);
+    }
+    mono_time end = this->clock.now() + limit;
+    while (this->open_count() > 0 && this->clock.now() < end) {
+        std::this_thread::sleep_for(close_check_interval);
     }
 }
 
--- a/packages/daemon/peer_links.h
+++ b/packages/daemon/peer_links.h
@@ -9,6 +9,7 @@
 #ifndef TREFOIL_DAEMON_PEER_LINKS_H_
 #define TREFOIL_DAEMON_PEER_LINKS_H_
 
+#include <atomic>
 #include <chrono>
 #include <deque>
 #include <functional>
@@ -36,13 +37,20 @@
     mono_time received;
 };
 
+// How a connection ended.
+struct link_end {
+    bool last = false;  // No other one to this peer is open.
+    // The peer has sent all results that it had, and runs no call without one.
+    bool finished_by_peer = false;
+};
+
 // Receives what arrives from peers. Called from several threads; must not block.
 class link_receiver {
 public:
     virtual ~link_receiver() = default;
     virtual void on_link_open(const messages::hello& peer, bool first) = 0;
     virtual void on_link_closed(transport::connection_id connection, const messages::hello& peer,
-                                bool last) = 0;
+                                link_end end) = 0;
     virtual void on_dial_failed(const std::string& address) = 0;
     // `sent` is the earliest local time at which the peer can have sent the call.
     virtual void on_call(const message_origin& origin, messages::call call, mono_time sent) = 0;
@@ -100,9 +108,7 @@
     void send_call(const std::string& instance, const std::string& address, outgoing_call call);
 
     // Sends a response over the connection on which its request came.
-    bool send_on(transport::connection_id connection, const messages::peer_message& message) {
-        return this->endpoint.send(connection, message);
-    }
+    bool send_on(transport::connection_id connection, const messages::peer_message& message);
 
     // When the last frame arrived on an open connection.
     std::optional<mono_time> last_received(transport::connection_id connection) const {
@@ -112,6 +118,11 @@
     // Keeps connections to these instances although they are idle.
     void set_kept(std::vector<std::string> instances);
 
+    // Closes all connections after the results that were sent on them, and waits for that for at
+    // most `limit`. With `settled` no call of a peer runs or will run: peers learn that calls
+    // without a result were not run. To be called while the loop runs.
+    void leave(bool settled, std::chrono::milliseconds limit);
+
     // Drops expired queued messages and closes idle connections. To be called about every 50 ms.
     void tick();
 
@@ -138,7 +149,8 @@
     void on_open(transport::connection_id id, const messages::hello& peer, bool outgoing) override;
     void on_message(transport::connection_id id, const messages::hello& peer,
                     messages::peer_message message, mono_time received) override;
-    void on_close(transport::connection_id id, const messages::hello* peer) override;
+    void on_close(transport::connection_id id, const messages::hello* peer,
+                  bool finished_by_peer) override;
 
     void on_pong(link& from, const messages::pong& pong, mono_time received);
     void on_call_message(link& from, messages::call call, mono_time received);
@@ -148,7 +160,11 @@
     void transmit_call(transport::connection_id id, outgoing_call call);
     void finish_dial(transport::connection_id id, bool opened);
     bool take_dial_token(mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(dial_mutex);
-    void close_idle(mono_time now);
+    bool is_idle(const link& each) const;
+    void close_idle();
+    void finish_idle(const std::shared_ptr<link>& idle);
+    void finish(const std::shared_ptr<link>& each);
+    void withdraw(const link& each);
     void drop_expired(mono_time now);
 
     const peer_links_options options;
@@ -166,6 +182,9 @@
     mono_time dial_tokens_at;
     seeded_random random;
 
+    std::atomic<bool> leaving{false};
+    std::atomic<bool> leaving_settled{false};
+
     transport::peer_endpoint endpoint;
 };
 
--- /dev/null
+++ b/packages/daemon/testing/peer_links_test.cc
@@ -0,0 +1,193 @@
+// Tests of the daemon's connections to its peers, over loopback.
+
+#define BOOST_TEST_MODULE daemon_peer_links
+#include "daemon/peer_links.h"
+
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+#include <future>
+#include <thread>
+
+namespace trefoil::daemon {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+bool eventually(const std::function<bool()>& condition, milliseconds limit = milliseconds(5000)) {
+    auto end = std::chrono::steady_clock::now() + limit;
+    while (!condition() && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    return condition();
+}
+
+// Counts what arrives, and answers calls with a result when `answers` is set.
+class recorder final : public link_receiver {
+public:
+    void on_link_open(const messages::hello&, bool) override { ++this->opened; }
+    void on_link_closed(transport::connection_id, const messages::hello&, link_end end) override {
+        this->finished += end.finished_by_peer ? 1 : 0;
+        ++this->closed;
+    }
+    void on_dial_failed(const std::string&) override {}
+    void on_call(const message_origin& origin, messages::call, mono_time) override {
+        this->connection = origin.connection;
+        ++this->calls;
+    }
+    void on_message(const message_origin&, messages::peer_message message) override {
+        this->results += std::holds_alternative<messages::call_result>(message) ? 1 : 0;
+    }
+
+    std::atomic<int> opened{0};
+    std::atomic<int> closed{0};
+    std::atomic<int> finished{0};
+    std::atomic<int> calls{0};
+    std::atomic<int> results{0};
+    std::atomic<transport::connection_id> connection{0};  // Of the last call.
+};
+
+struct node {
+    node(const std::string& name, int number, milliseconds idle_limit = milliseconds(60'000))
+        : port(static_cast<std::uint16_t>(10'000 + (getpid() * 50 + number * 11) % 20'000)),
+          links({.endpoint = {.self = {.fleet_protocol = "trefoil/1",
+                                       .instance = name,
+                                       .incarnation = 1,
+                                       .address = this->address()},
+                              .fleet_secret = "a-shared-fleet-secret",
+                              .loop = &this->loop},
+                 .idle_limit = idle_limit},
+                this->events, this->clock) {
+        this->loop.start();
+        BOOST_REQUIRE(succeeded(this->links.start("127.0.0.1", this->port)));
+    }
+    ~node() {
+        this->loop.stop();
+        this->links.stop();
+    }
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(this->port); }
+
+    void send_call(const std::string& peer, const std::string& address,
+                   milliseconds budget = milliseconds(100)) {
+        this->links.send_call(peer, address,
+                              {.call = {.sequence = ++this->sequence},
+                               .deadline = this->clock.now() + mono_duration(budget),
+                               .about_to_send =
+                                   [this](transport::connection_id) {
+                                       ++this->sent;
+                                       return true;
+                                   },
+                               .not_sent = [this] { ++this->not_sent; }});
+    }
+
+    // Runs `action` while the loop of this node is occupied, as on a machine without processor.
+    void while_blocked(const std::function<void()>& action) {
+        std::promise<void> entered;
+        std::promise<void> release;
+        this->loop.post([&entered, over = release.get_future().share()] {
+            entered.set_value();
+            over.wait();
+        });
+        entered.get_future().wait();
+        action();
+        release.set_value();
+    }
+
+    const std::uint16_t port;
+    machine_time_source clock;
+    io::event_loop loop;
+    recorder events;
+    peer_links links;
+    std::uint64_t sequence = 0;
+    std::atomic<int> sent{0};
+    std::atomic<int> not_sent{0};
+};
+
+}  // namespace
+
+// Guards against a call that ends as "unknown" because its connection was closed as idle while it
+// was on its way.
+BOOST_AUTO_TEST_CASE(a_call_that_crosses_an_idle_close_is_known_not_to_run) {
+    node opener("opener", 0, milliseconds(400));
+    node other("other", 1);
+    opener.links.dial(other.address());
+    BOOST_REQUIRE(eventually([&] { return other.links.open_count() == 1; }));
+    BOOST_REQUIRE(eventually([&] { return opener.links.open_count() == 1; }));
+    std::this_thread::sleep_for(milliseconds(500));
+    opener.while_blocked([&] {
+        opener.links.tick();
+        other.send_call("opener", opener.address());
+        std::this_thread::sleep_for(milliseconds(50));
+    });
+    BOOST_TEST(eventually([&] { return other.events.closed == 1; }));
+    BOOST_TEST(other.sent == 1);
+    BOOST_TEST(opener.events.calls == 0);
+    BOOST_TEST(other.events.finished == 1);
+    // The next call opens a connection.
+    other.send_call("opener", opener.address(), milliseconds(1000));
+    BOOST_TEST(eventually([&] { return opener.events.calls == 1; }));
+}
+
+// Guards against a connection that its opener closes as idle although a call on it still runs, or
+// although its result has just left.
+BOOST_AUTO_TEST_CASE(a_connection_with_a_running_call_is_not_idle) {
+    node opener("opener", 2, milliseconds(300));
+    node other("other", 3);
+    opener.links.dial(other.address());
+    BOOST_REQUIRE(eventually([&] { return other.links.open_count() == 1; }));
+    other.send_call("opener", opener.address(), milliseconds(900));
+    BOOST_REQUIRE(eventually([&] { return opener.events.calls == 1; }));
+    for (int i = 0; i < 8; ++i) {
+        std::this_thread::sleep_for(milliseconds(100));
+        opener.links.tick();
+    }
+    BOOST_TEST(opener.links.open_count() == 1U);
+    opener.links.send_on(opener.events.connection, messages::call_result{.sequence = 1});
+    BOOST_TEST(eventually([&] { return other.events.results == 1; }));
+    BOOST_TEST(other.events.closed == 0);
+}
+
+// Guards against results that do not leave before the process ends, and against calls that arrive
+// in the last moment of a stop and end as "unknown".
+BOOST_AUTO_TEST_CASE(a_leaving_daemon_sends_its_results_and_settles_all_connections) {
+    node leaving("leaving", 4);
+    node other("other", 5);
+    other.links.dial(leaving.address());
+    BOOST_REQUIRE(eventually([&] { return leaving.links.open_count() == 1; }));
+    other.send_call("leaving", leaving.address(), milliseconds(900));
+    BOOST_REQUIRE(eventually([&] { return leaving.events.calls == 1; }));
+    std::thread ending;
+    leaving.while_blocked([&] {
+        leaving.links.send_on(leaving.events.connection, messages::call_result{.sequence = 1});
+        ending = std::thread([&] { leaving.links.leave(true, milliseconds(2000)); });
+        std::this_thread::sleep_for(milliseconds(50));
+        other.send_call("leaving", leaving.address(), milliseconds(900));
+        std::this_thread::sleep_for(milliseconds(50));
+    });
+    ending.join();
+    BOOST_TEST(leaving.links.open_count() == 0U);
+    BOOST_TEST(eventually([&] { return other.events.closed == 1; }));
+    BOOST_TEST(other.events.results == 1);
+    BOOST_TEST(other.events.finished == 1);
+    BOOST_TEST(leaving.events.calls == 1);
+}
+
+// Guards against a call that may have run and is reported as not run: the daemon ends at the limit
+// of its stop with calls that still run, or a result could not be sent.
+BOOST_AUTO_TEST_CASE(a_leaving_daemon_with_calls_that_run_settles_nothing) {
+    node leaving("leaving", 6);
+    node other("other", 7);
+    other.links.dial(leaving.address());
+    BOOST_REQUIRE(eventually([&] { return leaving.links.open_count() == 1; }));
+    other.send_call("leaving", leaving.address(), milliseconds(900));
+    BOOST_REQUIRE(eventually([&] { return leaving.events.calls == 1; }));
+    leaving.links.leave(false, milliseconds(2000));
+    BOOST_TEST(eventually([&] { return other.events.closed == 1; }));
+    BOOST_TEST(other.events.finished == 0);
+}
+
+}  // namespace trefoil::daemon
--- a/packages/transport/frame_socket.cc
+++ b/packages/transport/frame_socket.cc
@@ -22,6 +22,9 @@
 constexpr std::size_t large_frame_bytes = std::size_t{4} << 20U;
 constexpr std::size_t unsent_limit_bytes = std::size_t{16} << 20U;
 constexpr long open_timeout_ms = 2000;
+// Close codes of RFC 6455 and its registry. Daemons send no other ones on purpose.
+constexpr auto settled_code = websocketpp::close::status::going_away;
+constexpr auto unsettled_code = websocketpp::close::status::service_restart;
 
 }  // namespace
 
@@ -54,7 +57,8 @@
         auto connection =
             this->client.get_connection("ws://" + ip + ":" + std::to_string(port) + "/", error);
         if (error) {
-            boost::asio::post(this->context, [this, id] { this->events.on_disconnected(id); });
+            boost::asio::post(this->context,
+                              [this, id] { this->events.on_disconnected(id, false); });
             return id;
         }
         this->attach(connection, id, true);
@@ -80,6 +84,25 @@
         });
     }
 
+    void finish(connection_id id, bool settled) {
+        {
+            std::lock_guard<std::mutex> lock(this->mutex);
+            auto entry = this->connections.find(id);
+            if (entry == this->connections.end()) {
+                return;
+            }
+            entry->second.finishing = true;
+        }
+        bool begun = this->with_connection(id, [settled](auto& connection) {
+            websocketpp::lib::error_code error;
+            connection->close(settled ? settled_code : unsettled_code, "", error);
+            return !error;
+        });
+        if (!begun) {
+            this->drop(id);
+        }
+    }
+
     void drop(connection_id id) {
         this->with_connection(id, [](auto& connection) {
             // The connection's own handlers run on its strand, so terminate() has to run there too.
@@ -93,6 +116,14 @@
     struct handle {
         server_endpoint::connection_ptr server;
         client_endpoint::connection_ptr client;
+        bool finishing = false;  // By this side.
+
+        // The answer to a close repeats its code, so it says nothing of what the other side did.
+        bool finished_by_peer() const {
+            return !this->finishing &&
+                   (this->server ? this->server->get_remote_close_code()
+                                 : this->client->get_remote_close_code()) == settled_code;
+        }
     };
 
     template <class Endpoint>
@@ -150,13 +181,17 @@
     }
 
     void gone(connection_id id) {
+        handle ended;
         {
             std::lock_guard<std::mutex> lock(this->mutex);
-            if (this->connections.erase(id) == 0) {
+            auto entry = this->connections.find(id);
+            if (entry == this->connections.end()) {
                 return;
             }
+            ended = entry->second;
+            this->connections.erase(entry);
         }
-        this->events.on_disconnected(id);
+        this->events.on_disconnected(id, ended.finished_by_peer());
     }
 
     // Calls `use` with the connection, outside the lock. Returns false when there is none.
@@ -205,6 +240,10 @@
     this->self->allow_large_frames(id);
 }
 
+void frame_socket::finish(connection_id id, bool settled) {
+    this->self->finish(id, settled);
+}
+
 void frame_socket::drop(connection_id id) {
     this->self->drop(id);
 }
--- a/packages/transport/peer_endpoint.cc
+++ b/packages/transport/peer_endpoint.cc
@@ -145,6 +145,14 @@
     this->socket.drop(id);
 }
 
+void peer_endpoint::finish(connection_id id, bool settled, std::function<bool()> still_wanted) {
+    this->loop.post([this, id, settled, wanted = std::move(still_wanted)] {
+        if (wanted()) {
+            this->socket.finish(id, settled);
+        }
+    });
+}
+
 std::optional<mono_time> peer_endpoint::last_received(connection_id id) const {
     auto found = this->sessions.find(id);
     if (!found.has_value()) {
@@ -253,13 +261,13 @@
                             answered);
 }
 
-void peer_endpoint::on_disconnected(connection_id id) {
+void peer_endpoint::on_disconnected(connection_id id, bool finished_by_peer) {
     auto found = this->sessions.take(id);
     if (this->stopping) {
         return;
     }
     bool was_open = found.has_value() && (*found)->opened;
-    this->events.on_close(id, was_open ? &*(*found)->peer : nullptr);
+    this->events.on_close(id, was_open ? &*(*found)->peer : nullptr, was_open && finished_by_peer);
 }
 
 void peer_endpoint::reject(connection_id id, const char* cause) {
--- a/packages/transport/peer_endpoint.h
+++ b/packages/transport/peer_endpoint.h
@@ -15,6 +15,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,8 +42,9 @@
     // delivered as a pong, with `received` less the time that the peer held it back.
     virtual void on_message(connection_id id, const messages::hello& peer,
                             messages::peer_message message, mono_time received) = 0;
-    // `peer` is null when the connection never opened.
-    virtual void on_close(connection_id id, const messages::hello* peer) = 0;
+    // `peer` is null when the connection never opened. `finished_by_peer`: the peer has sent all
+    // that it had to send, and acts on nothing to which it has not responded.
+    virtual void on_close(connection_id id, const messages::hello* peer, bool finished_by_peer) = 0;
 };
 
 struct peer_endpoint_options {
@@ -99,8 +101,14 @@
     // Returns false when the connection is not open; the message has then not left the process.
     bool send(connection_id id, const messages::peer_message& message);
 
+    // Drops the connection at once; the peer cannot tell this from a failure.
     void close(connection_id id);
 
+    // Closes the connection after what was sent on it, unless `still_wanted`, which is asked on the
+    // loop, returns false. With `settled` the peer is told that no message without a response was
+    // or will be acted on; nothing is delivered here any more.
+    void finish(connection_id id, bool settled, std::function<bool()> still_wanted);
+
     // When the last frame arrived, also a heartbeat; nothing for a closed connection.
     std::optional<mono_time> last_received(connection_id id) const;
 
@@ -111,7 +119,7 @@
 
     void on_connected(connection_id id, bool outgoing) override;
     void on_frame(connection_id id, std::string frame) override;
-    void on_disconnected(connection_id id) override;
+    void on_disconnected(connection_id id, bool finished_by_peer) override;
 
     void on_hello(connection_id id, session& peer, const messages::hello& hello);
     void on_ping(connection_id id, session& peer, const messages::ping& ping, mono_time received);
--- a/packages/transport/testing/peer_endpoint_test.cc
+++ b/packages/transport/testing/peer_endpoint_test.cc
@@ -32,9 +32,10 @@
             this->received.push_back(std::move(message));
         }
     }
-    void on_close(connection_id, const messages::hello*) override {
+    void on_close(connection_id, const messages::hello*, bool finished_by_peer) override {
         absl::MutexLock lock(&this->mutex);
         ++this->closed;
+        this->finished += finished_by_peer ? 1 : 0;
     }
 
     bool wait(const std::function<bool()>& condition) {
@@ -51,6 +52,7 @@
     std::vector<messages::peer_message> received;
     std::vector<mono_duration> round_trips;  // As the answers to pings show them.
     int closed = 0;
+    int finished = 0;  // Closed by the peer, with the statement that it acts on nothing more.
 };
 
 // A port below the range that the system gives to clients.
@@ -149,6 +151,56 @@
     BOOST_TEST(left.events.closed == 0);
 }
 
+// Guards against results that are lost because the process ends while they are queued, and against
+// calls whose outcome stays unknown although the peer never read them.
+BOOST_AUTO_TEST_CASE(a_finished_connection_delivers_everything_and_says_that_it_is_settled) {
+    constexpr std::size_t results = 200;
+    for (bool settled : {true, false}) {
+        node left("left", "a-shared-fleet-secret", settled ? 12 : 14);
+        node right("right", "a-shared-fleet-secret", settled ? 13 : 15);
+        left.endpoint.connect(right.address());
+        BOOST_REQUIRE(left.events.wait([&] { return left.events.opened.size() == 1; }));
+        BOOST_REQUIRE(right.events.wait([&] { return right.events.opened.size() == 1; }));
+        connection_id from_left = left.events.open_ids[0];
+        connection_id from_right = right.events.open_ids[0];
+        right.endpoint.finish(from_right, settled, [&] {
+            // On the loop of `right`, which cannot read these before it closes.
+            for (std::uint64_t i = 1; i <= 20; ++i) {
+                left.endpoint.send(from_left, messages::cancel{.sequence = i});
+            }
+            for (std::uint64_t i = 1; i <= results; ++i) {
+                messages::call_result result{.sequence = i};
+                result.body = std::string(std::size_t{20} << 10U, 'x');
+                right.endpoint.send(from_right, result);
+            }
+            return true;
+        });
+        BOOST_TEST(left.events.wait([&] { return left.events.closed == 1; }));
+        BOOST_TEST(right.events.wait([&] { return right.events.closed == 1; }));
+        absl::MutexLock left_lock(&left.events.mutex);
+        absl::MutexLock right_lock(&right.events.mutex);
+        BOOST_TEST(left.events.received.size() == results);
+        BOOST_TEST(left.events.finished == (settled ? 1 : 0));
+        BOOST_TEST(right.events.received.empty());
+        BOOST_TEST(right.events.finished == 0);
+    }
+}
+
+// Guards against a failed peer that is taken for one that has finished.
+BOOST_AUTO_TEST_CASE(a_dropped_connection_is_not_settled) {
+    node left("left", "a-shared-fleet-secret", 16);
+    node right("right", "a-shared-fleet-secret", 17);
+    connection_id id = left.endpoint.connect(right.address());
+    BOOST_REQUIRE(left.events.wait([&] { return left.events.opened.size() == 1; }));
+    BOOST_REQUIRE(right.events.wait([&] { return right.events.opened.size() == 1; }));
+    left.endpoint.finish(id, true, [] { return false; });
+    BOOST_TEST(left.endpoint.send(id, messages::cancel{.sequence = 1}));
+    BOOST_TEST(right.events.wait([&] { return right.events.received.size() == 1; }));
+    left.endpoint.close(id);
+    BOOST_TEST(right.events.wait([&] { return right.events.closed == 1; }));
+    BOOST_TEST(right.events.finished == 0);
+}
+
 // Guards against a sender that does not know the fleet secret and is believed.
 BOOST_AUTO_TEST_CASE(peer_with_another_secret_is_rejected) {
     node left("left", "a-shared-fleet-secret", 2);
@@ -171,7 +223,7 @@
             this->socket->send(id, "not a CBOR frame");
         }
         void on_frame(connection_id, std::string) override {}
-        void on_disconnected(connection_id) override { this->dropped = true; }
+        void on_disconnected(connection_id, bool) override { this->dropped = true; }
 
     public:
         frame_socket* socket = nullptr;
