--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -65,7 +65,9 @@
     // The last connection to the instance has closed.
     void on_disconnected(const std::string& instance);
     // Calls whose bytes may have left over this connection get no reply any more.
-    void on_connection_lost(transport::connection_id connection, const std::string& instance);
+    // With `not_run` the peer has stated that it runs no call without a result.
+    void on_connection_lost(transport::connection_id connection, const std::string& instance,
+                            bool not_run);
 
     // Ends attempts whose time is over. To be called every few milliseconds.
     void tick();
