Let the store's follower be suspended

source::configuration_service gets set_following(). The adapter decides nothing; nobody calls it yet.

--- a/packages/source/configuration_service.h
+++ b/packages/source/configuration_service.h
@@ -72,6 +72,10 @@
     // A peer knows a newer revision than the service has returned: what it watches with may hang.
     virtual void refresh() {}
 
+    // Whether anybody needs documents now. A service that keeps a copy by itself makes no calls
+    // while nobody does; its reads then return unavailable. It follows from the start on.
+    virtual void set_following(bool /*following*/) {}
+
     // For metrics. Safe for concurrent use.
     virtual service_calls calls() const = 0;
 
