Let two daemons of a failure domain follow a mirrored platform

Cause: use_mirror() made every daemon a reader, because reads of the mirror cost nothing; but keeping the mirror current costs a call an event and one in 2.5 s for each daemon.

Change: two readers a failure domain by rendezvous hash, as in the product's design. Another daemon follows the platform only while it starts and while no peer vouches for a confirmation by the platform younger than 1.5 s, spread over 0.5 s (follow_rule). It is connected to the readers of its domain and asks one of them every 500 ms. A reader announces a revision to all of its domain, at most every 400 ms, so that a series does not send each revision to everyone. Documents come from the own domain at once and from others after 700 ms. A request for a revision that its peer has replaced no longer blocks the newer one for a second (document_puller).

Not covered: a store away for everyone is still asked by every daemon.

--- a/packages/daemon/control_loop.cc
+++ b/packages/daemon/control_loop.cc
@@ -278,6 +278,9 @@
                 this->reads.push_back(read);
             },
             [this](const dissemination::refresh_platform&) { this->platform.refresh(); },
+            [this](const dissemination::follow_platform& follow) {
+                this->platform.set_following(follow.following);
+            },
             [this](const dissemination::open_connection& open) { this->open_peer(open.address); },
             // The idle limit closes the connection, because calls may use it too.
             [](const dissemination::close_connection&) {},
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -42,20 +42,6 @@
             .address = options.listen.peers.text()};
 }
 
-// Reads of a mirror cost nothing, so every daemon is a reader and asks again at once.
-void use_mirror(dissemination::core_options& core) {
-    constexpr std::size_t every_daemon = 1'000'000;
-    constexpr std::chrono::milliseconds short_interval{200};
-    core.readers_per_domain = every_daemon;
-    core.read_interval = short_interval;
-    core.longest_backoff = short_interval;
-    core.first_read_spread = short_interval;
-    core.start_patience = std::chrono::milliseconds(500);
-    // Watches bring a change to all daemons within some ten milliseconds.
-    core.refresh_after = std::chrono::milliseconds(300);
-    core.pull_delay = std::chrono::milliseconds(700);
-}
-
 dissemination::core_options make_core_options(const settings& options, bool mirrors) {
     dissemination::core_options core{.instance = options.instance,
                                      .failure_domain = options.failure_domain,
@@ -65,7 +51,7 @@
         core.seeds.push_back(seed.text());
     }
     if (mirrors) {
-        use_mirror(core);
+        dissemination::use_mirror(core);
     }
     return core;
 }
--- a/packages/dissemination/action.h
+++ b/packages/dissemination/action.h
@@ -44,6 +44,13 @@
     friend bool operator==(const refresh_platform&, const refresh_platform&) = default;
 };
 
+// Whether the mirror of the platform is to be kept current. It is at the start.
+struct follow_platform {
+    bool following = true;
+
+    friend bool operator==(const follow_platform&, const follow_platform&) = default;
+};
+
 // Opens a peer connection, and answers with connection_opened or connection_failed.
 struct open_connection {
     std::string address;
@@ -83,8 +90,8 @@
 };
 
 using action =
-    std::variant<send_message, read_document, refresh_platform, open_connection, close_connection,
-                 configuration_offered, adopt_list, report_invalid_list>;
+    std::variant<send_message, read_document, refresh_platform, follow_platform, open_connection,
+                 close_connection, configuration_offered, adopt_list, report_invalid_list>;
 
 }  // namespace trefoil::dissemination
 
--- a/packages/dissemination/core.cc
+++ b/packages/dissemination/core.cc
@@ -10,13 +10,6 @@
 
 namespace trefoil::dissemination {
 
-namespace {
-
-// An ingress may have hundreds of connections; the other peers learn of a revision by gossip.
-constexpr std::size_t announcement_limit = 16;
-
-}  // namespace
-
 core::core(core_options settings, document_store& configuration, random_source& source,
            mono_time start_time)
     : options(std::move(settings)),
@@ -29,6 +22,7 @@
       readers(this->options.instance, this->options.failure_domain,
               this->options.readers_per_domain),
       start(this->options.instance, start_time, this->options.start_patience),
+      follow(this->options, source, start_time),
       view(std::make_shared<const membership::view>(
           std::make_shared<const membership::instance_list>(
               0, std::vector<membership::instance_record>()),
@@ -51,28 +45,11 @@
     return this->options.check_pauses ? asked_at : now;
 }
 
-messages::digest core::make_digest() const {
-    messages::digest result;
-    result.leaving = this->leaving;
-    result.documents = this->held.states_for_digest();
-    result.list_revision = this->confirmations.list_revision();
-    return result;
-}
-
-void core::ask(const gossip_rounds::question& question) {
-    messages::digest message = this->make_digest();
-    message.wants_reply = true;
-    message.round = question.round;
-    // A reply carries the age vector only when both sides name the same list, so that naming none
-    // asks for a short reply.
-    message.list_revision = question.wants_ages ? message.list_revision : 0;
-    this->send(question.peer, std::move(message));
-}
-
 // Inputs.
 
 void core::tick(mono_time now) {
     this->held.refresh();
+    this->update_following(now);
     this->read_platform(now);
     if (this->options.gossip) {
         bool unconfirmed = this->start.ready() && !this->confirmed(now);
@@ -160,7 +137,7 @@
     } else if (outcome == read_outcome::stale) {
         ++this->totals.stale_answers;
     }
-    this->schedule.schedule_next(now, *sent, outcome, this->is_reader);
+    this->schedule.schedule_next(now, *sent, outcome, this->reads_as_reader());
     this->read_platform(now);
     this->finish_input(now);
 }
@@ -188,92 +165,56 @@
     this->view = std::move(next);
     this->confirmations.set_list(this->view->list());
     this->is_reader = this->readers.update(*this->view);
+    if (this->options.mirrored) {
+        this->peers.set_readers(this->readers.others());
+    }
 }
 
 void core::set_leaving(mono_time now) {
     this->leaving = true;
     this->announce_pending = true;
+    this->announced_at = unknown_time;
     this->finish_input(now);
 }
 
-// Digests.
-
-core::comparison core::compare(mono_time now, const std::string& peer,
-                               const messages::digest& message) {
-    comparison result;
-    for (const messages::document_state& state : message.documents) {
-        auto index = this->held.index_of(state.name);
-        if (!index.has_value()) {
-            continue;
-        }
-        const held_document& own = this->held.held(*index);
-        this->puller.announced(*index, peer, state, own, now, this->pull_delay(now));
-        result.newer_there = result.newer_there || state.revision > own.revision;
-        result.newer_here = result.newer_here || state.revision < own.revision;
-        bool same_revision = state.revision == own.revision;
-        bool conflict = same_revision && state.checksum != own.checksum;
-        result.conflict = result.conflict || conflict;
-        result.equal[*index] = same_revision && !conflict;
-        result.same_site = result.same_site || *index == overlay_index;
-        result.peer_has_base =
-            result.peer_has_base || (*index == base_index && state.revision != 0);
+// Peers are the quicker source only where the platform does not answer this daemon. One that does
+// not follow the platform has its documents from its own domain, whose readers get them at the same
+// time as others: bytes between domains are priced.
+milliseconds core::pull_delay(mono_time now, const std::string& peer) const {
+    if (this->options.mirrored && !this->follow.following()) {
+        auto found = this->peers.connections().find(peer);
+        bool near = found != this->peers.connections().end() &&
+                    found->second.record.failure_domain == this->options.failure_domain;
+        bool readers_answer = this->vouched_at != unknown_time &&
+                              now - this->vouched_at <= this->options.fallback_after;
+        return readers_answer && !near ? this->options.pull_delay : milliseconds(0);
     }
-    this->totals.checksum_conflicts += result.conflict ? 1 : 0;
-    return result;
+    bool answers = this->platform_answered_at != unknown_time &&
+                   now - this->platform_answered_at <= this->options.read_after;
+    return answers ? this->options.pull_delay : milliseconds(0);
 }
 
-void core::reply(mono_time now, const std::string& peer, const messages::digest& question) {
-    messages::digest answer = this->make_digest();
-    answer.round = question.round;
-    auto at = this->confirmations.platform_confirmed_at();
-    if (at.has_value()) {
-        answer.platform_age_ms = std::chrono::ceil<milliseconds>(now - *at).count();
-    }
-    if (question.list_revision == answer.list_revision) {
-        answer.ages = this->confirmations.ages(now);
-    }
-    this->send(peer, std::move(answer));
+bool core::reads_as_reader() const {
+    return this->options.mirrored ? this->follow.following() : this->is_reader;
 }
 
-void core::use_reply(mono_time now, const std::string& peer, const messages::digest& message,
-                     const comparison& result) {
-    auto asked = this->rounds.take(peer, message.round);
-    if (!asked.has_value()) {
+void core::update_following(mono_time now) {
+    if (!this->options.mirrored) {
         return;
     }
-    mono_time from = this->counted_from(*asked, now);
-    static const std::vector<std::uint8_t> no_ages;
-    bool same_list = message.list_revision == this->confirmations.list_revision();
-    const auto& ages = same_list ? message.ages : no_ages;
-    this->confirmations.alive(peer, from, ages);
-    auto connection = this->peers.connections().find(peer);
-    if (connection != this->peers.connections().end()) {
-        this->start.responded(peer, connection->second.record.failure_domain);
-    }
-    if (this->options.confirm_by_peers && message.platform_age_ms >= 0) {
-        mono_time at = from - milliseconds(message.platform_age_ms);
-        for (std::size_t i = 0; i < document_count; ++i) {
-            if (result.equal[i]) {
-                this->confirmations.confirm(i, at);
-            }
-        }
-    }
-    // A peer without a base has just started. It does not count, because it cannot know a newer
-    // revision either.
-    bool nothing_newer = !result.newer_there && !result.conflict && result.peer_has_base;
-    if (nothing_newer) {
-        this->confirmations.heard(peer, result.same_site, from, ages);
+    bool before = this->follow.following();
+    bool after = this->follow.update(
+        now,
+        {.reader = this->is_reader, .ready = this->start.ready(), .vouched_at = this->vouched_at});
+    if (after != before) {
+        this->actions.emplace_back(follow_platform{.following = after});
     }
 }
 
-// Peers are the quicker source only where the platform does not answer this daemon.
-milliseconds core::pull_delay(mono_time now) const {
-    bool answers = this->platform_answered_at != unknown_time &&
-                   now - this->platform_answered_at <= this->options.read_after;
-    return answers ? this->options.pull_delay : milliseconds(0);
-}
-
 void core::refresh_hanging_watch(mono_time now) {
+    if (this->options.mirrored && !this->follow.following()) {
+        return;
+    }
     auto since = this->puller.waiting_since();
     bool hangs = this->options.refresh_after.count() > 0 && since.has_value() &&
                  now - *since >= this->options.refresh_after && this->refreshed_at < *since;
@@ -336,10 +277,13 @@
 // Outputs.
 
 void core::read_platform(mono_time now) {
+    if (this->options.mirrored && !this->follow.following()) {
+        return;
+    }
     for (std::size_t i = 0; i < document_count; ++i) {
-        auto request =
-            this->schedule.due(now, i, this->held.name(i), this->held.held(i).revision,
-                               this->is_reader, this->confirmations.document_confirmed_at(i));
+        auto request = this->schedule.due(now, i, this->held.name(i), this->held.held(i).revision,
+                                          this->reads_as_reader(),
+                                          this->confirmations.document_confirmed_at(i));
         if (request.has_value()) {
             ++this->totals.platform_reads;
             this->actions.emplace_back(std::move(*request));
@@ -347,39 +291,12 @@
     }
 }
 
-void core::send_rounds(mono_time now) {
-    auto question = this->rounds.due(now, this->peers.partners(now), this->confirmed_at(),
-                                     this->confirmations.platform_confirmed_at());
-    if (question.has_value()) {
-        this->ask(*question);
-    }
-}
-
-void core::announce() {
-    this->announce_pending = false;
-    if (!this->options.gossip) {
-        return;
-    }
-    std::vector<std::string> targets = this->peers.chosen();
-    for (const auto& [id, connection] : this->peers.connections()) {
-        if (targets.size() >= announcement_limit) {
-            break;
-        }
-        if (std::find(targets.begin(), targets.end(), id) == targets.end()) {
-            targets.push_back(id);
-        }
-    }
-    for (const std::string& peer : targets) {
-        this->send(peer, this->make_digest());
-    }
-}
-
 void core::finish_input(mono_time now) {
     if (this->options.confirm_by_majority) {
         this->confirmations.apply_majority(now);
     }
     if (this->announce_pending) {
-        this->announce();
+        this->announce(now);
     }
     this->refresh_hanging_watch(now);
     for (const pull& each : this->puller.due(now)) {
--- a/packages/dissemination/core.h
+++ b/packages/dissemination/core.h
@@ -27,6 +27,7 @@
 #include "dissemination/core_options.h"
 #include "dissemination/document_puller.h"
 #include "dissemination/document_store.h"
+#include "dissemination/follow_rule.h"
 #include "dissemination/gossip_peers.h"
 #include "dissemination/gossip_rounds.h"
 #include "dissemination/held_documents.h"
@@ -90,6 +91,8 @@
     bool ready() const { return this->start.ready(); }
     const std::string& waiting_for() const { return this->start.waiting_for(); }
     bool reader() const { return this->is_reader; }
+    // Whether this daemon is to keep its mirror of the platform current.
+    bool following() const { return this->follow.following(); }
     const held_documents& documents() const { return this->held; }
     // For membership::tracker::reported_contacts, with the revision of its list.
     const confirmation& confirmation_state() const { return this->confirmations; }
@@ -116,14 +119,17 @@
     read_outcome use_unchanged(mono_time now, const platform_schedule::call& sent,
                                std::uint64_t revision);
     mono_time counted_from(mono_time asked_at, mono_time now) const;
-    milliseconds pull_delay(mono_time now) const;
+    milliseconds pull_delay(mono_time now, const std::string& peer) const;
+    bool reads_as_reader() const;
+    void update_following(mono_time now);
     void refresh_hanging_watch(mono_time now);
     messages::digest make_digest() const;
     void ask(const gossip_rounds::question& question);
     void send(const std::string& peer, messages::peer_message message);
     void send_rounds(mono_time now);
     void read_platform(mono_time now);
-    void announce();
+    void announce(mono_time now);
+    std::vector<std::string> announcement_targets() const;
     void finish_input(mono_time now);
 
     const core_options options;
@@ -135,11 +141,15 @@
     gossip_rounds rounds;
     reader_choice readers;
     start_rule start;
+    follow_rule follow;
     std::shared_ptr<const membership::view> view;  // Never null.
     bool is_reader = false;
     bool leaving = false;
     mono_time platform_answered_at = unknown_time;
+    // The newest confirmation by the platform that a peer told of, whatever it holds.
+    mono_time vouched_at = unknown_time;
     mono_time refreshed_at = unknown_time;  // When the platform was last asked to look again.
+    mono_time announced_at = unknown_time;
     bool announce_pending = false;  // A new revision is held that peers have not been told of.
     core_counts totals;
     std::vector<action> actions;
--- /dev/null
+++ b/packages/dissemination/core_gossip.cc
@@ -0,0 +1,169 @@
+// Implements the digests of the core: what they say, what a peer's digest tells, and to whom they
+// go.
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "dissemination/core.h"
+
+namespace trefoil::dissemination {
+
+namespace {
+
+// An ingress may have hundreds of connections; the other peers learn of a revision by gossip.
+constexpr std::size_t announcement_limit = 16;
+
+}  // namespace
+
+messages::digest core::make_digest() const {
+    messages::digest result;
+    result.leaving = this->leaving;
+    result.documents = this->held.states_for_digest();
+    result.list_revision = this->confirmations.list_revision();
+    return result;
+}
+
+void core::ask(const gossip_rounds::question& question) {
+    messages::digest message = this->make_digest();
+    message.wants_reply = true;
+    message.round = question.round;
+    // A reply carries the age vector only when both sides name the same list, so that naming none
+    // asks for a short reply.
+    message.list_revision = question.wants_ages ? message.list_revision : 0;
+    this->send(question.peer, std::move(message));
+}
+
+core::comparison core::compare(mono_time now, const std::string& peer,
+                               const messages::digest& message) {
+    comparison result;
+    for (const messages::document_state& state : message.documents) {
+        auto index = this->held.index_of(state.name);
+        if (!index.has_value()) {
+            continue;
+        }
+        const held_document& own = this->held.held(*index);
+        this->puller.announced(*index, peer, state, own, now, this->pull_delay(now, peer));
+        result.newer_there = result.newer_there || state.revision > own.revision;
+        result.newer_here = result.newer_here || state.revision < own.revision;
+        bool same_revision = state.revision == own.revision;
+        bool conflict = same_revision && state.checksum != own.checksum;
+        result.conflict = result.conflict || conflict;
+        result.equal[*index] = same_revision && !conflict;
+        result.same_site = result.same_site || *index == overlay_index;
+        result.peer_has_base =
+            result.peer_has_base || (*index == base_index && state.revision != 0);
+    }
+    this->totals.checksum_conflicts += result.conflict ? 1 : 0;
+    return result;
+}
+
+void core::reply(mono_time now, const std::string& peer, const messages::digest& question) {
+    messages::digest answer = this->make_digest();
+    answer.round = question.round;
+    auto at = this->confirmations.platform_confirmed_at();
+    if (at.has_value()) {
+        answer.platform_age_ms = std::chrono::ceil<milliseconds>(now - *at).count();
+    }
+    if (question.list_revision == answer.list_revision) {
+        answer.ages = this->confirmations.ages(now);
+    }
+    this->send(peer, std::move(answer));
+}
+
+void core::use_reply(mono_time now, const std::string& peer, const messages::digest& message,
+                     const comparison& result) {
+    auto asked = this->rounds.take(peer, message.round);
+    if (!asked.has_value()) {
+        return;
+    }
+    mono_time from = this->counted_from(*asked, now);
+    static const std::vector<std::uint8_t> no_ages;
+    bool same_list = message.list_revision == this->confirmations.list_revision();
+    const auto& ages = same_list ? message.ages : no_ages;
+    this->confirmations.alive(peer, from, ages);
+    auto connection = this->peers.connections().find(peer);
+    if (connection != this->peers.connections().end()) {
+        this->start.responded(peer, connection->second.record.failure_domain);
+    }
+    if (message.platform_age_ms >= 0) {
+        this->vouched_at = std::max(this->vouched_at, from - milliseconds(message.platform_age_ms));
+    }
+    if (this->options.confirm_by_peers && message.platform_age_ms >= 0) {
+        mono_time at = from - milliseconds(message.platform_age_ms);
+        for (std::size_t i = 0; i < document_count; ++i) {
+            if (result.equal[i]) {
+                this->confirmations.confirm(i, at);
+            }
+        }
+    }
+    // A peer without a base has just started. It does not count, because it cannot know a newer
+    // revision either.
+    bool nothing_newer = !result.newer_there && !result.conflict && result.peer_has_base;
+    if (nothing_newer) {
+        this->confirmations.heard(peer, result.same_site, from, ages);
+    }
+}
+
+void core::send_rounds(mono_time now) {
+    auto question = this->rounds.due(now, this->peers.partners(now), this->confirmed_at(),
+                                     this->confirmations.platform_confirmed_at());
+    if (question.has_value()) {
+        this->ask(*question);
+    }
+    bool hurry =
+        this->vouched_at == unknown_time || now - this->vouched_at > this->options.fallback_after;
+    auto to_reader = this->rounds.due_reader(now, this->peers.connected_readers(), hurry);
+    if (to_reader.has_value()) {
+        this->ask(*to_reader);
+    }
+}
+
+std::vector<std::string> core::announcement_targets() const {
+    std::vector<std::string> targets = this->peers.chosen();
+    if (this->options.mirrored) {
+        auto add = [&](const std::string& id) {
+            if (std::find(targets.begin(), targets.end(), id) == targets.end()) {
+                targets.push_back(id);
+            }
+        };
+        // A reader tells its whole domain, which is connected to it; others tell the readers.
+        for (const std::string& each : this->peers.connected_readers()) {
+            add(each);
+        }
+        for (const auto& [id, connection] : this->peers.connections()) {
+            if (this->is_reader &&
+                connection.record.failure_domain == this->options.failure_domain) {
+                add(id);
+            }
+        }
+        return targets;
+    }
+    for (const auto& [id, connection] : this->peers.connections()) {
+        if (targets.size() >= announcement_limit) {
+            break;
+        }
+        if (std::find(targets.begin(), targets.end(), id) == targets.end()) {
+            targets.push_back(id);
+        }
+    }
+    return targets;
+}
+
+void core::announce(mono_time now) {
+    bool too_early = this->announced_at != unknown_time &&
+                     now - this->announced_at < this->options.announcement_gap;
+    if (too_early) {
+        return;  // A later input announces what is held then.
+    }
+    this->announce_pending = false;
+    this->announced_at = now;
+    if (!this->options.gossip) {
+        return;
+    }
+    for (const std::string& peer : this->announcement_targets()) {
+        this->send(peer, this->make_digest());
+    }
+}
+
+}  // namespace trefoil::dissemination
--- /dev/null
+++ b/packages/dissemination/core_options.cc
@@ -0,0 +1,23 @@
+// Implements the settings for a mirrored platform.
+
+#include "dissemination/core_options.h"
+
+namespace trefoil::dissemination {
+
+void use_mirror(core_options& options) {
+    constexpr milliseconds short_interval{200};
+    options.mirrored = true;
+    // Reads of the mirror cost nothing, so they are short and confirm often.
+    options.watch_wait = milliseconds(500);
+    options.read_interval = short_interval;
+    options.longest_backoff = short_interval;
+    options.first_read_spread = short_interval;
+    options.start_patience = milliseconds(500);
+    // The platform brings a change to all readers within some ten milliseconds.
+    options.refresh_after = milliseconds(300);
+    options.pull_delay = milliseconds(700);
+    // Changes must be in force everywhere within 1 s; a reader's follower adds up to 150 ms.
+    options.announcement_gap = milliseconds(400);
+}
+
+}  // namespace trefoil::dissemination
--- a/packages/dissemination/core_options.h
+++ b/packages/dissemination/core_options.h
@@ -45,6 +45,25 @@
     milliseconds longest_backoff{30000};
     milliseconds first_read_spread{2000};
 
+    // The platform's documents are mirrored here, and the mirror is suspended while nobody needs
+    // it. Reads of the mirror cost nothing; following the platform does.
+    bool mirrored = false;
+    // How often a daemon asks one of the readers of its domain, in turn, how old its confirmation
+    // by the platform is. With two readers and 23 daemons in a domain a reader answers 23 short
+    // digests a second.
+    milliseconds reader_question_interval{500};
+    // Age of the newest confirmation by the platform that a peer vouches for at which a daemon
+    // follows the platform itself. A reader's is at most the wait of a watch old, and the question
+    // and the answer add `reader_question_interval` and some 100 ms on slow machines.
+    milliseconds fallback_after{1500};
+    // Daemons that miss their readers at the same time begin to follow within this time.
+    milliseconds fallback_spread{500};
+    // Following begins with a load of everything, so that it is not ended at once.
+    milliseconds shortest_following{3000};
+    // Shortest time between two announcements. The revisions of a series that are replaced within
+    // it are not passed on.
+    milliseconds announcement_gap{0};
+
     milliseconds confirmation_limit{4000};
     milliseconds start_patience{3000};  // How long a start waits for peers or for the platform.
 
@@ -56,6 +75,9 @@
     bool check_pauses = true;    // Counts confirmations from the request, not from the response.
 };
 
+// Sets the times that suit a mirrored platform.
+void use_mirror(core_options& options);
+
 }  // namespace trefoil::dissemination
 
 #endif  // TREFOIL_DISSEMINATION_CORE_OPTIONS_H_
--- a/packages/dissemination/document_puller.cc
+++ b/packages/dissemination/document_puller.cc
@@ -25,13 +25,30 @@
     }
     if (revision > target.revision) {
         bool wanted_before = target.revision != 0;
+        // A peer sends in order, so that the one that was asked no longer has what it was asked
+        // for.
+        bool pending = wanted_before && !target.asked.empty() && target.asked != peer;
+        bool delayed = wanted_before && target.asked.empty();
+        mono_time not_before = now + delay;
+        if (pending || delayed) {
+            not_before = pending ? target.not_before : std::min(target.not_before, not_before);
+        }
         target = {.revision = revision,
                   .since = wanted_before ? target.since : now,
-                  .not_before = wanted_before ? target.not_before : now + delay};
+                  .not_before = not_before,
+                  .asked = pending ? target.asked : "",
+                  .asked_revision = pending ? target.asked_revision : 0};
+    }
+    bool sooner = target.asked.empty() && now + delay < target.not_before;
+    if (sooner) {
+        target.not_before = now + delay;
     }
     auto found = std::find(target.sources.begin(), target.sources.end(), peer);
     if (found == target.sources.end() && target.sources.size() < source_limit) {
-        target.sources.push_back(peer);
+        found = target.sources.insert(target.sources.end(), peer);
+    }
+    if (sooner && found != target.sources.end()) {
+        target.next_source = static_cast<std::size_t>(found - target.sources.begin());
     }
 }
 
@@ -57,6 +74,11 @@
                               const held_document& held, mono_time now) {
     if (held.revision >= this->newest[document].revision) {
         this->newest[document] = want{};
+    } else if (!this->newest[document].asked.empty() &&
+               offered == this->newest[document].asked_revision) {
+        // The answer came, and a newer revision was announced since the question.
+        this->newest[document].asked.clear();
+        this->newest[document].not_before = now;
     }
     want& gap = this->bridges[document];
     if (gap.revision != 0 && held.revision_in_force >= gap.revision) {
@@ -76,6 +98,7 @@
         target.sources.erase(found);
         // The request may have been sent to this peer.
         target.not_before = mono_time::min();
+        target.asked.clear();
         if (target.sources.empty()) {
             target = want{};
         }
@@ -92,6 +115,8 @@
     const std::string& peer = target.sources[target.next_source % target.sources.size()];
     ++target.next_source;
     target.not_before = now + this->timeout;
+    target.asked = peer;
+    target.asked_revision = target.revision;
     result.push_back({.peer = peer, .document = document, .revision = target.revision});
 }
 
--- a/packages/dissemination/document_puller.h
+++ b/packages/dissemination/document_puller.h
@@ -38,8 +38,9 @@
 
     // A peer's digest says that it holds `state` of a document. A newer revision is wanted; and
     // when the newest revision is held here but something older is in force, the greatest revision
-    // that a peer has in force in between is wanted too (a bridge). A newer revision that was not
-    // wanted before is asked for after `delay`.
+    // that a peer has in force in between is wanted too (a bridge). A newer revision is
+    // asked for after `delay`, at once after a shorter delay of another peer, and when the peer
+    // that was asked for an older one says that it has replaced that.
     void announced(std::size_t document, const std::string& peer,
                    const messages::document_state& state, const held_document& held, mono_time now,
                    std::chrono::milliseconds delay = std::chrono::milliseconds(0));
@@ -69,6 +70,8 @@
         std::vector<std::string> sources;    // Peers that hold the revision; asked in turn.
         std::size_t next_source = 0;
         mono_time not_before = mono_time::min();  // The request sent last may be answered until.
+        std::string asked;                        // The peer of that request; empty when none runs.
+        std::uint64_t asked_revision = 0;
     };
 
     static void add_source(want& target, std::uint64_t revision, const std::string& peer,
--- /dev/null
+++ b/packages/dissemination/follow_rule.h
@@ -0,0 +1,48 @@
+// Decides whether this daemon follows a mirrored platform. Readers do. Another daemon does while it
+// starts and while no peer vouches for a young confirmation by the platform, which means that its
+// readers are unreachable or have lost the platform.
+//
+// Example:
+//
+//     follow_rule rule(options, random, start);
+//     if (rule.update(now, {.reader = false, .ready = true, .vouched_at = at})) { ... }
+
+#ifndef TREFOIL_DISSEMINATION_FOLLOW_RULE_H_
+#define TREFOIL_DISSEMINATION_FOLLOW_RULE_H_
+
+#include "base/random.h"
+#include "base/time.h"
+#include "dissemination/core_options.h"
+
+namespace trefoil::dissemination {
+
+struct follow_facts {
+    bool reader = false;
+    bool ready = false;  // The daemon has started and holds a configuration.
+    // The newest confirmation by the platform that a peer told of; mono_time::min() for none.
+    mono_time vouched_at = mono_time::min();
+
+    friend bool operator==(const follow_facts&, const follow_facts&) = default;
+};
+
+class follow_rule {
+public:
+    follow_rule(const core_options& settings, random_source& source, mono_time start);
+
+    // Returns whether to follow. A daemon follows from its start on.
+    bool update(mono_time now, const follow_facts& facts);
+
+    bool following() const { return this->follows; }
+
+private:
+    const core_options& options;
+    random_source& random;
+    bool follows = true;
+    bool needed = true;
+    mono_time since;   // When following began.
+    mono_time due_at;  // When following begins, while it is needed.
+};
+
+}  // namespace trefoil::dissemination
+
+#endif  // TREFOIL_DISSEMINATION_FOLLOW_RULE_H_
--- a/packages/dissemination/gossip_peers.cc
+++ b/packages/dissemination/gossip_peers.cc
@@ -54,7 +54,7 @@
         }
         this->attempts.erase(opened_address);
         this->attempts.erase(peer.address);
-        if (!contains(this->selected, peer.id)) {
+        if (!contains(this->selected, peer.id) && !this->is_reader(peer.id)) {
             this->selected.push_back(peer.id);
         }
     }
@@ -97,8 +97,50 @@
 
 std::size_t gossip_peers::running_attempts() const {
     return static_cast<std::size_t>(
-        std::count_if(this->attempts.begin(), this->attempts.end(),
-                      [](const auto& item) { return item.second.running; }));
+        std::count_if(this->attempts.begin(), this->attempts.end(), [this](const auto& item) {
+            return item.second.running && !this->is_reader(item.second.id);
+        }));
+}
+
+bool gossip_peers::is_reader(const std::string& id) const {
+    return std::any_of(this->readers.begin(), this->readers.end(),
+                       [&](const auto& each) { return each->id == id; });
+}
+
+void gossip_peers::set_readers(
+    const std::vector<std::shared_ptr<const membership::instance_record>>& next) {
+    auto before = std::exchange(this->readers, next);
+    for (const auto& each : before) {
+        bool unused = !this->is_reader(each->id) && this->open.contains(each->id) &&
+                      !contains(this->selected, each->id) && !contains(this->released, each->id);
+        if (unused) {
+            this->released.push_back(each->id);
+        }
+    }
+}
+
+std::vector<std::string> gossip_peers::connected_readers() const {
+    std::vector<std::string> result;
+    for (const auto& each : this->readers) {
+        if (this->open.contains(each->id)) {
+            result.push_back(each->id);
+        }
+    }
+    return result;
+}
+
+bool gossip_peers::may_open(mono_time now, const std::string& address) const {
+    auto found = this->attempts.find(address);
+    return found == this->attempts.end() ||
+           (!found->second.running && now >= found->second.retry_at);
+}
+
+void gossip_peers::open_readers(mono_time now, std::vector<action>& actions) {
+    for (const auto& each : this->readers) {
+        if (!this->open.contains(each->id) && this->may_open(now, each->address)) {
+            this->start_attempt(now, each->address, each->id, actions);
+        }
+    }
 }
 
 gossip_peers::needs gossip_peers::missing(const membership::view& current) const {
@@ -125,12 +167,10 @@
 
 bool gossip_peers::eligible(mono_time now, const membership::instance_record& record) const {
     if (record.id == this->options.instance || record.address == this->options.address ||
-        contains(this->selected, record.id)) {
+        contains(this->selected, record.id) || this->is_reader(record.id)) {
         return false;
     }
-    auto found = this->attempts.find(record.address);
-    return found == this->attempts.end() ||
-           (!found->second.running && now >= found->second.retry_at);
+    return this->may_open(now, record.address);
 }
 
 const membership::member* gossip_peers::pick(mono_time now, const membership::view& current,
@@ -225,7 +265,7 @@
 void gossip_peers::close_released(mono_time now, std::vector<action>& actions) {
     std::erase_if(this->released, [&](const std::string& id) {
         const connection& entry = this->open.at(id);
-        if (contains(this->selected, id) || !entry.opened_here) {
+        if (contains(this->selected, id) || this->is_reader(id) || !entry.opened_here) {
             return true;
         }
         if (entry.used_at != mono_time::min() && now - entry.used_at < use_limit) {
@@ -283,7 +323,8 @@
             this->start_attempt(now, record.address, record.id, actions);
         }
     }
-    if (this->selected.empty() && !this->options.seeds.empty()) {
+    this->open_readers(now, actions);
+    if (this->selected.empty() && this->readers.empty() && !this->options.seeds.empty()) {
         this->open_seeds(now, actions);
     }
     while (this->selected.size() > target) {
--- a/packages/dissemination/gossip_peers.h
+++ b/packages/dissemination/gossip_peers.h
@@ -44,6 +44,12 @@
     void tick(mono_time now, const membership::view& current, bool unconfirmed,
               std::vector<action>& actions);
 
+    // The readers of the own domain that this daemon asks. They are connected beside the chosen
+    // peers and are not chosen.
+    void set_readers(const std::vector<std::shared_ptr<const membership::instance_record>>& next);
+    // Those of them that are connected.
+    std::vector<std::string> connected_readers() const;
+
     const std::vector<std::string>& chosen() const { return this->selected; }
 
     // The chosen peers and those that have chosen this daemon, to which the rounds go. An instance
@@ -72,6 +78,9 @@
     };
 
     std::size_t running_attempts() const;
+    bool is_reader(const std::string& id) const;
+    bool may_open(mono_time now, const std::string& address) const;
+    void open_readers(mono_time now, std::vector<action>& actions);
     needs missing(const membership::view& current) const;
     bool eligible(mono_time now, const membership::instance_record& record) const;
     const membership::member* pick(mono_time now, const membership::view& current, bool any_state);
@@ -89,7 +98,8 @@
     mono_time probe_at;                   // Next replacement while unconfirmed.
     std::vector<std::string> selected;    // Ids in `open`.
     std::vector<std::string> from_seeds;  // Ids that were selected because their address is a seed.
-    std::vector<std::string> released;    // Ids that are no longer selected but still connected.
+    std::vector<std::shared_ptr<const membership::instance_record>> readers;
+    std::vector<std::string> released;  // Ids that are no longer selected but still connected.
     absl::flat_hash_map<std::string, connection> open;   // By instance id.
     absl::flat_hash_map<std::string, attempt> attempts;  // By address.
 };
--- a/packages/dissemination/gossip_rounds.cc
+++ b/packages/dissemination/gossip_rounds.cc
@@ -25,7 +25,8 @@
     : options(settings),
       random(source),
       last_at(start - settings.round_interval),
-      last_ages_at(start - settings.round_interval) {}
+      last_ages_at(start - settings.round_interval),
+      reader_asked_at(start - settings.reader_question_interval) {}
 
 std::optional<gossip_rounds::question> gossip_rounds::due(
     mono_time now, const std::vector<std::string>& peers, std::optional<mono_time> confirmed_at,
@@ -51,6 +52,21 @@
     return result;
 }
 
+std::optional<gossip_rounds::question> gossip_rounds::due_reader(
+    mono_time now, const std::vector<std::string>& readers, bool hurry) {
+    milliseconds interval = this->options.reader_question_interval / (hurry ? 2 : 1);
+    auto wait = std::chrono::duration_cast<mono_duration>(std::chrono::duration<double>(interval) *
+                                                          this->reader_jitter);
+    if (readers.empty() || now - this->reader_asked_at < wait) {
+        return std::nullopt;
+    }
+    this->reader_asked_at = std::max(this->reader_asked_at + wait, now - interval / 2);
+    this->reader_jitter = 0.95 + 0.1 * this->random.uniform();
+    question result = this->ask(now, readers[this->next_reader++ % readers.size()]);
+    result.wants_ages = false;
+    return result;
+}
+
 gossip_rounds::question gossip_rounds::ask(mono_time now, const std::string& peer) {
     std::erase_if(this->sent,
                   [&](const pending& each) { return now - each.asked_at > round_lifetime; });
--- a/packages/dissemination/gossip_rounds.h
+++ b/packages/dissemination/gossip_rounds.h
@@ -43,6 +43,10 @@
                                 std::optional<mono_time> confirmed_at,
                                 std::optional<mono_time> platform_confirmed_at);
 
+    // The digest to send to one of the domain's readers now, if any, in turn. It asks for no ages.
+    std::optional<question> due_reader(mono_time now, const std::vector<std::string>& readers,
+                                       bool hurry);
+
     // A digest to send at once, outside the turn.
     question ask(mono_time now, const std::string& peer);
 
@@ -70,6 +74,9 @@
     double jitter = 1;       // Factor of the present interval.
     std::uint64_t last_round = 0;
     std::size_t next_peer = 0;
+    mono_time reader_asked_at;
+    double reader_jitter = 1;  // Factor of the present interval.
+    std::size_t next_reader = 0;
     std::vector<pending> sent;  // At most those of the last seconds.
     absl::flat_hash_map<std::string, mono_time> corrected_at;
 };
--- a/packages/dissemination/reader_choice.cc
+++ b/packages/dissemination/reader_choice.cc
@@ -37,15 +37,15 @@
     if (this->ranked != current.list()) {
         this->rank(current);
     }
+    this->before.clear();
     if (current.listed().empty()) {
         return false;
     }
-    std::size_t ahead = 0;
     for (std::size_t index : this->higher) {
         if (current.listed()[index].state == membership::instance_state::live) {
-            ++ahead;
+            this->before.push_back(current.listed()[index].record);
         }
-        if (ahead >= this->count) {
+        if (this->before.size() >= this->count) {
             return false;
         }
     }
--- a/packages/dissemination/reader_choice.h
+++ b/packages/dissemination/reader_choice.h
@@ -27,6 +27,12 @@
     // Returns whether this daemon is one of the readers of its domain. Without a list it is not.
     bool update(const membership::view& current);
 
+    // The readers of the domain that rank before this daemon, as of the last update: all of them
+    // when this daemon is none.
+    const std::vector<std::shared_ptr<const membership::instance_record>>& others() const {
+        return this->before;
+    }
+
 private:
     void rank(const membership::view& current);
 
@@ -37,6 +43,7 @@
     // Positions in the list of the domain's instances whose score is higher than this daemon's,
     // highest first.
     std::vector<std::size_t> higher;
+    std::vector<std::shared_ptr<const membership::instance_record>> before;
 };
 
 }  // namespace trefoil::dissemination
--- a/packages/dissemination/testing/fleet.cc
+++ b/packages/dissemination/testing/fleet.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr milliseconds tick_interval{100};
+constexpr milliseconds follower_interval{10};
 // A partition closes connections after the heartbeat's timeout.
 constexpr milliseconds heartbeat_timeout{2000};
 constexpr milliseconds platform_timeout{3000};
@@ -116,6 +117,29 @@
     std::uint64_t incarnation = target.incarnation;
     this->schedule(milliseconds(this->random.below(tick_interval.count())),
                    [this, index, incarnation] { this->tick(index, incarnation); });
+    if (settings.mirrored) {
+        target.follower =
+            std::make_unique<simulated_follower>(this->store, *target.random, this->time);
+        target.follower->refused = target.refused;
+        this->step_follower(index, incarnation);
+    }
+}
+
+void fleet::step_follower(std::size_t index, std::uint64_t incarnation) {
+    node& target = *this->nodes[index];
+    if (target.incarnation != incarnation) {
+        return;
+    }
+    if (!target.paused) {
+        target.follower->step(this->time);
+    }
+    this->schedule(follower_interval,
+                   [this, index, incarnation] { this->step_follower(index, incarnation); });
+}
+
+void fleet::refuse(std::size_t index, bool refused) {
+    this->nodes[index]->refused = refused;
+    this->nodes[index]->follower->refused = refused;
 }
 
 void fleet::restart(std::size_t index) {
@@ -198,6 +222,8 @@
         this->send(index, *message);
     } else if (const auto* request = std::get_if<read_document>(&each)) {
         this->read(index, *request);
+    } else if (const auto* follow = std::get_if<follow_platform>(&each)) {
+        this->nodes[index]->follower->set_following(follow->following);
     } else if (const auto* opening = std::get_if<open_connection>(&each)) {
         this->open(index, opening->address);
     } else if (const auto* closing = std::get_if<close_connection>(&each)) {
@@ -217,6 +243,12 @@
         return;
     }
     std::uint64_t incarnation = this->nodes[to]->incarnation;
+    if (std::holds_alternative<messages::document>(message.message)) {
+        ++this->bodies_sent;
+        bool inside =
+            this->nodes[from]->record.failure_domain == this->nodes[to]->record.failure_domain;
+        this->bodies_between_domains += inside ? 0 : 1;
+    }
     this->schedule(this->delay(), [this, from, to, incarnation, content = message.message] {
         if (!this->reachable(from, to)) {
             return;
@@ -259,6 +291,12 @@
             });
         });
     };
+    if (this->options.core.mirrored) {
+        this->nodes[index]->follower->read(
+            this->time, request,
+            [answer](const platform_answer& result) { answer(result, mono_duration(0)); });
+        return;
+    }
     if (this->nodes[index]->group != 0) {
         static const platform_answer unavailable = platform_unavailable{};
         answer(unavailable, platform_timeout);
@@ -307,6 +345,8 @@
 
 void fleet::publish(const std::string& name, std::uint64_t revision, const std::string& body) {
     this->platform.publish(name, revision, body);
+    this->store.documents[name] = {revision, body};
+    ++this->store.version;
 }
 
 void fleet::publish_list(std::uint64_t revision) {
--- a/packages/dissemination/testing/fleet.h
+++ b/packages/dissemination/testing/fleet.h
@@ -15,6 +15,7 @@
 #include "dissemination/core.h"
 #include "dissemination/testing/fake_document_store.h"
 #include "dissemination/testing/fake_platform.h"
+#include "dissemination/testing/simulated_follower.h"
 #include "membership/tracker.h"
 
 namespace trefoil::dissemination {
@@ -49,6 +50,9 @@
     // Handles what arrived during the pause at the present time.
     void resume(std::size_t index);
     void restart(std::size_t index);
+    // With core_options::mirrored: whether the store turns the node away.
+    void refuse(std::size_t index, bool refused);
+
     // Nodes of different groups cannot exchange messages; only group 0 reaches the platform.
     void set_group(std::size_t index, int group);
 
@@ -62,6 +66,9 @@
                                milliseconds limit);
 
     fake_platform platform;
+    simulated_store store;          // In place of `platform` with core_options::mirrored.
+    std::uint64_t bodies_sent = 0;  // Documents that crossed between nodes.
+    std::uint64_t bodies_between_domains = 0;
     std::uint64_t bytes_sent = 0;  // Encoded messages of all nodes.
     std::uint64_t regressions =
         0;  // Times that a revision held or in force went back in a process.
@@ -76,6 +83,8 @@
         std::unique_ptr<fake_document_store> store;
         std::unique_ptr<core> decision;
         std::unique_ptr<membership::tracker> tracker;
+        std::unique_ptr<simulated_follower> follower;
+        bool refused = false;
         bool paused = false;
         int group = 0;
         std::set<std::size_t> connections;
@@ -99,6 +108,7 @@
     bool reachable(std::size_t a, std::size_t b) const;
     void start(std::size_t index);
     void tick(std::size_t index, std::uint64_t incarnation);
+    void step_follower(std::size_t index, std::uint64_t incarnation);
     void refresh_members(std::size_t index);
     void execute(std::size_t index);
     void execute_one(std::size_t index, const action& each);
