Take the locks of maps, slots and metrics out of absl's lock graph

Cause: Debian's libabsl is a debug build.

std::mutex is used for the maps, the blackboard slots, the metrics and the clock estimates. Members with absl's thread annotations and those of packages/admission, dissemination and the limit service keep absl::Mutex.

Test: locks_of_maps_stay_out_of_the_graph_of_all_locks aborts before (run with the old sharded_map.h).

--- a/packages/base/board_slot.h
+++ b/packages/base/board_slot.h
@@ -1,5 +1,6 @@
 // One typed slot of the blackboard. Controllers publish immutable values and read the latest one.
-// Each slot has its own lock, so that writers of one slot never delay readers of another.
+// Each slot has its own lock, so that writers of one slot never delay readers of another. It is a
+// std::mutex for the reason that base/sharded_map.h names.
 //
 // Example:
 //
@@ -12,10 +13,9 @@
 
 #include <cstdint>
 #include <memory>
+#include <mutex>
 #include <utility>
 
-#include "absl/synchronization/mutex.h"
-
 namespace trefoil {
 
 template <class Value>
@@ -23,24 +23,24 @@
 public:
     // Returns the latest value, or null before the first publication.
     std::shared_ptr<const Value> read() const {
-        absl::ReaderMutexLock lock(&this->mutex);
+        std::lock_guard lock(this->mutex);
         return this->value;
     }
 
     void publish(std::shared_ptr<const Value> next) {
-        absl::MutexLock lock(&this->mutex);
+        std::lock_guard lock(this->mutex);
         this->value = std::move(next);
         ++this->generation;
     }
 
     // Counts publications, so that a controller can see whether anything changed.
     std::uint64_t version() const {
-        absl::ReaderMutexLock lock(&this->mutex);
+        std::lock_guard lock(this->mutex);
         return this->generation;
     }
 
 private:
-    mutable absl::Mutex mutex;
+    mutable std::mutex mutex;
     std::shared_ptr<const Value> value;  // Guarded by mutex.
     std::uint64_t generation = 0;        // Guarded by mutex; only grows.
 };
--- a/packages/base/sharded_map.h
+++ b/packages/base/sharded_map.h
@@ -1,4 +1,5 @@
-// A hash map split into shards, each under its own lock, for state that several threads touch.
+// A hash map split into shards, each under its own lock, for state that several threads touch. The
+// locks are std::mutex: absl::Mutex of Debian's build looks each lock up in a graph of all locks.
 //
 // Example:
 //
@@ -10,12 +11,12 @@
 
 #include <array>
 #include <cstddef>
+#include <mutex>
 #include <optional>
 #include <utility>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/hash/hash.h"
-#include "absl/synchronization/mutex.h"
 
 namespace trefoil {
 
@@ -27,14 +28,14 @@
     template <class Change>
     auto update(const Key& key, Change change) {
         shard& owner = this->shard_of(key);
-        absl::MutexLock lock(&owner.mutex);
+        std::lock_guard lock(owner.mutex);
         return change(owner.values[key]);
     }
 
     // Returns a copy of the value of `key`.
     std::optional<Value> find(const Key& key) const {
         const shard& owner = this->shard_of(key);
-        absl::MutexLock lock(&owner.mutex);
+        std::lock_guard lock(owner.mutex);
         auto found = owner.values.find(key);
         if (found == owner.values.end()) {
             return std::nullopt;
@@ -45,7 +46,7 @@
     // Removes the value of `key` and returns it.
     std::optional<Value> take(const Key& key) {
         shard& owner = this->shard_of(key);
-        absl::MutexLock lock(&owner.mutex);
+        std::lock_guard lock(owner.mutex);
         auto found = owner.values.find(key);
         if (found == owner.values.end()) {
             return std::nullopt;
@@ -60,7 +61,7 @@
     template <class Visit>
     void for_each(Visit visit) {
         for (shard& each : this->shards) {
-            absl::MutexLock lock(&each.mutex);
+            std::lock_guard lock(each.mutex);
             for (auto& [key, value] : each.values) {
                 visit(key, value);
             }
@@ -71,7 +72,7 @@
     template <class Condition>
     void erase_if(Condition condition) {
         for (shard& each : this->shards) {
-            absl::MutexLock lock(&each.mutex);
+            std::lock_guard lock(each.mutex);
             absl::erase_if(each.values,
                            [&](auto& entry) { return condition(entry.first, entry.second); });
         }
@@ -80,7 +81,7 @@
     std::size_t size() const {
         std::size_t total = 0;
         for (const shard& each : this->shards) {
-            absl::MutexLock lock(&each.mutex);
+            std::lock_guard lock(each.mutex);
             total += each.values.size();
         }
         return total;
@@ -88,7 +89,7 @@
 
 private:
     struct shard {
-        mutable absl::Mutex mutex;
+        mutable std::mutex mutex;
         absl::flat_hash_map<Key, Value> values;  // Guarded by mutex.
     };
 
--- a/packages/base/testing/base_test.cc
+++ b/packages/base/testing/base_test.cc
@@ -44,6 +44,18 @@
     BOOST_TEST(secure_random_hex(16) != secure_random_hex(16));
 }
 
+// Guards against locks of maps and slots that the library registers in its graph of all locks,
+// which costs a look-up at each acquisition: with the checks on, nesting in both orders would
+// abort.
+BOOST_AUTO_TEST_CASE(locks_of_maps_stay_out_of_the_graph_of_all_locks) {
+    sharded_map<int, int> first;
+    sharded_map<int, int> second;
+    first.update(1, [&](int& a) { second.update(1, [&](int& b) { a = b + 1; }); });
+    second.update(1, [&](int& b) { first.update(1, [&](int& a) { b = a + 1; }); });
+    BOOST_TEST(first.find(1).value_or(0) == 1);
+    BOOST_TEST(second.find(1).value_or(0) == 2);
+}
+
 // Guards against a map that loses an update or keeps a taken value.
 BOOST_AUTO_TEST_CASE(sharded_map_updates_and_takes) {
     sharded_map<std::string, int> map;
--- a/packages/routing/clock_offset.cc
+++ b/packages/routing/clock_offset.cc
@@ -20,7 +20,7 @@
     if (added.ping_sent > now) {
         return;
     }
-    absl::MutexLock lock(&this->mutex);
+    std::lock_guard lock(this->mutex);
     while (!this->samples.empty() && this->samples.back().round_trip() >= added.round_trip()) {
         this->samples.pop_back();
     }
@@ -32,7 +32,7 @@
 
 std::variant<mono_time, no_clock_estimate> clock_offset::earliest_send(std::int64_t sent_us,
                                                                        mono_time now) const {
-    absl::MutexLock lock(&this->mutex);
+    std::lock_guard lock(this->mutex);
     for (const sample& each : this->samples) {
         if (each.pong_received + sample_life >= now) {
             std::chrono::microseconds after(sent_us - each.peer_clock_us);
--- a/packages/routing/clock_offset.h
+++ b/packages/routing/clock_offset.h
@@ -13,9 +13,9 @@
 
 #include <cstdint>
 #include <deque>
+#include <mutex>
 #include <variant>
 
-#include "absl/synchronization/mutex.h"
 #include "base/time.h"
 #include "messages/messages.h"
 
@@ -49,7 +49,7 @@
         mono_duration round_trip() const { return this->pong_received - this->ping_sent; }
     };
 
-    mutable absl::Mutex mutex;
+    mutable std::mutex mutex;
     // Guarded by mutex. In order of arrival, with growing round trips: a sample is dropped when a
     // newer one has a round trip that is not longer, so the first valid one is the best.
     std::deque<sample> samples;
--- a/packages/telemetry/burn_tracker.cc
+++ b/packages/telemetry/burn_tracker.cc
@@ -54,7 +54,7 @@
 bool burn_tracker::record_pair(pair wanted, bool good, mono_time now, std::size_t most_pairs) {
     std::uint64_t hash = checksum64(wanted.first) * 31 + checksum64(wanted.second);
     shard& owner = this->shards[hash % shard_count];
-    absl::MutexLock lock(&owner.mutex);
+    std::lock_guard lock(owner.mutex);
     auto found = owner.windows.find(wanted);
     if (found == owner.windows.end()) {
         if (owner.windows.size() >= most_pairs) {
@@ -73,7 +73,7 @@
     std::vector<burn_row> all;
     auto current = this->objectives.read();
     for (const shard& each : this->shards) {
-        absl::MutexLock lock(&each.mutex);
+        std::lock_guard lock(each.mutex);
         for (const auto& [names, window] : each.windows) {
             auto objective = current->find(names.first);
             if (objective == current->end() || window.idle(now)) {
--- a/packages/telemetry/burn_tracker.h
+++ b/packages/telemetry/burn_tracker.h
@@ -14,12 +14,12 @@
 #include <chrono>
 #include <cstddef>
 #include <map>
+#include <mutex>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
-#include "absl/synchronization/mutex.h"
 #include "base/board_slot.h"
 #include "base/time.h"
 #include "telemetry/burn_window.h"
@@ -80,7 +80,7 @@
 
     using pair = std::pair<std::string, std::string>;  // Service and workspace.
     struct shard {
-        mutable absl::Mutex mutex;
+        mutable std::mutex mutex;
         std::map<pair, burn_window> windows;  // Guarded by mutex.
     };
 
--- a/packages/telemetry/registry.cc
+++ b/packages/telemetry/registry.cc
@@ -44,7 +44,7 @@
     using owner_type = std::unique_ptr<Metric>;
     key wanted(name, labels);
     shard& owner = this->shard_of(wanted);
-    absl::MutexLock lock(&owner.mutex);
+    std::lock_guard lock(owner.mutex);
     auto found = owner.metrics.find(wanted);
     if (found != owner.metrics.end()) {
         auto* same_kind = std::get_if<owner_type>(&found->second);
@@ -65,7 +65,7 @@
 }
 
 bool registry::claim_name(std::string_view name, std::size_t kind) {
-    absl::MutexLock lock(&this->names_mutex);
+    std::lock_guard lock(this->names_mutex);
     return this->kinds.try_emplace(std::string(name), kind).first->second == kind;
 }
 
@@ -78,14 +78,14 @@
 }
 
 void registry::describe(std::string_view name, std::string_view help) {
-    absl::MutexLock lock(&this->names_mutex);
+    std::lock_guard lock(this->names_mutex);
     this->helps.insert_or_assign(std::string(name), std::string(help));
 }
 
 std::vector<series> registry::read() const {
     std::vector<series> all;
     for (const shard& each : this->shards) {
-        absl::MutexLock lock(&each.mutex);
+        std::lock_guard lock(each.mutex);
         for (const auto& [id, stored] : each.metrics) {
             all.push_back(
                 {.name = id.first, .labels = id.second, .help = "", .value = value_of(stored)});
@@ -95,7 +95,7 @@
                    .labels = {},
                    .help = "Look-ups of metrics that did not fit into the registry.",
                    .value = this->dropped.value()});
-    absl::MutexLock lock(&this->names_mutex);
+    std::lock_guard lock(this->names_mutex);
     for (series& each : all) {
         auto found = this->helps.find(each.name);
         if (found != this->helps.end()) {
--- a/packages/telemetry/registry.h
+++ b/packages/telemetry/registry.h
@@ -15,13 +15,13 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
 
-#include "absl/synchronization/mutex.h"
 #include "telemetry/counter.h"
 #include "telemetry/gauge.h"
 #include "telemetry/histogram.h"
@@ -66,7 +66,7 @@
     using metric =
         std::variant<std::unique_ptr<counter>, std::unique_ptr<gauge>, std::unique_ptr<histogram>>;
     struct shard {
-        mutable absl::Mutex mutex;
+        mutable std::mutex mutex;
         std::map<key, metric> metrics;  // Guarded by mutex.
     };
 
@@ -78,7 +78,7 @@
     std::array<shard, shard_count> shards;
 
     // Taken after a shard's mutex, never before one.
-    mutable absl::Mutex names_mutex;
+    mutable std::mutex names_mutex;
     std::map<std::string, std::size_t, std::less<>> kinds;  // Guarded by names_mutex.
     std::map<std::string, std::string, std::less<>> helps;  // Guarded by names_mutex.
 
