Ping idle connections every 4 s; ask at once while a call waits

With 90 to 180 connections a daemon, most of its frames were heartbeats: every 500 ms in each direction.

transport/connection_life decides without network or clock: a connection without control traffic in the last 2 s is pinged every 4 s. A ping states the interval until the next one, and the receiver's patience follows it. A side that waits for a result and hears nothing for 300 ms sends a ping that answers none, which every version answers at once with a pong, and then one every 500 ms. Silence with calls in flight is found in 2 s, as before; of an idle connection in 5.5 s (2 s before). A call that finds no estimate of the peer's clock asks for one instead of waiting for the next ping.

Mixed versions: the interval is a fourth field of ping, which the earlier decoder does not read. An earlier version states none, is pinged every 500 ms and judged by 2 s.

--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -376,8 +376,9 @@
     }
 }
 
-// Heartbeats arrive every 500 ms. An idempotent call at a peer that misses them is better sent
-// elsewhere at once, because finding the connection dead takes longer than most callers can wait.
+// A peer with a call is asked for a sign of life after 300 ms and every 500 ms. An idempotent call
+// at a peer that gives none is better sent elsewhere at once, because finding the connection dead
+// takes longer than most callers can wait.
 bool ingress::peer_is_silent(const attempt& each, mono_time now) const {
     transport::connection_id connection = each.connection;
     bool sent = connection != attempt::not_sent_yet && connection != attempt::abandoned;
--- a/packages/daemon/peer_links.cc
+++ b/packages/daemon/peer_links.cc
@@ -4,6 +4,7 @@
 #include "daemon/peer_links.h"
 
 #include <algorithm>
+#include <mutex>
 #include <utility>
 
 #include "base/log.h"
@@ -30,7 +31,7 @@
     messages::hello peer;
     bool outgoing = false;
     std::atomic<std::int64_t> last_used_us{0};  // Last message other than a heartbeat.
-    absl::Mutex mutex;
+    std::mutex mutex;
     routing::clock_offset offset;
     // Calls that came before the first pong, without which their age is unknown. Guarded by mutex.
     std::vector<std::pair<messages::call, mono_time>> early_calls;
@@ -273,7 +274,7 @@
 void peer_links::on_pong(link& from, const messages::pong& pong, mono_time received) {
     std::vector<std::pair<messages::call, mono_time>> released;
     {
-        absl::MutexLock lock(&from.mutex);
+        std::lock_guard lock(from.mutex);
         from.offset.on_pong(pong, received);
         released.swap(from.early_calls);
     }
@@ -285,8 +286,9 @@
 void peer_links::on_call_message(link& from, messages::call call, mono_time received) {
     mono_time sent;
     bool refused = false;
+    bool waits = false;
     {
-        absl::MutexLock lock(&from.mutex);
+        std::lock_guard lock(from.mutex);
         auto estimate = from.offset.earliest_send(call.sent_us, received);
         if (const auto* time = std::get_if<mono_time>(&estimate)) {
             sent = *time;
@@ -294,10 +296,14 @@
             refused = from.early_calls.size() >= early_call_capacity;
             if (!refused) {
                 from.early_calls.emplace_back(std::move(call), received);
-                return;
+                waits = true;
             }
         }
     }
+    if (waits) {
+        this->endpoint.probe(from.id);
+        return;
+    }
     if (refused) {
         this->endpoint.send(from.id,
                             messages::call_result{.sequence = call.sequence,
--- a/packages/messages/codec.cc
+++ b/packages/messages/codec.cc
@@ -29,7 +29,7 @@
     return json::array({m.hmac});
 }
 json fields(const ping& m) {
-    return json::array({m.sent_us, m.echo_us, m.clock_us});
+    return json::array({m.sent_us, m.echo_us, m.clock_us, m.interval_ms});
 }
 json fields(const pong& m) {
     return json::array({m.echo_us, m.clock_us});
@@ -135,6 +135,7 @@
 public:
     explicit field_reader(const json& source) : list(source) {}
 
+    bool has_more() const { return this->position < this->list.size(); }
     const json& next() { return this->list.at(this->position++); }
 
     template <class Value>
@@ -170,6 +171,9 @@
 }
 void read_fields(field_reader& in, ping& m) {
     read_all(in, m.sent_us, m.echo_us, m.clock_us);
+    if (in.has_more()) {
+        in.read(m.interval_ms);
+    }
 }
 void read_fields(field_reader& in, pong& m) {
     read_all(in, m.echo_us, m.clock_us);
--- a/packages/messages/messages.h
+++ b/packages/messages/messages.h
@@ -44,11 +44,14 @@
     std::int64_t echo_us =
         0;  // The `sent_us` of the last ping that the sender read; 0 before that.
     std::int64_t clock_us = 0;  // Sender's monotonic clock when it read that ping.
+    // The sender's next ping follows within this time. 0, or absent, from a daemon that pings every
+    // 500 ms and expects the same.
+    std::uint32_t interval_ms = 0;
 
     friend bool operator==(const ping&, const ping&) = default;
 };
 
-// Answers at once a ping that echoes none.
+// Answers at once a ping that echoes none, which a sender that waits for a sign of life sends, too.
 struct pong {
     std::int64_t echo_us = 0;   // The `sent_us` of the ping.
     std::int64_t clock_us = 0;  // Responder's monotonic clock when it read the ping.
--- /dev/null
+++ b/packages/transport/connection_life.h
@@ -0,0 +1,99 @@
+// Decides when a connection needs a heartbeat and when it counts as silent. A connection without
+// calls and without control traffic is pinged seldom: in a fleet nearly every daemon has a
+// connection to nearly every other, and frequent heartbeats were most of the frames. The side that
+// waits for a call's result asks for an answer at once when it hears nothing.
+//
+// Example:
+//
+//     transport::connection_life life({}, now);
+//     life.sent(message, now);
+//     life.received(message, now);
+//     life_verdict verdict = life.check(now, stalls);
+//     if (verdict.is_silent) { ... } else if (verdict.needs_probe) { ... }
+
+#ifndef TREFOIL_TRANSPORT_CONNECTION_LIFE_H_
+#define TREFOIL_TRANSPORT_CONNECTION_LIFE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+
+#include "base/stall_guard.h"
+#include "base/time.h"
+#include "messages/messages.h"
+
+namespace trefoil::transport {
+
+struct connection_life_options {
+    // Between pings of a connection with control traffic, and between probes of a waiting side.
+    std::chrono::milliseconds heartbeat_interval{500};
+    // Between pings of any other connection. 0 keeps all at the heartbeat interval. The estimate of
+    // the peer's clock lives for 10 s and an answer is up to one interval old when it arrives, so
+    // two intervals must fit.
+    std::chrono::milliseconds idle_interval{4000};
+    std::chrono::milliseconds silence_limit{2000};
+    // How long a side that waits for a result hears nothing before it asks. An ingress takes a peer
+    // for silent after 750 ms, which leaves 350 ms for the answer.
+    std::chrono::milliseconds probe_delay{300};
+
+    friend bool operator==(const connection_life_options&,
+                           const connection_life_options&) = default;
+};
+
+struct life_verdict {
+    bool is_silent = false;
+    bool needs_probe = false;  // A ping that the peer answers at once.
+    bool needs_ping = false;
+
+    friend bool operator==(const life_verdict&, const life_verdict&) = default;
+};
+
+// Safe for concurrent use.
+class connection_life {
+public:
+    connection_life(const connection_life_options& options, mono_time now);
+
+    void sent(const messages::peer_message& message, mono_time now);
+    void received(const messages::peer_message& message, mono_time now);
+
+    // `stalls` tells since when this process has run without a gap.
+    life_verdict check(mono_time now, const stall_guard& stalls);
+
+    // Notes a ping that is not a probe, and returns the interval that it is to state: the next one
+    // follows within it. 0 when this side keeps to the heartbeat interval.
+    std::chrono::milliseconds pinged(mono_time now);
+
+    mono_time last_received() const;
+
+private:
+    // The calls in one direction that have no result yet, with the time at which they end anyway.
+    struct open_calls {
+        std::map<std::uint64_t, mono_time> expiries;  // By sequence.
+        mono_time since;  // When the first of them came; meaningful while there are any.
+    };
+
+    void note(const messages::peer_message& message, open_calls& started, open_calls& ended,
+              mono_time now);
+    static void add(open_calls& calls, const messages::call& call, mono_time now);
+    static void drop_expired(open_calls& calls, mono_time now);
+    std::chrono::milliseconds interval(mono_time now) const;
+    mono_duration patience(bool waits) const;
+
+    const connection_life_options options;
+    mutable std::mutex mutex;
+    // The members below are guarded by mutex.
+    open_calls calls_sent;
+    open_calls calls_received;
+    mono_time received_at;
+    mono_time pinged_at;
+    std::optional<mono_time> probed_at;
+    std::optional<mono_time> control_at;         // Latest control message in either direction.
+    std::chrono::milliseconds promised{0};       // Interval since the last ping; 0 before it.
+    std::chrono::milliseconds peer_interval{0};  // As the peer's last ping states it; 0 if not.
+};
+
+}  // namespace trefoil::transport
+
+#endif  // TREFOIL_TRANSPORT_CONNECTION_LIFE_H_
--- a/packages/transport/peer_endpoint.cc
+++ b/packages/transport/peer_endpoint.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <mutex>
 #include <optional>
 #include <vector>
 
@@ -58,22 +59,27 @@
 // One connection. The members up to `opened` are used only by the connection's own events, which
 // come one at a time.
 struct peer_endpoint::session {
+    session(const connection_life_options& options, mono_time now)
+        : connected(now), life(options, now) {}
+
     bool outgoing = false;
     messages::hello self;  // Our hello, with the nonce of this connection.
     std::optional<messages::hello> peer;
     std::atomic<bool> opened{false};  // Set once, after the peer's proof was checked.
-    std::atomic<std::int64_t> connected_us{0};
-    std::atomic<std::int64_t> last_received_us{0};
-    std::atomic<std::int64_t> last_ping_us{0};
+    const mono_time connected;
+    connection_life life;
     // The peer's last ping and when it was read here. Both are 0 before the first one.
-    absl::Mutex echo_mutex;
+    std::mutex echo_mutex;
     std::int64_t peer_ping_us = 0;       // Guarded by echo_mutex.
     std::int64_t peer_ping_read_us = 0;  // Guarded by echo_mutex.
 
-    messages::ping make_ping(std::int64_t now_us) {
-        absl::MutexLock lock(&this->echo_mutex);
-        return {
-            .sent_us = now_us, .echo_us = this->peer_ping_us, .clock_us = this->peer_ping_read_us};
+    messages::ping make_ping(mono_time now) {
+        auto interval = this->life.pinged(now);
+        std::lock_guard lock(this->echo_mutex);
+        return {.sent_us = to_microseconds(now),
+                .echo_us = this->peer_ping_us,
+                .clock_us = this->peer_ping_read_us,
+                .interval_ms = static_cast<std::uint32_t>(interval.count())};
     }
 };
 
@@ -133,6 +139,7 @@
     if (!this->socket.send(id, frame)) {
         return false;
     }
+    (*found)->life.sent(message, this->clock.now());
     ++this->frames_sent;
     this->bytes_sent += frame.size();
     if (is_control(message)) {
@@ -145,12 +152,16 @@
     this->socket.drop(id);
 }
 
+void peer_endpoint::probe(connection_id id) {
+    this->send(id, messages::ping{.sent_us = to_microseconds(this->clock.now())});
+}
+
 std::optional<mono_time> peer_endpoint::last_received(connection_id id) const {
     auto found = this->sessions.find(id);
     if (!found.has_value()) {
         return std::nullopt;
     }
-    return from_microseconds((*found)->last_received_us);
+    return (*found)->life.last_received();
 }
 
 traffic_totals peer_endpoint::totals() const {
@@ -163,13 +174,10 @@
 }
 
 void peer_endpoint::on_connected(connection_id id, bool outgoing) {
-    auto created = std::make_shared<session>();
+    auto created = std::make_shared<session>(this->options.life, this->clock.now());
     created->outgoing = outgoing;
     created->self = this->options.self;
     created->self.nonce = secure_random_hex(nonce_bytes);
-    std::int64_t now = to_microseconds(this->clock.now());
-    created->connected_us = now;
-    created->last_received_us = now;
     this->sessions.update(id, [&created](std::shared_ptr<session>& slot) { slot = created; });
     this->transmit(id, created->self);
 }
@@ -187,7 +195,7 @@
         this->reject(id, "undecodable_frame");
         return;
     }
-    peer.last_received_us = to_microseconds(received);
+    peer.life.received(*message, received);
     this->count_received(*message, frame.size());
     if (auto* hello = std::get_if<messages::hello>(message)) {
         this->on_hello(id, peer, *hello);
@@ -226,9 +234,7 @@
     }
     this->socket.allow_large_frames(id);
     peer.opened = true;
-    std::int64_t now = to_microseconds(this->clock.now());
-    peer.last_ping_us = now;
-    this->send(id, peer.make_ping(now));
+    this->send(id, peer.make_ping(this->clock.now()));
     this->events.on_open(id, *peer.peer, peer.outgoing);
 }
 
@@ -237,7 +243,7 @@
 void peer_endpoint::on_ping(connection_id id, session& peer, const messages::ping& ping,
                             mono_time received) {
     {
-        absl::MutexLock lock(&peer.echo_mutex);
+        std::lock_guard lock(peer.echo_mutex);
         peer.peer_ping_us = ping.sent_us;
         peer.peer_ping_read_us = to_microseconds(received);
     }
@@ -284,38 +290,39 @@
     }
 }
 
-std::vector<connection_id> peer_endpoint::silent_connections(mono_time now) {
-    std::vector<connection_id> silent;
+void peer_endpoint::check_connections(mono_time now) {
     this->stalls.tick(now);
-    auto is_silent = [&](std::int64_t since_us) {
-        return this->stalls.silence(from_microseconds(since_us), now) > this->options.silence_limit;
+    struct verdict_of {
+        connection_id id;
+        std::shared_ptr<session> peer;
+        life_verdict verdict;
     };
+    std::vector<verdict_of> due;
     this->sessions.for_each([&](connection_id id, const std::shared_ptr<session>& each) {
-        bool handshake_late = !each->opened && is_silent(each->connected_us);
-        if (handshake_late || is_silent(each->last_received_us)) {
-            silent.push_back(id);
+        life_verdict verdict = each->life.check(now, this->stalls);
+        verdict.is_silent =
+            verdict.is_silent || (!each->opened && this->stalls.silence(each->connected, now) >
+                                                       this->options.life.silence_limit);
+        if (verdict != life_verdict{}) {
+            due.push_back({.id = id, .peer = each, .verdict = verdict});
         }
     });
-    return silent;
+    for (const verdict_of& each : due) {
+        this->act(each.id, *each.peer, each.verdict, now);
+    }
 }
 
-void peer_endpoint::check_connections(mono_time now) {
-    for (connection_id id : this->silent_connections(now)) {
+void peer_endpoint::act(connection_id id, session& peer, const life_verdict& verdict,
+                        mono_time now) {
+    if (verdict.is_silent) {
         log(log_level::info, "peer_connection_silent", {{"connection", std::to_string(id)}});
         this->socket.drop(id);
-    }
-    const std::int64_t now_us = to_microseconds(now);
-    const std::int64_t heartbeat_us =
-        std::chrono::microseconds(this->options.heartbeat_interval).count();
-    std::vector<std::pair<connection_id, std::shared_ptr<session>>> due;
-    this->sessions.for_each([&](connection_id id, const std::shared_ptr<session>& each) {
-        if (each->opened && now_us - each->last_ping_us >= heartbeat_us) {
-            each->last_ping_us = now_us;
-            due.emplace_back(id, each);
-        }
-    });
-    for (const auto& [id, each] : due) {
-        this->send(id, each->make_ping(now_us));
+    } else if (!peer.opened) {
+        return;
+    } else if (verdict.needs_probe) {
+        this->probe(id);
+    } else if (verdict.needs_ping) {
+        this->send(id, peer.make_ping(now));
     }
 }
 
--- a/packages/transport/peer_endpoint.h
+++ b/packages/transport/peer_endpoint.h
@@ -1,7 +1,7 @@
 // Authenticated connections between daemons with heartbeats. A connection counts as open once both
 // sides have proved that they know the fleet secret. A connection on which nothing arrives for the
-// silence limit is dropped, because a path that lost its state delivers nothing and reports no
-// error.
+// time that connection_life.h tells is dropped, because a path that lost its state delivers nothing
+// and reports no error.
 //
 // Example:
 //
@@ -21,13 +21,13 @@
 #include <utility>
 #include <vector>
 
-#include "absl/synchronization/mutex.h"
 #include "base/result.h"
 #include "base/sharded_map.h"
 #include "base/stall_guard.h"
 #include "base/time.h"
 #include "io/event_loop.h"
 #include "messages/messages.h"
+#include "transport/connection_life.h"
 #include "transport/frame_socket.h"
 
 namespace trefoil::transport {
@@ -48,8 +48,7 @@
 struct peer_endpoint_options {
     messages::hello self;
     std::string fleet_secret;
-    std::chrono::milliseconds heartbeat_interval{500};
-    std::chrono::milliseconds silence_limit{2000};
+    connection_life_options life;
     // Null: the endpoint has a loop of its own.
     io::event_loop* loop = nullptr;
 };
@@ -101,6 +100,9 @@
 
     void close(connection_id id);
 
+    // Asks the peer for an answer at once, which brings an estimate of its clock.
+    void probe(connection_id id);
+
     // When the last frame arrived, also a heartbeat; nothing for a closed connection.
     std::optional<mono_time> last_received(connection_id id) const;
 
@@ -120,7 +122,7 @@
     void transmit(connection_id id, const messages::peer_message& message);
     void count_received(const messages::peer_message& message, std::size_t bytes);
     void check_connections(mono_time now);
-    std::vector<connection_id> silent_connections(mono_time now);
+    void act(connection_id id, session& peer, const life_verdict& verdict, mono_time now);
 
     const peer_endpoint_options options;
     peer_events& events;
