Lend small rates from one bucket in each failure domain

Cause: a rate of some requests a second was divided over 91 buckets. Requests arrive at random, so a daemon with a share of 0.1/s sees two within seconds now and then, and the tolerance has no room for more than a request in each of 91 buckets. One request each was kept as a least depth, which is more than the room, so that the fleet's own bucket had a negative capacity and the fleet's rate fell to its least part as well.

Now a rate that leaves less than four requests for each daemon's bucket is lent: daemons ask the lender of their failure domain (highest rendezvous score for the workspace), which decides with the formulas of a daemon, with four buckets in place of 91. rate_division.h has the sum of all buckets. A request without an answer is asked again after 100 ms; a daemon that hears nobody has at most one token, gained from zero at its even share. Messages are the existing token_request and token_grant.

--- a/packages/admission/demand_collector.cc
+++ b/packages/admission/demand_collector.cc
@@ -74,7 +74,11 @@
             totals.missing += static_cast<std::uint32_t>(instances.size());
         }
     }
-    totals.demands = to_list(sums);
+    // A daemon that reports a workspace holds a part of its rate; the others are of no use to it.
+    totals.demands.reserve(report.demands.size());
+    for (const messages::workspace_demand& each : report.demands) {
+        totals.demands.push_back(sums[each.workspace]);
+    }
     return totals;
 }
 
--- a/packages/admission/demand_collector.h
+++ b/packages/admission/demand_collector.h
@@ -38,7 +38,8 @@
     explicit demand_collector(std::string own, demand_collector_options initial = {})
         : failure_domain(std::move(own)), options(initial) {}
 
-    // Takes a report of a daemon of this failure domain and answers with the totals.
+    // Takes a report of a daemon of this failure domain and answers with the totals of the
+    // workspaces that it names.
     messages::demand_totals answer(const std::string& from, const messages::demand_report& report,
                                    const fleet_domains& fleet, mono_time now);
 
--- a/packages/admission/demand_limiter.cc
+++ b/packages/admission/demand_limiter.cc
@@ -20,66 +20,25 @@
 
 }  // namespace
 
-double demand_limiter::window_s() const {
-    return seconds(this->options.tolerance.window);
-}
-
-double demand_limiter::fleet_rate(const workspace_limit& limit) const {
-    return limit.rate * (1 + this->options.tolerance.overage * this->options.used_overage);
-}
-
-std::uint32_t demand_limiter::known_daemons() const {
-    return std::max(this->fleet_size, this->heard + this->missing);
-}
-
-// What may be admitted in a window beyond the fleet's rate, and beyond what is admitted at that
-// rate before the totals tell and from the part of the daemons' buckets that follows their shares.
-double demand_limiter::free_of_rate(const workspace_limit& limit) const {
-    const limit_tolerance& allowed = this->options.tolerance;
-    double most =
-        (limit.rate * this->window_s() + limit.burst) * (1 + allowed.overage) + allowed.slack;
-    double time_s = this->window_s() + seconds(this->options.report_interval) +
-                    seconds(this->options.bucket_time);
-    return most - this->fleet_rate(limit) * time_s;
-}
-
-// A part of what is free, divided among the daemons; the fleet's own bucket gets what is left.
-double demand_limiter::bucket_requests(const workspace_limit& limit) const {
-    return std::clamp(this->options.bucket_part * this->free_of_rate(limit) / this->known_daemons(),
-                      this->options.fewest_bucket_requests, this->options.most_bucket_requests);
-}
-
-// What may be admitted in a window beyond the rate, less what full buckets of all daemons hold,
-// what the shares of different totals add up to beyond the rate while demand moves, and what is
-// admitted before the totals tell (a report crosses two collectors, so up to two intervals):
-//
-//     rate * (window + report_interval) + capacity
-//         + bucket_requests * daemons + bucket_time * (rate + capacity / spread_time)
-//         + 2 * report_interval * capacity / spread_time <= most.
-//
-// Below zero, where the daemons' own buckets hold more than that, the fleet's rate is lowered.
-double demand_limiter::fleet_capacity(const workspace_limit& limit) const {
-    double bucket_s = seconds(this->options.bucket_time);
-    double interval_s = seconds(this->options.report_interval);
-    double free = this->free_of_rate(limit) - this->bucket_requests(limit) * this->known_daemons();
-    return free / (1 + (bucket_s + 2 * interval_s) / seconds(this->options.spread_time));
-}
-
 void demand_limiter::set_limits(const std::vector<workspace_limit>& limits, mono_time now) {
     absl::MutexLock lock(&this->mutex);
     absl::flat_hash_map<std::string, bucket> next;
     for (const workspace_limit& each : limits) {
-        bucket& target = next[each.workspace];
+        rate_division division(this->options, each, this->fleet);
         auto before = this->buckets.find(each.workspace);
         if (before != this->buckets.end()) {
-            target = std::move(before->second);
-        } else {
-            // A new process cannot know what the fleet has admitted lately.
-            target.level = std::max(0.0, this->fleet_capacity(each));
-            target.counted_at = now;
+            bucket& target = next.emplace(each.workspace, std::move(before->second)).first->second;
+            target.limit = each;
+            target.division = division;
+            continue;
         }
-        target.limit = each;
-        if (before == this->buckets.end()) {
+        bucket& target =
+            next.emplace(each.workspace,
+                         bucket{.limit = each, .counted_at = now, .division = division})
+                .first->second;
+        // A new process cannot know what the fleet has admitted lately.
+        target.level = std::max(0.0, division.capacity());
+        if (!division.lent()) {
             // In whole requests, because a part of one admits nothing.
             target.tokens = std::floor(this->bucket_capacity(target, now));
         }
@@ -87,9 +46,15 @@
     this->buckets = std::move(next);
 }
 
-void demand_limiter::set_fleet_size(std::uint32_t daemons) {
+void demand_limiter::set_fleet(const fleet_place& known) {
     absl::MutexLock lock(&this->mutex);
-    this->fleet_size = std::max<std::uint32_t>(1, daemons);
+    if (known == this->fleet) {
+        return;
+    }
+    this->fleet = known;
+    for (auto& [name, each] : this->buckets) {
+        each.division = rate_division(this->options, each.limit, this->fleet);
+    }
 }
 
 bool demand_limiter::totals_valid(mono_time now) const {
@@ -97,31 +62,56 @@
            now - this->totals_at <= this->options.totals_life;
 }
 
+// Of the buckets that the rate is divided among, those whose reports are in the totals. A failure
+// domain of which a part was heard counts as that part.
+double demand_limiter::heard_parts(const bucket& each) const {
+    double part = static_cast<double>(this->heard) / (this->heard + this->missing);
+    return each.division.lent() ? std::max(1.0, each.division.parts() * part) : this->heard;
+}
+
 double demand_limiter::share_of(const bucket& each, mono_time now) const {
     if (!this->totals_valid(now)) {
-        return each.limit.rate / this->known_daemons();
+        return each.limit.rate / std::max(this->fleet.daemons, this->heard + this->missing);
     }
-    double free = this->fleet_capacity(each.limit) - each.level;
-    double rate = std::max(this->fleet_rate(each.limit) + free / seconds(this->options.spread_time),
+    double free = each.division.capacity() - each.level;
+    double rate = std::max(each.division.fleet_rate() + free / seconds(this->options.spread_time),
                            each.limit.rate * this->options.least_rate);
     double available = rate * this->heard / (this->heard + this->missing);
+    double parts = this->heard_parts(each);
     if (each.total <= available && each.total > 0) {
-        double part = (1.0 / this->heard + each.own_in_total / each.total) / 2;
+        double part = (1.0 / parts + each.own_in_total / each.total) / 2;
         return each.own_in_total + (available - each.total) * part;
     }
-    return each.total > 0 ? available * each.own_in_total / each.total : available / this->heard;
+    return each.total > 0 ? available * each.own_in_total / each.total : available / parts;
 }
 
+// A lender that hears a few daemons only holds their part of the depth.
 double demand_limiter::bucket_capacity(const bucket& each, mono_time now) const {
-    return this->bucket_requests(each.limit) +
-           this->share_of(each, now) * seconds(this->options.bucket_time);
+    const rate_division& division = each.division;
+    if (!division.lent()) {
+        return division.bucket_requests() +
+               this->share_of(each, now) * seconds(this->options.bucket_time);
+    }
+    if (!this->totals_valid(now)) {
+        return division.alone_requests();
+    }
+    double part = static_cast<double>(this->heard) / (this->heard + this->missing);
+    double lenders = this->heard_parts(each);
+    double depth = division.bucket_requests() * division.parts() * part / lenders +
+                   this->share_of(each, now) * seconds(this->options.bucket_time);
+    return std::max(depth, division.alone_requests());
 }
 
+// A small rate's least demand must not pass for a demand above the rate.
 double demand_limiter::reported_demand(const bucket& each) const {
-    double even = this->options.least_demand_part * each.limit.rate / this->known_daemons();
+    double even = this->options.least_demand_part * each.limit.rate / each.division.parts();
     return std::max(each.demand, std::min(this->options.least_demand, even));
 }
 
+bool demand_limiter::reports(const bucket& each, mono_time now) const {
+    return !each.division.lent() || now < each.lender_until;
+}
+
 void demand_limiter::refill(bucket& each, mono_time now) {
     double share = this->share_of(each, now);
     double capacity = this->bucket_capacity(each, now);
@@ -130,22 +120,58 @@
 }
 
 demand_decision demand_limiter::try_admit(const std::string& workspace, mono_time now) {
+    absl::MutexLock lock(&this->mutex);
+    auto found = this->buckets.find(workspace);
+    if (found == this->buckets.end()) {
+        return request_admitted{};
+    }
+    if (found->second.division.lent()) {
+        return request_needs_lender{};
+    }
+    return this->take(found->second, now);
+}
+
+demand_decision demand_limiter::lend(const std::string& workspace, mono_time now) {
     absl::MutexLock lock(&this->mutex);
     auto found = this->buckets.find(workspace);
     if (found == this->buckets.end()) {
         return request_admitted{};
     }
     bucket& target = found->second;
-    ++target.arrived;
-    this->refill(target, now);
-    if (target.tokens >= 1) {
-        target.tokens -= 1;
-        ++target.admitted;
+    if (!this->reports(target, now)) {
+        // The lender before may have used its whole bucket just now.
+        target.tokens = 0;
+        target.level = std::max(0.0, target.division.capacity());
+        target.demand = 0;
+        target.total = 0;
+        target.own_in_total = 0;
+        target.counted_at = now;
+    }
+    target.lender_until = now + this->options.lender_life;
+    return this->take(target, now);
+}
+
+demand_decision demand_limiter::admit_alone(const std::string& workspace, mono_time now) {
+    {
+        absl::MutexLock lock(&this->mutex);
+        if (this->totals_valid(now)) {
+            return request_over_limit{.retry_after = this->options.shortest_return};
+        }
+    }
+    return this->lend(workspace, now);
+}
+
+demand_decision demand_limiter::take(bucket& from, mono_time now) {
+    ++from.arrived;
+    this->refill(from, now);
+    if (from.tokens >= 1) {
+        from.tokens -= 1;
+        ++from.admitted;
         return request_admitted{};
     }
     constexpr double smallest_share = 1e-3;
-    std::chrono::duration<double> wait((1 - target.tokens) /
-                                       std::max(this->share_of(target, now), smallest_share));
+    std::chrono::duration<double> wait((1 - from.tokens) /
+                                       std::max(this->share_of(from, now), smallest_share));
     auto limit = std::chrono::duration<double>(this->options.longest_return);
     auto retry = std::chrono::ceil<std::chrono::milliseconds>(std::min(wait, limit));
     return request_over_limit{.retry_after = std::max(retry, this->options.shortest_return)};
@@ -159,6 +185,9 @@
     this->reported_at = now;
     messages::demand_report report{.round = ++this->round, .demands = {}};
     for (auto& [name, each] : this->buckets) {
+        if (!this->reports(each, now)) {
+            continue;
+        }
         double latest = interval > 0 ? static_cast<double>(each.arrived) / interval : each.demand;
         double admitted = interval > 0 ? static_cast<double>(each.admitted) / interval : 0;
         each.arrived = 0;
@@ -191,7 +220,7 @@
         }
         bucket& target = found->second;
         target.total = std::max(each.rate, target.own_in_total);
-        double rate = this->fleet_rate(target.limit);
+        double rate = target.division.fleet_rate();
         double change = (each.admitted + rate * unheard - rate) * elapsed;
         target.level = std::max(0.0, target.level + change);
     }
--- a/packages/admission/demand_limiter.h
+++ b/packages/admission/demand_limiter.h
@@ -22,6 +22,9 @@
 //     share = d + (available - D) * (1 / heard + d / D) / 2     when D <= available,
 //             d * available / D                                 otherwise.
 //
+// Where the rate is lent (rate_division.h), daemons ask the lender of their failure domain, whose
+// requests are then its own demand: the same formulas hold with lenders in the place of daemons.
+//
 // Half of what is free goes to where the callers are, because arrivals vary in proportion to their
 // number; the other half lets callers come to any daemon.
 //
@@ -42,57 +45,14 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/synchronization/mutex.h"
+#include "admission/demand_options.h"
 #include "admission/limit_options.h"
+#include "admission/rate_division.h"
 #include "base/time.h"
 #include "messages/messages.h"
 
 namespace trefoil::admission {
 
-// How far the admissions of a workspace may exceed its limit, when they are counted over any
-// `window`: at most (rate * window + burst) * (1 + overage) + slack.
-struct limit_tolerance {
-    std::chrono::milliseconds window{5000};
-    double overage = 0;  // Share of the limit.
-    double slack = 0;    // Requests.
-
-    friend bool operator==(const limit_tolerance&, const limit_tolerance&) = default;
-};
-
-struct demand_limiter_options {
-    limit_tolerance tolerance = {};
-    // Part of the overage by which the fleet's rate is raised. The rest gives room to buckets: a
-    // workspace within its rate needs depth and not rate.
-    double used_overage = 0.25;
-    std::chrono::milliseconds report_interval{250};
-    // Weight of the latest interval in the measured demand. With intervals of 250 ms the demand
-    // follows a step within half a second.
-    double latest_weight = 0.5;
-    // Demand that a daemon without requests reports, in requests per second, so that its first
-    // requests find a share.
-    double least_demand = 0.5;
-    // The least demand of all daemons together is at most this part of the rate. With 91 daemons
-    // 0.5 each is above the whole rate of most workspaces, which then counted as exceeded.
-    double least_demand_part = 0.05;
-    // Time over which the free part of the fleet's bucket is handed out. Three times the age of
-    // totals, so that the level is known before it passes the capacity.
-    std::chrono::milliseconds spread_time{1000};
-    // A daemon's own bucket holds this time at its share, and some requests: arrivals at one of
-    // many daemons are so few that several in a row are usual. It holds as many requests as the
-    // tolerance has room for, within these bounds. With three, a fleet of 12 refuses under 1% of
-    // a workspace that asks for 1/1.6 of its rate (demand_limiter_test).
-    std::chrono::milliseconds bucket_time{300};
-    double bucket_part = 0.85;  // Of that room; the rest evens out the fleet's own level.
-    double fewest_bucket_requests = 1;
-    double most_bucket_requests = 3;
-    // Least part of the rate that the fleet uses while its bucket is over its capacity.
-    double least_rate = 0.5;
-    // Age at which totals say nothing any more. Twice the longest gap of an exchange with one loss.
-    std::chrono::milliseconds totals_life{1500};
-    // Bounds of the time after which a refused caller may come back.
-    std::chrono::milliseconds shortest_return{100};
-    std::chrono::milliseconds longest_return{2000};
-};
-
 struct request_admitted {
     friend bool operator==(const request_admitted&, const request_admitted&) = default;
 };
@@ -104,7 +64,12 @@
     friend bool operator==(const request_over_limit&, const request_over_limit&) = default;
 };
 
-using demand_decision = std::variant<request_admitted, request_over_limit>;
+// The rate is lent: the lender of the failure domain decides.
+struct request_needs_lender {
+    friend bool operator==(const request_needs_lender&, const request_needs_lender&) = default;
+};
+
+using demand_decision = std::variant<request_admitted, request_over_limit, request_needs_lender>;
 
 // What an operator may want to know of one workspace.
 struct demand_state {
@@ -125,11 +90,17 @@
     // Replaces the limits. Workspaces without one are admitted always.
     void set_limits(const std::vector<workspace_limit>& limits, mono_time now);
 
-    // Number of daemons that exist as far as is known, for shares without valid totals.
-    void set_fleet_size(std::uint32_t daemons);
+    // The daemons that exist as far as is known.
+    void set_fleet(const fleet_place& known);
 
     demand_decision try_admit(const std::string& workspace, mono_time now);
 
+    // Decides as the lender of the failure domain.
+    demand_decision lend(const std::string& workspace, mono_time now);
+
+    // Decides when no lender answers: from an even share while no totals arrive either.
+    demand_decision admit_alone(const std::string& workspace, mono_time now);
+
     // Measures the demand since the last report, and what to tell the collector.
     messages::demand_report report(mono_time now);
 
@@ -150,27 +121,29 @@
         double level = 0;
         double tokens = 0;
         mono_time counted_at;
+        rate_division division;
+        // Until when this daemon is the lender; before its first request it is none.
+        mono_time lender_until = mono_time::min();
     };
 
-    double window_s() const;
-    double fleet_rate(const workspace_limit& limit) const;
-    double free_of_rate(const workspace_limit& limit) const;
     // What this daemon reports as its demand.
     double reported_demand(const bucket& each) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     double bucket_requests(const workspace_limit& limit) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     double fleet_capacity(const workspace_limit& limit) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    std::uint32_t known_daemons() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     bool totals_valid(mono_time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     double share_of(const bucket& each, mono_time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     double bucket_capacity(const bucket& each, mono_time now) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    double heard_parts(const bucket& each) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    bool reports(const bucket& each, mono_time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    demand_decision take(bucket& from, mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void refill(bucket& each, mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     const demand_limiter_options options;
     absl::Mutex mutex;
     // Guarded by mutex.
     absl::flat_hash_map<std::string, bucket> buckets;  // By workspace, limited ones only.
-    std::uint32_t fleet_size = 1;
+    fleet_place fleet;
     std::uint32_t heard = 0;
     std::uint32_t missing = 0;
     mono_time totals_at = mono_time::min();
--- a/packages/admission/testing/demand_fleet.h
+++ b/packages/admission/testing/demand_fleet.h
@@ -1,5 +1,5 @@
-// Demand limiters of a fleet with their collectors, joined by an in-memory exchange with a delay,
-// for tests. Daemons can be cut off, killed and restarted.
+// Demand limiters of a fleet with their collectors and lenders, joined by an in-memory exchange
+// with delays and losses, for tests. Daemons can be cut off, killed and restarted.
 
 #ifndef TREFOIL_ADMISSION_TESTING_DEMAND_FLEET_H_
 #define TREFOIL_ADMISSION_TESTING_DEMAND_FLEET_H_
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <numeric>
 #include <queue>
@@ -16,7 +17,9 @@
 
 #include "admission/demand_collector.h"
 #include "admission/demand_limiter.h"
+#include "admission/token_asker.h"
 #include "base/random.h"
+#include "messages/codec.h"
 
 namespace trefoil::admission {
 
@@ -24,45 +27,117 @@
     int daemons = 12;
     int domains = 3;
     workspace_limit limit{.workspace = "north", .rate = 60, .burst = 60};
+    std::vector<workspace_limit> limits = {};  // Instead of `limit`, when there are any.
     demand_limiter_options limiter = {};
     mono_duration delay = std::chrono::milliseconds(5);
+    double loss = 0;  // Part of the messages.
+    // How late daemons learn which others of their failure domain live.
+    mono_duration detection = std::chrono::milliseconds(1500);
     std::uint64_t seed = 1;
 };
 
+// Poisson arrivals of one workspace.
+struct arrivals {
+    std::string workspace;
+    double per_second = 0;
+};
+
+struct call_counts {
+    int refused = 0;
+    int calls = 0;
+    // Calls that one bucket with the workspace's rate and burst would refuse, which sees all calls.
+    int above_rate = 0;
+};
+
+// A bucket that sees all calls of a workspace.
+struct single_bucket {
+    workspace_limit limit;
+    double tokens = limit.burst;
+    mono_time counted_at{};
+
+    bool take(mono_time now) {
+        double gained = limit.rate * std::chrono::duration<double>(now - counted_at).count();
+        tokens = std::min(limit.burst, tokens + gained);
+        counted_at = now;
+        bool admitted = tokens >= 1;
+        tokens -= admitted ? 1 : 0;
+        return admitted;
+    }
+};
+
 // Time moves in steps of 1 ms.
 class demand_fleet {
 public:
-    explicit demand_fleet(const demand_fleet_options& given) : options(given), random(given.seed) {
+    explicit demand_fleet(const demand_fleet_options& given)
+        : options(given), limits(given.limits), random(given.seed) {
+        if (this->limits.empty()) {
+            this->limits = {this->options.limit};
+        }
         for (int i = 0; i < this->options.daemons; ++i) {
             this->nodes.push_back({.domain = "d" + std::to_string(i % this->options.domains)});
-            this->restart(i);
+            this->fleet[this->nodes[i].domain].insert(name(i));
+            this->indices[name(i)] = i;
         }
         for (int i = 0; i < this->options.daemons; ++i) {
-            this->fleet[this->nodes[i].domain].insert(name(i));
+            this->restart(i);
         }
+        this->follow();
     }
 
     static std::string name(int index) { return "i" + std::to_string(index); }
 
     void restart(int index) {
         node& target = this->nodes[index];
+        ++target.incarnation;
         target.limiter = std::make_unique<demand_limiter>(this->options.limiter);
-        target.limiter->set_limits({this->options.limit}, this->now);
-        target.limiter->set_fleet_size(static_cast<std::uint32_t>(this->options.daemons));
+        target.limiter->set_fleet({.daemons = static_cast<std::uint32_t>(this->options.daemons),
+                                   .domains = static_cast<std::uint32_t>(this->options.domains),
+                                   .index = static_cast<std::uint32_t>(index)});
+        target.limiter->set_limits(this->limits, this->now);
         target.collector = std::make_unique<demand_collector>(target.domain);
+        target.asker = std::make_unique<token_asker>(name(index), this->random.next());
+        target.decided.clear();
         target.next_report = this->now + std::chrono::milliseconds(this->random.below(250));
+        this->follow(index);
     }
 
     // Messages between groups are lost.
-    void set_group(int index, int group) { this->nodes[index].group = group; }
-    void set_alive(int index, bool alive) { this->nodes[index].alive = alive; }
+    void set_group(int index, int group) {
+        this->nodes[index].group = group;
+        this->later(this->options.detection, [this] { this->follow(); });
+    }
+    void set_alive(int index, bool alive) {
+        this->nodes[index].alive = alive;
+        this->later(this->options.detection, [this] { this->follow(); });
+    }
 
-    bool call(int index) {
-        bool admitted = std::holds_alternative<request_admitted>(
-            this->nodes[index].limiter->try_admit(this->options.limit.workspace, this->now));
-        if (admitted) {
-            this->admissions.push_back(this->now);
+    void set_limits(const std::vector<workspace_limit>& next) {
+        this->limits = next;
+        for (node& each : this->nodes) {
+            each.limiter->set_limits(next, this->now);
         }
+    }
+
+    // Asks the daemon for an admission; `decided` hears the outcome at once or later, or never when
+    // the daemon is restarted.
+    void call(int index, const std::string& workspace, std::function<void(bool)> decided) {
+        node& self = this->nodes[index];
+        auto decision = self.limiter->try_admit(workspace, this->now);
+        if (std::holds_alternative<request_needs_lender>(decision)) {
+            std::uint64_t call = ++this->order;
+            self.decided[call] = std::move(decided);
+            this->ask(index, call, workspace, self.asker->start(workspace, call, this->now));
+            return;
+        }
+        this->count(workspace, decision);
+        decided(std::holds_alternative<request_admitted>(decision));
+    }
+
+    // For rates that are divided.
+    bool call(int index) {
+        bool admitted = false;
+        this->call(index, this->options.limit.workspace,
+                   [&admitted](bool outcome) { admitted = outcome; });
         return admitted;
     }
 
@@ -74,44 +149,80 @@
             action();
         }
         for (int i = 0; i < this->options.daemons; ++i) {
-            if (this->nodes[i].alive && this->now >= this->nodes[i].next_report) {
-                this->nodes[i].next_report = this->now + this->options.limiter.report_interval;
+            node& each = this->nodes[i];
+            if (each.alive && this->now >= each.next_report) {
+                each.next_report = this->now + this->options.limiter.report_interval;
                 this->report(i);
             }
+            if (each.alive && !each.decided.empty()) {
+                this->expire(i);
+            }
         }
     }
 
-    // Poisson arrivals at `per_second` spread over `targets`, for `duration`; returns how many were
-    // refused of how many.
-    std::pair<int, int> load(double per_second, const std::vector<int>& targets,
-                             mono_duration duration) {
-        int refused = 0;
-        int calls = 0;
+    // Poisson arrivals at random daemons of `targets`, for `duration`. Calls that the end finds
+    // undecided get the time that the last one may take.
+    std::map<std::string, call_counts> load(const std::vector<arrivals>& traffic,
+                                            const std::vector<int>& targets,
+                                            mono_duration duration) {
+        auto counts = std::make_shared<std::map<std::string, call_counts>>();
+        std::map<std::string, single_bucket> ideal;
+        for (const workspace_limit& each : this->limits) {
+            ideal[each.workspace] = {.limit = each, .counted_at = this->now};
+        }
         mono_time end = this->now + duration;
         while (this->now < end) {
             this->step();
-            if (this->random.uniform() < per_second / 1000) {
-                int target = targets[this->random.below(targets.size())];
-                if (!this->nodes[target].alive) {
-                    continue;
+            for (const arrivals& each : traffic) {
+                double due = each.per_second / 1000;
+                for (double chance = this->random.uniform(); chance < due; due -= 1) {
+                    int target = targets[this->random.below(targets.size())];
+                    if (!this->nodes[target].alive) {
+                        continue;
+                    }
+                    ++(*counts)[each.workspace].calls;
+                    (*counts)[each.workspace].above_rate +=
+                        ideal[each.workspace].take(this->now) ? 0 : 1;
+                    this->call(target, each.workspace,
+                               [counts, name = each.workspace](bool admitted) {
+                                   (*counts)[name].refused += admitted ? 0 : 1;
+                               });
                 }
-                ++calls;
-                refused += this->call(target) ? 0 : 1;
             }
         }
-        return {refused, calls};
+        constexpr int longest_decision_ms = 250;
+        for (int i = 0; i < longest_decision_ms && this->undecided(); ++i) {
+            this->step();
+        }
+        return *counts;
+    }
+
+    std::pair<int, int> load(double per_second, const std::vector<int>& targets,
+                             mono_duration duration) {
+        const std::string& workspace = this->limits.front().workspace;
+        auto counts = this->load({{workspace, per_second}}, targets, duration)[workspace];
+        return {counts.refused, counts.calls};
     }
 
     // Most admissions in any time of the length `window`.
     std::size_t most_in(mono_duration window) const {
+        return this->most_in(window, this->limits.front().workspace);
+    }
+    // Likewise of those that end after `from`.
+    std::size_t most_in(mono_duration window, const std::string& workspace,
+                        mono_time from = mono_time::min()) const {
         std::size_t most = 0;
         std::deque<mono_time> recent;
-        for (mono_time each : this->admissions) {
+        auto found = this->admissions.find(workspace);
+        if (found == this->admissions.end()) {
+            return 0;
+        }
+        for (mono_time each : found->second) {
             recent.push_back(each);
             while (recent.front() <= each - window) {
                 recent.pop_front();
             }
-            most = std::max(most, recent.size());
+            most = each >= from ? std::max(most, recent.size()) : most;
         }
         return most;
     }
@@ -127,14 +238,20 @@
     }
 
     mono_time now = mono_time(std::chrono::hours(1));
-    std::vector<mono_time> admissions;
+    std::map<std::string, std::vector<mono_time>> admissions;  // By workspace.
+    std::uint64_t messages_sent = 0;
+    std::uint64_t bytes_sent = 0;  // Encoded, while count_bytes.
+    bool count_bytes = false;
 
 private:
     struct node {
         std::string domain;
         std::unique_ptr<demand_limiter> limiter{};
         std::unique_ptr<demand_collector> collector{};
+        std::unique_ptr<token_asker> asker{};
+        std::map<std::uint64_t, std::function<void(bool)>> decided{};  // Waiting calls.
         mono_time next_report{};
+        int incarnation = 0;
         int group = 0;
         bool alive = true;
     };
@@ -158,26 +275,117 @@
         return -1;
     }
 
-    void send(int from, int to, std::function<void()> action) {
-        this->queue.push({.at = this->now + this->options.delay,
-                          .order = ++this->order,
-                          .action = [this, from, to, action = std::move(action)] {
-                              bool passes = this->nodes[to].alive &&
-                                            this->nodes[from].group == this->nodes[to].group;
-                              if (passes) {
-                                  action();
-                              }
-                          }});
+    void later(mono_duration delay, std::function<void()> action) {
+        this->queue.push(
+            {.at = this->now + delay, .order = ++this->order, .action = std::move(action)});
+    }
+
+    void send(int from, int to, const messages::peer_message& message,
+              std::function<void()> action) {
+        if (from != to) {
+            ++this->messages_sent;
+            this->bytes_sent += this->count_bytes ? messages::encode(message).size() : 0;
+        }
+        if (from != to && this->random.uniform() < this->options.loss) {
+            return;
+        }
+        int incarnation = this->nodes[to].incarnation;
+        this->later(from == to ? mono_duration(0) : this->options.delay,
+                    [this, from, to, incarnation, action = std::move(action)] {
+                        const node& receiver = this->nodes[to];
+                        bool passes = receiver.alive && receiver.incarnation == incarnation &&
+                                      this->nodes[from].group == receiver.group;
+                        if (passes) {
+                            action();
+                        }
+                    });
+    }
+
+    bool undecided() const {
+        return std::any_of(this->nodes.begin(), this->nodes.end(),
+                           [](const node& each) { return each.alive && !each.decided.empty(); });
+    }
+
+    // Tells a daemon who lives.
+    void follow(int index) {
+        node& self = this->nodes[index];
+        std::vector<std::string> live;
+        for (const std::string& each : this->fleet[self.domain]) {
+            const node& other = this->nodes[this->indices[each]];
+            if (other.alive && other.group == self.group) {
+                live.push_back(each);
+            }
+        }
+        self.asker->set_instances(std::move(live));
+    }
+    void follow() {
+        for (int i = 0; i < this->options.daemons; ++i) {
+            this->follow(i);
+        }
+    }
+
+    // The lender's decision counts as the admission, whether the asker hears of it or not.
+    void count(const std::string& workspace, const demand_decision& decision) {
+        if (std::holds_alternative<request_admitted>(decision)) {
+            this->admissions[workspace].push_back(this->now);
+        }
+    }
+
+    void decide(int index, std::uint64_t call, bool admitted) {
+        auto found = this->nodes[index].decided.find(call);
+        if (found != this->nodes[index].decided.end()) {
+            auto decided = std::move(found->second);
+            this->nodes[index].decided.erase(found);
+            decided(admitted);
+        }
+    }
+
+    void ask(int index, std::uint64_t call, const std::string& workspace, const token_ask& made) {
+        int lender = this->indices[made.lender];
+        if (lender == index) {
+            auto decision = this->nodes[index].limiter->lend(workspace, this->now);
+            this->count(workspace, decision);
+            this->decide(index, call, std::holds_alternative<request_admitted>(decision));
+            return;
+        }
+        messages::token_request request{
+            .round = made.round, .workspace = workspace, .wanted_now = 1};
+        this->send(index, lender, request, [this, index, lender, request] {
+            auto decision = this->nodes[lender].limiter->lend(request.workspace, this->now);
+            this->count(request.workspace, decision);
+            bool admitted = std::holds_alternative<request_admitted>(decision);
+            messages::token_grant grant{.round = request.round,
+                                        .workspace = request.workspace,
+                                        .tokens = admitted ? 1.0 : 0.0};
+            this->send(lender, index, grant, [this, index, round = grant.round, admitted] {
+                if (auto decided = this->nodes[index].asker->on_answer(round)) {
+                    this->decide(index, *decided, admitted);
+                }
+            });
+        });
+    }
+
+    void expire(int index) {
+        node& self = this->nodes[index];
+        for (const overdue_ask& each : self.asker->expire(this->now)) {
+            if (each.next.has_value()) {
+                this->ask(index, each.call, each.workspace, *each.next);
+                continue;
+            }
+            auto decision = self.limiter->admit_alone(each.workspace, this->now);
+            this->count(each.workspace, decision);
+            this->decide(index, each.call, std::holds_alternative<request_admitted>(decision));
+        }
     }
 
     void report(int index) {
         node& self = this->nodes[index];
         auto report = self.limiter->report(this->now);
         int target = this->collector_of(self.domain, self.group);
-        this->send(index, target, [this, index, target, report] {
+        this->send(index, target, report, [this, index, target, report] {
             auto answer =
                 this->nodes[target].collector->answer(name(index), report, this->fleet, this->now);
-            this->send(target, index, [this, index, answer] {
+            this->send(target, index, answer, [this, index, answer] {
                 this->nodes[index].limiter->apply(answer, this->now);
             });
         });
@@ -189,7 +397,7 @@
             std::string domain = "d" + std::to_string(i);
             int other = this->collector_of(domain, self.group);
             if (domain != self.domain && other >= 0) {
-                this->send(index, other, [this, other, own] {
+                this->send(index, other, own, [this, other, own] {
                     this->nodes[other].collector->take(own, this->now);
                 });
             }
@@ -197,7 +405,9 @@
     }
 
     const demand_fleet_options options;
+    std::vector<workspace_limit> limits;
     seeded_random random;
+    std::map<std::string, int> indices;  // By instance.
     std::vector<node> nodes;
     fleet_domains fleet;
     std::priority_queue<delivery> queue;
--- /dev/null
+++ b/packages/admission/token_asker.cc
@@ -0,0 +1,88 @@
+// Implements the requests that wait for a lender.
+
+#include "admission/token_asker.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+
+namespace trefoil::admission {
+
+void token_asker::set_instances(std::vector<std::string> live) {
+    if (live != this->instances) {
+        this->instances = std::move(live);
+        this->lenders.clear();
+    }
+}
+
+const std::string& token_asker::lender_of(const std::string& workspace, mono_time now) {
+    auto expired = [&](const auto& entry) { return entry.second <= now; };
+    if (std::erase_if(this->avoided, expired) > 0) {
+        this->lenders.clear();
+    }
+    auto known = this->lenders.find(workspace);
+    if (known != this->lenders.end()) {
+        return known->second;
+    }
+    std::vector<std::string> usable;
+    for (const std::string& each : this->instances) {
+        if (!this->avoided.contains(each)) {
+            usable.push_back(each);
+        }
+    }
+    std::string chosen = rendezvous_highest("lend/" + workspace, usable).value_or(this->self);
+    return this->lenders.emplace(workspace, std::move(chosen)).first->second;
+}
+
+token_ask token_asker::ask(waiting_call call, mono_time now) {
+    token_ask made{.round = this->rounds.next(), .lender = this->lender_of(call.workspace, now)};
+    if (made.lender != this->self) {
+        call.lender = made.lender;
+        call.deadline = now + this->options.answer_wait;
+        this->deadlines.emplace_back(call.deadline, made.round);
+        this->waiting.emplace(made.round, std::move(call));
+    }
+    return made;
+}
+
+token_ask token_asker::start(const std::string& workspace, std::uint64_t call, mono_time now) {
+    return this->ask({.call = call, .workspace = workspace}, now);
+}
+
+std::optional<std::uint64_t> token_asker::on_answer(std::uint64_t round) {
+    auto found = this->waiting.find(round);
+    if (found == this->waiting.end()) {
+        return std::nullopt;
+    }
+    std::uint64_t call = found->second.call;
+    this->unanswered.erase(found->second.lender);
+    this->waiting.erase(found);
+    return call;
+}
+
+std::vector<overdue_ask> token_asker::expire(mono_time now) {
+    std::vector<overdue_ask> overdue;
+    while (!this->deadlines.empty() && this->deadlines.front().first <= now) {
+        auto found = this->waiting.find(this->deadlines.front().second);
+        this->deadlines.pop_front();
+        if (found == this->waiting.end()) {
+            continue;
+        }
+        waiting_call late = std::move(found->second);
+        this->waiting.erase(found);
+        if (++this->unanswered[late.lender] >= this->options.unanswered_limit) {
+            this->unanswered.erase(late.lender);
+            this->avoided[late.lender] = now + this->options.avoid_lender;
+            this->lenders.clear();
+        }
+        overdue_ask each{.call = late.call, .workspace = late.workspace, .next = std::nullopt};
+        if (!late.repeated) {
+            late.repeated = true;
+            each.next = this->ask(std::move(late), now);
+        }
+        overdue.push_back(std::move(each));
+    }
+    return overdue;
+}
+
+}  // namespace trefoil::admission
--- a/packages/daemon/demand_exchange.cc
+++ b/packages/daemon/demand_exchange.cc
@@ -2,19 +2,23 @@
 
 #include "daemon/demand_exchange.h"
 
+#include <iterator>
 #include <utility>
 #include <vector>
 
 #include "base/hash.h"
+#include "base/random.h"
 
 namespace trefoil::daemon {
 
 demand_exchange::demand_exchange(demand_exchange_options given)
     : options(std::move(given)),
       limiter(this->options.limiter),
-      sums(this->options.failure_domain) {}
+      sums(this->options.failure_domain),
+      asker(this->options.instance, entropy_seed()) {}
 
 void demand_exchange::tick(const membership::view& view, mono_time now) {
+    this->ask_again(now);
     {
         absl::MutexLock lock(&this->mutex);
         if (now < this->next_report) {
@@ -27,16 +31,40 @@
     this->tell_collectors(now);
 }
 
-// Takes over who exists and who collects.
-void demand_exchange::follow(const membership::view& view, mono_time now) {
+void demand_exchange::set_fleet(const membership::view& view) {
+    absl::MutexLock lock(&this->mutex);
+    this->count_fleet(view);
+}
+
+void demand_exchange::count_fleet(const membership::view& view) {
     this->fleet.clear();
     this->fleet[this->options.failure_domain].insert(this->options.instance);
-    std::uint32_t daemons = 0;
     for (const membership::member& each : view.listed()) {
         this->fleet[each.record->failure_domain].insert(each.record->id);
-        ++daemons;
     }
-    this->limiter.set_fleet_size(daemons);
+    admission::fleet_place place{.daemons = 0,
+                                 .domains = static_cast<std::uint32_t>(this->fleet.size())};
+    for (const auto& [domain, instances] : this->fleet) {
+        if (domain == this->options.failure_domain) {
+            auto self = instances.find(this->options.instance);
+            place.index =
+                place.daemons + static_cast<std::uint32_t>(std::distance(instances.begin(), self));
+        }
+        place.daemons += static_cast<std::uint32_t>(instances.size());
+    }
+    this->limiter.set_fleet(place);
+}
+
+// Takes over who exists, who collects and who may lend.
+void demand_exchange::follow(const membership::view& view, mono_time now) {
+    this->count_fleet(view);
+    this->neighbours = this->live_in(this->options.failure_domain, view);
+    std::vector<std::string> lenders;
+    lenders.reserve(this->neighbours.size());
+    for (const auto& [instance, address] : this->neighbours) {
+        lenders.push_back(instance);
+    }
+    this->asker.set_instances(std::move(lenders));
     this->collectors.clear();
     for (const auto& [domain, instances] : this->fleet) {
         if (auto chosen = this->choose(domain, view, now)) {
@@ -45,24 +73,37 @@
     }
 }
 
-// A daemon that finds no other collector in its own failure domain collects itself.
-std::optional<demand_exchange::collector> demand_exchange::choose(const std::string& domain,
-                                                                  const membership::view& view,
-                                                                  mono_time now) const {
+std::map<std::string, std::string> demand_exchange::live_in(const std::string& domain,
+                                                            const membership::view& view) const {
     std::set<std::string> unreachable = this->links->unreachable_addresses();
-    std::vector<std::string> live;
+    std::map<std::string, std::string> live;
     for (const membership::member& each : view.listed()) {
         bool usable = each.record->failure_domain == domain &&
                       each.state == membership::instance_state::live &&
-                      !unreachable.contains(each.record->address) &&
-                      (each.record->id != this->avoided || now >= this->avoided_until);
+                      !unreachable.contains(each.record->address);
         if (usable) {
-            live.push_back(each.record->id);
+            live[each.record->id] = each.record->address;
         }
     }
-    auto highest = rendezvous_highest("demand/" + domain, live);
+    return live;
+}
+
+// A daemon that finds no other collector in its own failure domain collects itself.
+std::optional<demand_exchange::collector> demand_exchange::choose(const std::string& domain,
+                                                                  const membership::view& view,
+                                                                  mono_time now) const {
+    std::map<std::string, std::string> live = this->live_in(domain, view);
+    if (now < this->avoided_until) {
+        live.erase(this->avoided);
+    }
+    std::vector<std::string> instances;
+    instances.reserve(live.size());
+    for (const auto& [instance, address] : live) {
+        instances.push_back(instance);
+    }
+    auto highest = rendezvous_highest("demand/" + domain, instances);
     if (highest.has_value()) {
-        return collector{.instance = *highest, .address = view.find(*highest)->record->address};
+        return collector{.instance = *highest, .address = live[*highest]};
     }
     if (domain == this->options.failure_domain) {
         return collector{.instance = this->options.instance, .address = ""};
@@ -70,6 +111,98 @@
     return std::nullopt;
 }
 
+void demand_exchange::admit(const std::string& workspace, mono_time now, demand_callback decided) {
+    admission::demand_decision decision = this->limiter.try_admit(workspace, now);
+    if (!std::holds_alternative<admission::request_needs_lender>(decision)) {
+        decided(decision);
+        return;
+    }
+    std::uint64_t call = this->next_call.fetch_add(1, std::memory_order_relaxed);
+    // Stored first, because the answer may come on another thread before this one goes on.
+    this->waiting.update(call, [&](demand_callback& slot) { slot = std::move(decided); });
+    admission::token_ask made;
+    {
+        absl::MutexLock lock(&this->mutex);
+        made = this->asker.start(workspace, call, now);
+    }
+    this->ask(workspace, call, made, now);
+}
+
+void demand_exchange::ask(const std::string& workspace, std::uint64_t call,
+                          const admission::token_ask& made, mono_time now) {
+    if (made.lender == this->options.instance) {
+        this->decide(call, this->limiter.lend(workspace, now));
+        return;
+    }
+    std::string address;
+    {
+        absl::MutexLock lock(&this->mutex);
+        auto known = this->neighbours.find(made.lender);
+        address = known == this->neighbours.end() ? "" : known->second;
+    }
+    messages::token_request request{.round = made.round, .workspace = workspace, .wanted_now = 1};
+    if (address.empty()) {
+        // It left the list just now; without a connection the request is asked again.
+        this->links->send_if_open(made.lender, request);
+    } else {
+        this->links->send(made.lender, address, request);
+    }
+}
+
+// Asks again what was not answered in time, and decides what was not answered twice.
+void demand_exchange::ask_again(mono_time now) {
+    std::vector<admission::overdue_ask> overdue;
+    {
+        absl::MutexLock lock(&this->mutex);
+        overdue = this->asker.expire(now);
+    }
+    for (const admission::overdue_ask& each : overdue) {
+        if (each.next.has_value()) {
+            this->ask(each.workspace, each.call, *each.next, now);
+        } else {
+            this->decide(each.call, this->limiter.admit_alone(each.workspace, now));
+        }
+    }
+}
+
+void demand_exchange::decide(std::uint64_t call, const admission::demand_decision& decision) {
+    if (auto decided = this->waiting.take(call)) {
+        (*decided)(decision);
+    }
+}
+
+void demand_exchange::on_token_request(const std::string& from,
+                                       const messages::token_request& request, mono_time now) {
+    admission::demand_decision decision = this->limiter.lend(request.workspace, now);
+    messages::token_grant grant{.round = request.round, .workspace = request.workspace};
+    if (const auto* over = std::get_if<admission::request_over_limit>(&decision)) {
+        grant.life_ms = over->retry_after.count();
+    } else {
+        grant.tokens = 1;
+    }
+    this->links->send_if_open(from, grant);
+}
+
+void demand_exchange::on_token_grant(const messages::token_grant& grant, mono_time now) {
+    std::optional<std::uint64_t> call;
+    {
+        absl::MutexLock lock(&this->mutex);
+        call = this->asker.on_answer(grant.round);
+    }
+    if (!call.has_value()) {
+        return;
+    }
+    if (!grant.is_home) {
+        // A daemon that does not count the list yet, while a configuration spreads.
+        this->decide(*call, this->limiter.admit_alone(grant.workspace, now));
+    } else if (grant.tokens >= 1) {
+        this->decide(*call, admission::request_admitted{});
+    } else {
+        this->decide(*call, admission::request_over_limit{
+                                .retry_after = std::chrono::milliseconds(grant.life_ms)});
+    }
+}
+
 void demand_exchange::report(mono_time now) {
     messages::demand_report report = this->limiter.report(now);
     std::optional<messages::demand_totals> own_answer;
--- a/packages/daemon/demand_exchange.h
+++ b/packages/daemon/demand_exchange.h
@@ -1,24 +1,30 @@
-// Exchanges the demand of workspaces with the collectors of the fleet and runs the demand limiter.
+// Exchanges the demand of workspaces with the collectors of the fleet, asks lenders for tokens and
+// lends them, and runs the demand limiter.
 //
 // Example:
 //
 //     daemon::demand_exchange exchange({.instance = "station-1", .failure_domain = "d1"}, links);
 //     exchange.set_limits(limits, now);
 //     exchange.tick(view, now);
-//     auto outcome = exchange.try_admit("north", now);
+//     exchange.admit("north", now, [](const admission::demand_decision& decision) { ... });
 
 #ifndef TREFOIL_DAEMON_DEMAND_EXCHANGE_H_
 #define TREFOIL_DAEMON_DEMAND_EXCHANGE_H_
 
+#include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "absl/synchronization/mutex.h"
 #include "admission/demand_collector.h"
 #include "admission/demand_limiter.h"
+#include "admission/token_asker.h"
+#include "base/sharded_map.h"
 #include "base/time.h"
 #include "daemon/peer_links.h"
 #include "membership/view.h"
@@ -34,6 +40,8 @@
     std::chrono::milliseconds avoid_collector{3000};
 };
 
+using demand_callback = std::function<void(const admission::demand_decision&)>;
+
 // Safe for concurrent use.
 class demand_exchange {
 public:
@@ -42,22 +50,26 @@
     // To be called once, before any other member.
     void set_links(peer_links& target) { this->links = &target; }
 
-    // Daemons that are listed. tick() counts them again.
-    void set_fleet_size(std::uint32_t daemons) { this->limiter.set_fleet_size(daemons); }
+    // Counts the daemons that are listed. tick() counts them again.
+    void set_fleet(const membership::view& view);
 
     void set_limits(const std::vector<admission::workspace_limit>& limits, mono_time now) {
         this->limiter.set_limits(limits, now);
     }
 
-    admission::demand_decision try_admit(const std::string& workspace, mono_time now) {
-        return this->limiter.try_admit(workspace, now);
-    }
+    // Calls `decided` once, with an admission or a refusal: at once where the rate is divided among
+    // the daemons, otherwise when the lender has answered or left two requests without an answer.
+    void admit(const std::string& workspace, mono_time now, demand_callback decided);
 
     // Sends what is due. To be called about every 10 ms.
     void tick(const membership::view& view, mono_time now);
 
     void on_report(const std::string& from, const messages::demand_report& report, mono_time now);
     void on_totals(const std::string& from, const messages::demand_totals& totals, mono_time now);
+    // A peer asks this daemon as the lender, and a lender's answer.
+    void on_token_request(const std::string& from, const messages::token_request& request,
+                          mono_time now);
+    void on_token_grant(const messages::token_grant& grant, mono_time now);
     void on_domain(const messages::domain_demand& domain, mono_time now);
 
     std::optional<admission::demand_state> inspect(const std::string& workspace, mono_time now) {
@@ -74,18 +86,30 @@
     void follow(const membership::view& view, mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     std::optional<collector> choose(const std::string& domain, const membership::view& view,
                                     mono_time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void count_fleet(const membership::view& view) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // The instances of a failure domain that seem to live, with their addresses.
+    std::map<std::string, std::string> live_in(const std::string& domain,
+                                               const membership::view& view) const;
+    void ask(const std::string& workspace, std::uint64_t call, const admission::token_ask& made,
+             mono_time now);
+    void ask_again(mono_time now);
+    void decide(std::uint64_t call, const admission::demand_decision& decision);
     void report(mono_time now);
     void tell_collectors(mono_time now);
 
     const demand_exchange_options options;
     peer_links* links = nullptr;
     admission::demand_limiter limiter;
+    sharded_map<std::uint64_t, demand_callback> waiting;  // By call number.
+    std::atomic<std::uint64_t> next_call{1};
 
     absl::Mutex mutex;
     // Guarded by mutex.
     admission::demand_collector sums;
     admission::fleet_domains fleet;
-    std::map<std::string, collector> collectors;  // By failure domain.
+    admission::token_asker asker;
+    std::map<std::string, std::string> neighbours;  // Addresses of the own failure domain.
+    std::map<std::string, collector> collectors;    // By failure domain.
     mono_time next_report = mono_time::min();
     unsigned unanswered = 0;  // Reports in a row without an answer.
     std::string avoided;      // Collector that is passed over.
--- a/packages/daemon/limit_service.cc
+++ b/packages/daemon/limit_service.cc
@@ -24,12 +24,15 @@
     // A request that was accepted under a new snapshot may come before the next tick.
     this->follow_snapshot();
     if (this->by_demand) {
-        auto decision = this->exchange.try_admit(workspace, this->clock.now());
-        if (const auto* over = std::get_if<admission::request_over_limit>(&decision)) {
-            decided({.admitted = false, .retry_after = over->retry_after});
-        } else {
-            decided({.admitted = true});
-        }
+        this->exchange.admit(
+            workspace, this->clock.now(),
+            [decided = std::move(decided)](const admission::demand_decision& decision) {
+                if (const auto* over = std::get_if<admission::request_over_limit>(&decision)) {
+                    decided({.admitted = false, .retry_after = over->retry_after});
+                } else {
+                    decided({.admitted = true});
+                }
+            });
         return;
     }
     std::uint64_t call = this->next_call.fetch_add(1, std::memory_order_relaxed);
@@ -60,6 +63,16 @@
         this->exchange.on_domain(*domain, now);
         return;
     }
+    if (this->by_demand) {
+        if (const auto* request = std::get_if<messages::token_request>(&message)) {
+            this->exchange.on_token_request(from, *request, now);
+            return;
+        }
+        if (const auto* grant = std::get_if<messages::token_grant>(&message)) {
+            this->exchange.on_token_grant(*grant, now);
+            return;
+        }
+    }
     admission::limiter_output output;
     this->limiter.on_message(from, message, now, output);
     this->execute(output);
@@ -114,7 +127,7 @@
     if (counts_list) {
         // The number of daemons first, because a new workspace starts with an even share.
         if (auto view = this->board.members.read()) {
-            this->exchange.set_fleet_size(static_cast<std::uint32_t>(view->listed().size()));
+            this->exchange.set_fleet(*view);
         }
         this->exchange.set_limits(limits, this->clock.now());
     } else {
--- a/packages/messages/messages.h
+++ b/packages/messages/messages.h
@@ -228,6 +228,8 @@
     std::string workspace;
     std::uint64_t batch = 0;  // Identifies the batch in settlements; 0 when nothing was granted.
     double tokens = 0;
+    // Of the batch; in the answer of a failure domain's lender, when to ask again for a refused
+    // one.
     std::int64_t life_ms = 0;
     bool is_home =
         true;  // False when the receiver of the request holds no loans for the workspace.
