Bound what is read from a caller while its response is written

The limit of 64 KiB of read-ahead held only while a request was handled, not while its response was written.

Test first: what_is_read_during_a_response_is_bounded wrote all of 64 MiB before. Reading goes on once the response is written, as before.

--- a/packages/edge/http_session.cc
+++ b/packages/edge/http_session.cc
@@ -21,8 +21,8 @@
 namespace {
 
 constexpr std::size_t read_bytes = 16U << 10U;
-// Bytes of further requests that are read while one is handled. Beyond them a leaving caller is
-// noticed late.
+// Bytes of further requests that are read while one is handled or answered. Beyond them a leaving
+// caller is noticed late.
 constexpr std::size_t read_ahead_limit = 64U << 10U;
 constexpr std::chrono::seconds linger_time{1};
 constexpr unsigned status_bad_request = 400;
@@ -140,7 +140,8 @@
 }
 
 void http_session::read() {
-    bool full = this->state == phase::handling && this->buffer.size() >= read_ahead_limit;
+    bool answering = this->state == phase::handling || this->state == phase::responding;
+    bool full = answering && this->buffer.size() >= read_ahead_limit;
     if (this->reading || this->state == phase::closed || full) {
         return;
     }
--- a/packages/edge/testing/http_server_test.cc
+++ b/packages/edge/testing/http_server_test.cc
@@ -406,6 +406,31 @@
         eventually([&] { return this->server->open_connections() == 0; }, milliseconds(2500)));
 }
 
+// Guards against memory that grows without bound for a caller that sends and does not read.
+BOOST_FIXTURE_TEST_CASE(what_is_read_during_a_response_is_bounded, fixture) {
+    constexpr int parts = 1024;
+    constexpr std::size_t part_bytes = std::size_t{64} << 10U;
+    // More than the buffers of the system hold, in both directions.
+    constexpr std::size_t bound_bytes = std::size_t{32} << 20U;
+    this->server->set_limits({.body_bytes = bound_bytes});
+    raw_socket deaf = this->connect();
+    std::string body(std::size_t{16} << 20U, 'x');
+    deaf.write("POST /large HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) +
+               "\r\n\r\n" + body);
+    BOOST_TEST(eventually([&] { return this->handler.handled == 1; }, milliseconds(5000)));
+    std::atomic<int> written{0};
+    std::thread writer([&] {
+        std::string part(part_bytes, 'y');
+        for (; written < parts; ++written) {
+            deaf.write(part);
+        }
+    });
+    eventually([&] { return written == parts; }, milliseconds(1500));
+    BOOST_TEST(static_cast<std::size_t>(written) * part_bytes < bound_bytes);
+    this->server.reset();
+    writer.join();
+}
+
 // Guards against a caller that is cut off, without an answer, while it still sends its request.
 BOOST_FIXTURE_TEST_CASE(a_part_of_a_request_is_refused_as_not_run_at_the_very_end, fixture) {
     raw_socket half = this->connect_idle();
