Prove that a connection which an upstream closed while idle is not used

The time in which a stop with within_s awaits the peers' confirmations is 0.05 s, so that it fits into closing_time (0.3 s) behind the refusals to callers (0.15 s) and the end of the control threads (0.05 s).

--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -24,7 +24,7 @@
 // How long the last results may take to reach peers, and peers to confirm that they have them. The
 // shorter one fits into stop_settings::closing_time.
 constexpr std::chrono::milliseconds flush_time{1000};
-constexpr std::chrono::milliseconds short_flush_time{100};
+constexpr std::chrono::milliseconds short_flush_time{50};
 
 // Start time in microseconds with random low bits, so that two starts in one microsecond differ and
 // a later start is greater.
--- a/packages/edge/testing/upstream_client_test.cc
+++ b/packages/edge/testing/upstream_client_test.cc
@@ -161,6 +161,19 @@
     BOOST_TEST(std::get<http_response>(setup.run(false)).body == "2");
 }
 
+// Guards against a request, which must not be repeated, on a connection that its upstream closed
+// without notice while it was idle.
+BOOST_AUTO_TEST_CASE(a_connection_that_was_closed_while_idle_is_not_used) {
+    fixture setup([](raw_socket socket, int number) {
+        socket.read_until("\r\n\r\n");
+        socket.write("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + std::to_string(number));
+        std::this_thread::sleep_for(milliseconds(50));
+    });
+    BOOST_TEST(std::get<http_response>(setup.run(false)).body == "1");
+    std::this_thread::sleep_for(milliseconds(150));
+    BOOST_TEST(std::get<http_response>(setup.run(false)).body == "2");
+}
+
 // Guards against a margin before the stated idle time that libcurl's rounding takes away: a request
 // was sent in the last moment of a connection that the upstream closed.
 BOOST_AUTO_TEST_CASE(connections_are_not_used_in_the_last_second_of_the_stated_idle_time) {
