Refuse half a request that arrives in the last moment of a stop

It is refused as not run now, with a body also when the request before it was a HEAD.

Test first: a_part_that_comes_at_the_very_end_is_refused_as_not_run got no answer before.

--- a/packages/edge/http_session.cc
+++ b/packages/edge/http_session.cc
@@ -225,6 +225,7 @@
         this->parser->eager(true);
         this->parser->header_limit(static_cast<std::uint32_t>(this->owner.limits().header_bytes));
         this->parser->body_limit(this->owner.limits().body_bytes);
+        this->head_request = false;
         this->enter(phase::receiving);
     }
     bool had_header = this->parser->is_header_done();
@@ -240,6 +241,8 @@
     }
     if (this->parser->is_done()) {
         this->hand_over();
+    } else if (!this->owner.takes_requests()) {
+        this->refuse_late();
     }
 }
 
--- a/packages/edge/testing/http_server_test.cc
+++ b/packages/edge/testing/http_server_test.cc
@@ -444,6 +444,28 @@
     BOOST_TEST(this->handler.handled == 1);
 }
 
+// Guards against half a request that arrives unread in the last moment and gets no answer.
+BOOST_FIXTURE_TEST_CASE(a_part_that_comes_at_the_very_end_is_refused_as_not_run, fixture) {
+    io::event_loop loop;
+    loop.start();
+    this->start({.loop = &loop});
+    raw_socket idle = this->connect_idle();
+    std::thread stopping;
+    {
+        blocked_loop blocked(loop);
+        stopping = std::thread([this] { this->server->stop(); });
+        std::this_thread::sleep_for(milliseconds(50));
+        idle.write("POST /half HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n12345");
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    std::string answer = idle.read_all();
+    stopping.join();
+    BOOST_TEST(has_status(answer, "503"));
+    BOOST_TEST(answer.find("not run") != std::string::npos);
+    this->server.reset();
+    loop.stop();
+}
+
 // Guards against a request that is read and dropped in the moment in which the server ends.
 BOOST_FIXTURE_TEST_CASE(a_request_that_comes_at_the_very_end_is_refused_as_not_run, fixture) {
     io::event_loop loop;
