End responses without end at bounds of bytes

What callers saw: an upstream that sends a head or a body without end held a call for up to its whole deadline, and the daemon kept up to 64 MiB a response, far more than machines of 160 MB have room for.

Cause: the client's only bound was 64 MiB of body. Trailers were appended without any bound, chunk extensions are read by libcurl and passed to no callback, and a declared length that cannot be delivered was waited for.

Why it works: arriving_response counts all lines, interim responses and the body, as sent and as declared, and returns false to libcurl, which ends the transfer and closes the connection. curl_loop counts what arrives on the connection from the ninth readable event of a transfer on (TCP_INFO), so usual responses take no further system call. All bodies together have a budget of 16 MiB, above which the largest is given up.

The budget has a test of its own, the_largest_body_is_given_up_when_all_take_too_much, which cannot be compiled with the code before.

--- a/packages/edge/curl_loop.cc
+++ b/packages/edge/curl_loop.cc
@@ -2,6 +2,7 @@
 
 #include "edge/curl_loop.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -10,6 +11,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "edge/received_bytes.h"
 
 namespace trefoil::edge {
 
@@ -19,6 +21,9 @@
 
 namespace {
 
+// Times that a socket becomes readable for a transfer before its bytes are counted, which takes a
+// system call. Most responses need fewer.
+constexpr unsigned uncounted_reads = 8;
 void initialise_curl() {
     static std::once_flag initialised;
     std::call_once(initialised, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
@@ -28,15 +33,15 @@
 
 class curl_loop::implementation {
 public:
-    implementation(io::event_loop& given, long kept_connections)
-        : loop(given), timer(given, [this] { this->on_time(); }) {
+    implementation(io::event_loop& given, const curl_loop_options& settings)
+        : options(settings), loop(given), timer(given, [this] { this->on_time(); }) {
         initialise_curl();
         this->multi = curl_multi_init();
         curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, &implementation::on_watch);
         curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
         curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, &implementation::on_timeout);
         curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
-        curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, kept_connections);
+        curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, this->options.kept_connections);
     }
 
     ~implementation() {
@@ -64,12 +69,26 @@
 private:
     struct watched_socket {
         explicit watched_socket(tcp::socket opened) : socket(std::move(opened)) {}
+
+        // Null: the socket is idle.
+        void use(CURL* transfer) {
+            if (transfer != this->easy) {
+                this->easy = transfer;
+                this->reads = 0;
+                this->received = 0;
+            }
+        }
+        bool in_use() const { return this->easy != nullptr; }
+
         tcp::socket socket;
-        bool in_use = false;  // Belongs to a transfer; idle otherwise.
         bool wants_read = false;
         bool wants_write = false;
         bool waits_read = false;
         bool waits_write = false;
+        CURL* easy = nullptr;  // The transfer, while the socket is in use.
+        unsigned reads = 0;    // Times that the socket became readable for the transfer.
+        // What the connection had brought before the counted reads.
+        std::uint64_t received = 0;
     };
     using socket_ptr = std::shared_ptr<watched_socket>;
 
@@ -102,13 +121,13 @@
         return 0;
     }
 
-    static int on_watch(CURL*, curl_socket_t descriptor, int what, void* target, void*) {
+    static int on_watch(CURL* easy, curl_socket_t descriptor, int what, void* target, void*) {
         auto* self = static_cast<implementation*>(target);
         auto found = self->sockets.find(descriptor);
         if (found != self->sockets.end()) {
             found->second->wants_read = what == CURL_POLL_IN || what == CURL_POLL_INOUT;
             found->second->wants_write = what == CURL_POLL_OUT || what == CURL_POLL_INOUT;
-            found->second->in_use = what != CURL_POLL_REMOVE;
+            found->second->use(what == CURL_POLL_REMOVE ? nullptr : easy);
             self->wait(found->second);
         }
         return 0;
@@ -127,12 +146,12 @@
 
     // Idle sockets are watched for reading, too.
     void wait(const socket_ptr& watched) {
-        if ((watched->wants_read || !watched->in_use) && !watched->waits_read) {
+        if ((watched->wants_read || !watched->in_use()) && !watched->waits_read) {
             watched->waits_read = true;
             watched->socket.async_wait(
                 tcp::socket::wait_read, [this, watched](const error_code& error) {
                     watched->waits_read = false;
-                    if (!watched->in_use && !error) {
+                    if (!watched->in_use() && !error) {
                         spoil(*watched);
                         return;
                     }
@@ -159,10 +178,41 @@
         watched.socket.shutdown(tcp::socket::shutdown_both, ignored);
     }
 
+    // Whether the connection has brought more than a transfer may read.
+    bool passes_limit(watched_socket& watched) const {
+        if (!watched.in_use() || ++watched.reads <= uncounted_reads) {
+            return false;
+        }
+        auto received = detail::received_bytes(watched.socket.native_handle());
+        if (!received.has_value()) {
+            return false;  // The deadline bounds the transfer.
+        }
+        if (watched.reads == uncounted_reads + 1) {
+            watched.received = *received;
+        }
+        return *received - watched.received > this->options.max_transfer_bytes;
+    }
+
+    // Ends a transfer. The connection of one that goes on is closed.
+    void end(CURL* easy, CURLcode outcome) {
+        auto found = this->transfers.find(easy);
+        if (found == this->transfers.end()) {
+            return;
+        }
+        completion done = std::move(found->second);
+        this->transfers.erase(found);
+        curl_multi_remove_handle(this->multi, easy);
+        done(outcome);
+    }
+
     void on_ready(const socket_ptr& watched, bool wanted, int what, const error_code& error) {
         if (error == asio::error::operation_aborted || !watched->socket.is_open() || !wanted) {
             return;
         }
+        if (what == CURL_CSELECT_IN && this->passes_limit(*watched)) {
+            this->end(watched->easy, too_many_bytes);
+            return;
+        }
         this->act(watched->socket.native_handle(), error ? CURL_CSELECT_ERR : what);
         if (watched->socket.is_open()) {
             this->wait(watched);
@@ -183,19 +233,11 @@
             if (message->msg != CURLMSG_DONE) {
                 continue;
             }
-            CURL* easy = message->easy_handle;
-            CURLcode outcome = message->data.result;
-            auto found = this->transfers.find(easy);
-            if (found == this->transfers.end()) {
-                continue;
-            }
-            completion done = std::move(found->second);
-            this->transfers.erase(found);
-            curl_multi_remove_handle(this->multi, easy);
-            done(outcome);
+            this->end(message->easy_handle, message->data.result);
         }
     }
 
+    const curl_loop_options options;
     io::event_loop& loop;
     io::loop_timer timer;
     CURLM* multi = nullptr;
@@ -203,8 +245,8 @@
     std::map<CURL*, completion> transfers;        // In progress.
 };
 
-curl_loop::curl_loop(io::event_loop& loop, long kept_connections)
-    : self(std::make_unique<implementation>(loop, kept_connections)) {}
+curl_loop::curl_loop(io::event_loop& loop, const curl_loop_options& options)
+    : self(std::make_unique<implementation>(loop, options)) {}
 
 curl_loop::~curl_loop() = default;
 
--- /dev/null
+++ b/packages/edge/testing/endless_response_test.cc
@@ -0,0 +1,312 @@
+// Tests of the client against upstreams that send bytes without end.
+
+#define BOOST_TEST_MODULE edge_endless_response
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <future>
+#include <thread>
+
+#include "edge/testing/raw_peer.h"
+#include "edge/upstream_client.h"
+
+namespace trefoil::edge {
+
+namespace {
+
+using std::chrono::milliseconds;
+using testing::raw_server;
+using testing::raw_socket;
+using steady = std::chrono::steady_clock;
+
+constexpr milliseconds full_speed{0};
+constexpr std::size_t mebibyte = std::size_t{1} << 20U;
+// How long an upstream goes on; no test waits for it when the client closes.
+constexpr milliseconds stand_in_limit{6000};
+// Far below the deadline of 5 s, and above what a busy machine needs to pass a bound.
+constexpr milliseconds result_limit{1500};
+// A timer of 5 ms on the loop comes at least this often while the bytes arrive.
+constexpr milliseconds loop_gap_limit{250};
+
+std::string repeat(std::string_view unit, std::size_t bytes = 64U << 10U) {
+    std::string text;
+    while (text.size() < bytes) {
+        text += unit;
+    }
+    return text;
+}
+
+// What an upstream sends, and in which way.
+struct stream {
+    std::string name;
+    std::string start;  // Once.
+    std::string unit;   // Without end.
+    bool reads_request = true;
+    milliseconds pause = full_speed;
+};
+
+// The most memory that the process has held since reset().
+class memory_peak {
+public:
+    memory_peak() {
+        std::ofstream("/proc/self/clear_refs") << "5";
+        this->before = resident();
+    }
+    std::size_t growth() const {
+        std::size_t now = resident();
+        return now > this->before ? now - this->before : 0;
+    }
+
+private:
+    static std::size_t resident() {
+        std::ifstream status("/proc/self/status");
+        std::string word;
+        while (status >> word) {
+            if (word == "VmHWM:") {
+                std::size_t kib = 0;
+                status >> kib;
+                return kib << 10U;
+            }
+        }
+        return 0;
+    }
+    std::size_t before = 0;
+};
+
+// Notes the longest time for which the loop did not come to its timer.
+class loop_probe {
+public:
+    explicit loop_probe(io::event_loop& loop) : timer(loop, [this] { this->on_time(); }) {
+        loop.post([this] { this->on_time(); });
+    }
+    milliseconds longest() const { return milliseconds(this->longest_ms.load()); }
+
+private:
+    void on_time() {
+        auto now = steady::now();
+        auto gap = this->last == steady::time_point() ? 0 : (now - this->last).count() / 1'000'000;
+        this->longest_ms = std::max<std::int64_t>(this->longest_ms, gap);
+        this->last = now;
+        this->timer.arm(milliseconds(5));
+    }
+    io::loop_timer timer;
+    steady::time_point last;
+    std::atomic<std::int64_t> longest_ms{0};
+};
+
+struct fixture {
+    explicit fixture(std::function<void(raw_socket, int)> serve,
+                     std::size_t arriving = upstream_client_options{}.max_arriving_bytes)
+        : server(std::move(serve)),
+          client({.address = "127.0.0.1:" + std::to_string(this->server.port()),
+                  .max_arriving_bytes = arriving,
+                  .loop = &this->loop},
+                 this->clock),
+          probe(this->loop) {
+        this->loop.start();
+    }
+    ~fixture() { this->loop.stop(); }
+    fixture(const fixture&) = delete;
+    fixture& operator=(const fixture&) = delete;
+
+    std::future<upstream_result> start(milliseconds deadline = milliseconds(5000)) {
+        auto promise = std::make_shared<std::promise<upstream_result>>();
+        this->client.start(
+            {.method = "GET", .target = "/", .deadline = this->clock.now() + deadline},
+            [promise](upstream_result result) { promise->set_value(std::move(result)); });
+        return promise->get_future();
+    }
+
+    machine_time_source clock;
+    raw_server server;
+    io::event_loop loop;
+    upstream_client client;
+    loop_probe probe;
+};
+
+// Counts the connections that the client has closed.
+struct closed_count {
+    std::atomic<int> closed{0};
+
+    bool reaches(int wanted, milliseconds limit) const {
+        auto end = steady::now() + limit;
+        while (this->closed < wanted && steady::now() < end) {
+            std::this_thread::sleep_for(milliseconds(2));
+        }
+        return this->closed >= wanted;
+    }
+};
+
+std::function<void(raw_socket, int)> endless(const stream& sent,
+                                             std::shared_ptr<closed_count> counted) {
+    auto shared = std::make_shared<const stream>(sent);
+    return [shared, counted = std::move(counted)](const raw_socket& socket, int) {
+        if (shared->reads_request) {
+            socket.read_until("\r\n\r\n");
+        }
+        socket.write(shared->start);
+        if (socket.write_until_closed(shared->unit, shared->pause, stand_in_limit)) {
+            ++counted->closed;
+        }
+    };
+}
+
+const std::string status_line = "HTTP/1.1 200 OK\r\n";
+const std::string chunked_head = status_line + "Transfer-Encoding: chunked\r\n\r\n";
+
+std::vector<stream> fast_streams() {
+    return {
+        {.name = "one header line", .start = status_line + "X-Long: ", .unit = repeat("a")},
+        {.name = "a status line", .start = "HTTP/1.1 200 ", .unit = repeat("a")},
+        {.name = "header lines", .start = status_line, .unit = repeat("X-Line: value\r\n")},
+        {.name = "interim responses", .start = "", .unit = repeat("HTTP/1.1 100 Continue\r\n\r\n")},
+        {.name = "interim responses with headers",
+         .start = "",
+         .unit = repeat("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n")},
+        {.name = "a body without a length", .start = status_line + "\r\n", .unit = repeat("b")},
+        {.name = "a body with a huge length",
+         .start = status_line + "Content-Length: 9000000000000000000\r\n\r\n",
+         .unit = repeat("b")},
+        {.name = "a slow body with a huge length",
+         .start = status_line + "Content-Length: 9000000000000000000\r\n\r\n",
+         .unit = "b",
+         .pause = milliseconds(100)},
+        {.name = "a body in chunks",
+         .start = chunked_head,
+         .unit = repeat("10\r\n0123456789abcdef\r\n")},
+        {.name = "one chunk", .start = chunked_head + "7fffffffffffffff\r\n", .unit = repeat("c")},
+        {.name = "a chunk extension", .start = chunked_head + "1;", .unit = repeat("e")},
+        {.name = "chunk extensions",
+         .start = chunked_head,
+         .unit = repeat("1;" + std::string(2000, 'e') + "\r\nx\r\n")},
+        {.name = "one trailer line", .start = chunked_head + "0\r\nX-Long: ", .unit = repeat("t")},
+        {.name = "trailer lines",
+         .start = chunked_head + "0\r\n",
+         .unit = repeat("X-Line: value\r\n")},
+        {.name = "no answer", .start = "", .unit = repeat("noise ")},
+        {.name = "lines that are no answer", .start = "", .unit = repeat("noise\r\n")},
+        {.name = "zero bytes", .start = "", .unit = std::string(64U << 10U, '\0')},
+        {.name = "noise before the request",
+         .start = "",
+         .unit = repeat("noise "),
+         .reads_request = false},
+        {.name = "interim responses before the request",
+         .start = "",
+         .unit = repeat("HTTP/1.1 100 Continue\r\n\r\n"),
+         .reads_request = false},
+        {.name = "a body before the request",
+         .start = status_line + "\r\n",
+         .unit = repeat("b"),
+         .reads_request = false},
+    };
+}
+
+}  // namespace
+
+// Guards against an upstream that fills the daemon's memory, keeps a call until its deadline, keeps
+// its connection or holds up the calls to other upstreams by bytes without end.
+BOOST_AUTO_TEST_CASE(bytes_without_end_end_a_call_at_once_in_bounded_memory) {
+    for (const stream& each : fast_streams()) {
+        BOOST_TEST_CONTEXT(each.name) {
+            auto counted = std::make_shared<closed_count>();
+            fixture setup(endless(each, counted));
+            memory_peak memory;
+            auto begin = steady::now();
+            auto result = setup.start().get();
+            auto took = std::chrono::duration_cast<milliseconds>(steady::now() - begin);
+            BOOST_TEST(std::holds_alternative<response_lost>(result));
+            BOOST_TEST(took.count() < result_limit.count());
+            BOOST_TEST(counted->reaches(1, milliseconds(1000)));
+            BOOST_TEST(memory.growth() < 6 * mebibyte);
+            BOOST_TEST(setup.probe.longest().count() < loop_gap_limit.count());
+            BOOST_TEST_MESSAGE(each.name << ": result " << result.index() << " after "
+                                         << took.count() << " ms, memory " << memory.growth() / 1024
+                                         << " KiB, loop gap " << setup.probe.longest().count()
+                                         << " ms");
+        }
+    }
+}
+
+// Guards against memory that grows with the number of calls at an upstream that sends bodies
+// without end.
+BOOST_AUTO_TEST_CASE(many_calls_with_bodies_without_end_share_bounded_memory) {
+    constexpr int calls = 64;
+    auto counted = std::make_shared<closed_count>();
+    // 64 KiB each 2 ms: all bodies grow side by side.
+    stream slow{.name = "side by side",
+                .start = status_line + "\r\n",
+                .unit = repeat("b"),
+                .pause = milliseconds(2)};
+    fixture setup(endless(slow, counted));
+    memory_peak memory;
+    auto begin = steady::now();
+    std::vector<std::future<upstream_result>> results;
+    results.reserve(calls);
+    for (int i = 0; i < calls; ++i) {
+        results.push_back(setup.start());
+    }
+    for (auto& each : results) {
+        BOOST_TEST(std::holds_alternative<response_lost>(each.get()));
+    }
+    auto took = std::chrono::duration_cast<milliseconds>(steady::now() - begin);
+    BOOST_TEST(took.count() < result_limit.count());
+    BOOST_TEST(counted->reaches(calls, milliseconds(1000)));
+    // The budget of 16 MiB, twice while strings grow, and the threads of the stand-in.
+    BOOST_TEST(memory.growth() < 48 * mebibyte);
+    BOOST_TEST(setup.probe.longest().count() < loop_gap_limit.count());
+    BOOST_TEST_MESSAGE(calls << " calls: " << took.count() << " ms, memory "
+                             << memory.growth() / 1024 << " KiB, loop gap "
+                             << setup.probe.longest().count() << " ms");
+}
+
+// Guards against bodies below their bound that take too much memory together, and against the loss
+// of more of them than necessary. The first call's body is the largest.
+BOOST_AUTO_TEST_CASE(the_largest_body_is_given_up_when_all_take_too_much) {
+    constexpr std::size_t largest = 3000;
+    constexpr std::size_t usual = 1000;
+    std::promise<void> finish;
+    auto may_finish = finish.get_future().share();
+    fixture setup(
+        [&may_finish](const raw_socket& socket, int number) {
+            std::size_t first_part = number == 1 ? largest : usual;
+            socket.read_until("\r\n\r\n");
+            socket.write(status_line);
+            socket.write("Content-Length: " + std::to_string(first_part + 1) + "\r\n\r\n");
+            socket.write(std::string(first_part, 'b'));
+            may_finish.wait();
+            socket.write("b");
+            socket.read_all(500);
+        },
+        largest + usual + usual / 2);
+    auto first = setup.start();
+    std::this_thread::sleep_for(milliseconds(100));
+    auto second = setup.start();
+    BOOST_TEST((first.wait_for(milliseconds(200)) == std::future_status::timeout));
+    auto third = setup.start();
+    auto result = first.get();
+    const auto* lost = std::get_if<response_lost>(&result);
+    BOOST_TEST_REQUIRE(lost != nullptr);
+    BOOST_TEST((lost->why == response_loss::no_room));
+    finish.set_value();
+    BOOST_TEST(std::get<http_response>(second.get()).body.size() == usual + 1);
+    BOOST_TEST(std::get<http_response>(third.get()).body.size() == usual + 1);
+}
+
+// Guards against a call that outlives its deadline because a byte comes now and then.
+BOOST_AUTO_TEST_CASE(slow_bytes_without_end_end_at_the_deadline) {
+    for (const std::string& start : {std::string(), status_line + "X-Long: ", status_line + "\r\n",
+                                     chunked_head + "1;", chunked_head + "0\r\nX-Long: "}) {
+        auto counted = std::make_shared<closed_count>();
+        fixture setup(endless(
+            {.name = "drip", .start = start, .unit = "H", .pause = milliseconds(100)}, counted));
+        auto begin = steady::now();
+        auto result = setup.start(milliseconds(500)).get();
+        auto took = std::chrono::duration_cast<milliseconds>(steady::now() - begin);
+        BOOST_TEST((std::holds_alternative<interrupted>(result) ||
+                    std::holds_alternative<response_lost>(result)));
+        BOOST_TEST(took.count() < 800);
+        BOOST_TEST(counted->reaches(1, milliseconds(1000)));
+    }
+}
+
+}  // namespace trefoil::edge
--- a/packages/edge/testing/raw_peer.h
+++ b/packages/edge/testing/raw_peer.h
@@ -8,9 +8,11 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 #include <cerrno>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -54,6 +56,23 @@
         ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     }
 
+    // Writes `unit` again and again until the peer has closed the connection. Returns whether it
+    // did so within the limit.
+    bool write_until_closed(std::string_view unit, std::chrono::milliseconds pause,
+                            std::chrono::milliseconds limit) const {
+        auto end = std::chrono::steady_clock::now() + limit;
+        timeval patience{.tv_sec = 0, .tv_usec = 50'000};
+        ::setsockopt(this->descriptor, SOL_SOCKET, SO_SNDTIMEO, &patience, sizeof(patience));
+        while (std::chrono::steady_clock::now() < end) {
+            auto sent = ::send(this->descriptor, unit.data(), unit.size(), MSG_NOSIGNAL);
+            if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
+                return true;
+            }
+            std::this_thread::sleep_for(pause);
+        }
+        return false;
+    }
+
     // Reads until `end` was seen, the peer closes, or nothing comes for `patience_ms`.
     std::string read_until(std::string_view end, int patience_ms = 2000) const {
         std::string text;
@@ -99,7 +118,7 @@
         sockaddr_in address = raw_socket::loopback(0);
         require(::bind(this->listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
                 "bind");
-        ::listen(this->listener, 16);
+        ::listen(this->listener, 128);
         socklen_t size = sizeof(address);
         ::getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &size);
         this->bound_port = ntohs(address.sin_port);
--- a/packages/edge/upstream_client.cc
+++ b/packages/edge/upstream_client.cc
@@ -49,50 +49,46 @@
     curl_slist* list = nullptr;
 };
 
+// The bytes of the bodies of all responses that arrive.
+struct arriving_bytes {
+    std::size_t limit = 0;
+    std::size_t held = 0;
+    std::function<void()> on_overrun;
+};
+
 // One request from its start to its result.
 struct transfer {
-    transfer(upstream_request given, upstream_callback callback)
-        : request(std::move(given)), done(std::move(callback)), headers(request.headers) {}
+    transfer(upstream_request given, upstream_callback callback, const response_limits& limits)
+        : request(std::move(given)),
+          done(std::move(callback)),
+          headers(request.headers),
+          response(limits, request.method) {}
 
     upstream_request request;
     upstream_callback done;
     header_list headers;
     CURL* easy = nullptr;
-    http_response response;
-    std::size_t max_bytes = 0;
-    bool too_large = false;
-    bool header_complete = false;  // The empty line after the header of the response was seen.
-    unsigned sends = 0;            // How often libcurl was about to send the request.
+    arriving_response response;
+    arriving_bytes* all = nullptr;
+    unsigned sends = 0;  // How often libcurl was about to send the request.
 };
 
+// Libcurl ends a transfer whose callback has not taken all bytes, and closes its connection.
 std::size_t on_body(char* data, std::size_t size, std::size_t count, void* target) {
     auto* state = static_cast<transfer*>(target);
-    if (state->response.body.size() + size * count > state->max_bytes) {
-        state->too_large = true;
+    if (!state->response.add_body({data, size * count})) {
         return 0;
     }
-    state->response.body.append(data, size * count);
+    state->all->held += size * count;
+    if (state->all->held > state->all->limit) {
+        state->all->on_overrun();
+    }
     return size * count;
 }
 
 std::size_t on_header(char* data, std::size_t size, std::size_t count, void* target) {
     auto* state = static_cast<transfer*>(target);
-    std::string_view line(data, size * count);
-    if (line.substr(0, 5) == "HTTP/") {
-        state->response.headers.clear();  // A later status line follows an interim response.
-        state->header_complete = false;
-        return size * count;
-    }
-    if (trim(line).empty()) {
-        state->header_complete = true;
-        return size * count;
-    }
-    std::size_t colon = line.find(':');
-    if (colon != std::string_view::npos) {
-        state->response.headers.push_back({.name = std::string(line.substr(0, colon)),
-                                           .value = std::string(trim(line.substr(colon + 1)))});
-    }
-    return size * count;
+    return state->response.add_line({data, size * count}) ? size * count : 0;
 }
 
 // Asked before each send. Libcurl sends a request again when a kept connection dies before the
@@ -116,16 +112,26 @@
     curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
 }
 
+response_lost loss_of(CURLcode code, const transfer& state) {
+    if (auto passed = state.response.loss()) {
+        return {.why = *passed, .detail = std::string(loss_name(*passed))};
+    }
+    if (code == curl_loop::too_many_bytes) {
+        return {.why = response_loss::too_many_bytes,
+                .detail = std::string(loss_name(response_loss::too_many_bytes))};
+    }
+    return {.detail = curl_easy_strerror(code)};
+}
+
 upstream_result interpret(CURLcode code, transfer& state) {
     // Libcurl takes a header that ends with the connection for a whole response.
-    if (code == CURLE_OK && !state.header_complete) {
+    if (code == CURLE_OK && !state.response.header_complete()) {
         return response_lost{.detail = "incomplete header"};
     }
     if (code == CURLE_OK) {
         long status = 0;
         curl_easy_getinfo(state.easy, CURLINFO_RESPONSE_CODE, &status);
-        state.response.status = static_cast<unsigned>(status);
-        return std::move(state.response);
+        return state.response.take(static_cast<unsigned>(status));
     }
     if (state.sends == 0) {
         return code == CURLE_OPERATION_TIMEDOUT ? upstream_result(not_started{})
@@ -134,8 +140,7 @@
     if (code == CURLE_OPERATION_TIMEDOUT) {
         return interrupted{.cancelled = false};
     }
-    return response_lost{.detail = state.too_large ? "response body above the limit"
-                                                   : curl_easy_strerror(code)};
+    return loss_of(code, state);
 }
 
 // The time for which the upstream says that it keeps an idle connection.
@@ -163,8 +168,11 @@
           clock(time),
           own_loop(this->options.loop == nullptr ? std::make_unique<io::event_loop>() : nullptr),
           loop(this->options.loop == nullptr ? *this->own_loop : *this->options.loop),
-          transfers(this->loop, this->options.kept_connections),
+          transfers(this->loop, {.kept_connections = this->options.kept_connections}),
           idle_limit(this->options.idle_limit) {
+        this->arriving.limit = this->options.max_arriving_bytes;
+        // Libcurl must not be called from its own callback.
+        this->arriving.on_overrun = [this] { this->loop.post([this] { this->make_room(); }); };
         if (this->own_loop != nullptr) {
             this->own_loop->start();
         }
@@ -182,7 +190,8 @@
 
     request_number start(upstream_request request, upstream_callback done) {
         request_number number = this->next_number.fetch_add(1);
-        auto state = std::make_shared<transfer>(std::move(request), std::move(done));
+        auto state =
+            std::make_shared<transfer>(std::move(request), std::move(done), this->options.limits);
         this->loop.dispatch([this, number, state] { this->begin(number, state); });
         return number;
     }
@@ -215,7 +224,7 @@
         CURL* handle = state.easy;
         const upstream_request& request = state.request;
         std::string url = "http://" + this->options.address + request.target;
-        state.max_bytes = this->options.max_response_bytes;
+        state.all = &this->arriving;
         auto connect = std::min(left, this->options.connect_timeout);
         curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
         curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
@@ -244,6 +253,7 @@
         auto state = std::move(found->second);
         this->running.erase(found);
         this->sent += state->sends;
+        this->arriving.held -= state->response.held_bytes();
         long connects = 0;
         curl_easy_getinfo(state->easy, CURLINFO_NUM_CONNECTS, &connects);
         this->opened += static_cast<std::uint64_t>(connects);
@@ -288,6 +298,21 @@
         }
     }
 
+    // Gives up the largest responses until the others fit.
+    void make_room() {
+        while (this->arriving.held > this->arriving.limit) {
+            auto largest = std::max_element(
+                this->running.begin(), this->running.end(), [](const auto& a, const auto& b) {
+                    return a.second->response.held_bytes() < b.second->response.held_bytes();
+                });
+            auto state = this->take(largest->first);
+            this->transfers.remove(state->easy);
+            release(*state);
+            state->done(response_lost{.why = response_loss::no_room,
+                                      .detail = std::string(loss_name(response_loss::no_room))});
+        }
+    }
+
     const upstream_client_options options;
     const time_source& clock;
     std::unique_ptr<io::event_loop> own_loop;
@@ -296,6 +321,7 @@
     std::atomic<std::uint64_t> opened{0};
     std::atomic<std::uint64_t> sent{0};
     // Used on the loop only.
+    arriving_bytes arriving;
     curl_loop transfers;
     std::map<request_number, std::shared_ptr<transfer>> running;
     std::chrono::seconds idle_limit;
--- a/packages/edge/upstream_client.h
+++ b/packages/edge/upstream_client.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "edge/arriving_response.h"
 #include "edge/http_types.h"
 #include "io/event_loop.h"
 
@@ -48,6 +49,7 @@
 };
 // The connection broke or the response was too large or malformed; the request may have run.
 struct response_lost {
+    response_loss why = response_loss::broken;
     std::string detail;
     friend bool operator==(const response_lost&, const response_lost&) = default;
 };
@@ -62,7 +64,10 @@
     // Idle connections are not used after this time unless the upstream states its own. Most
     // servers keep them for 5 s or more.
     std::chrono::seconds idle_limit{4};
-    std::size_t max_response_bytes = std::size_t{64} << 20U;
+    response_limits limits = {};
+    // Bytes of the bodies of all responses that arrive at once. Above it the largest one is given
+    // up. Strings take up to twice as much, so these are a fifth of a machine with 160 MB.
+    std::size_t max_arriving_bytes = std::size_t{16} << 20U;
     long kept_connections = 64;
     // Null: the client has a loop of its own.
     io::event_loop* loop = nullptr;
