Use no connection again on which bytes came without a request

What callers saw: after an upstream had sent bytes behind a complete response, the next call at it could end as upstream_failed (unknown) although it was never run. An upstream that goes on sending did this to nearly each such connection.

Cause: the idle connection was shut down, but libcurl 7.88.1 takes a connection for closed only when a peek at it finds the end. It finds the bytes that came between the last read and the shutdown, or the connection error (ECONNRESET) that the peer's next bytes cause after the shutdown, and takes both for an open connection. The request fails there with EPIPE, libcurl wants to repeat it on a new connection, and the client forbids that. The read loop before the shutdown also had no bound.

Ruled out: a loop that starves.

Why it works: the bytes are read up to a bound before the shutdown, so that the peer has room to send and is reset, and once more after it, because a fast peer leaves some; and right before libcurl looks at its connections, what stands before the end of a spoiled one, bytes or the error, is taken. Connections that had no surplus cost nothing.

Not closed entirely: a reset that arrives within the microseconds between this read and libcurl's own still has the effect described above.

--- a/packages/edge/curl_loop.cc
+++ b/packages/edge/curl_loop.cc
@@ -9,6 +9,7 @@
 #include <map>
 #include <mutex>
 #include <utility>
+#include <vector>
 
 #include "base/log.h"
 #include "edge/received_bytes.h"
@@ -21,9 +22,15 @@
 
 namespace {
 
+// Bytes that libcurl reads from a socket at a time.
+constexpr std::size_t read_bytes = CURL_MAX_WRITE_SIZE;
 // Times that a socket becomes readable for a transfer before its bytes are counted, which takes a
 // system call. Most responses need fewer.
 constexpr unsigned uncounted_reads = 8;
+// Bytes that are discarded from a connection at a time, which takes some milliseconds. Linux lets
+// a receive buffer grow to 6 MiB by default.
+constexpr std::size_t discard_limit_bytes = std::size_t{8} << 20U;
+
 void initialise_curl() {
     static std::once_flag initialised;
     std::call_once(initialised, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
@@ -152,7 +159,7 @@
                 tcp::socket::wait_read, [this, watched](const error_code& error) {
                     watched->waits_read = false;
                     if (!watched->in_use() && !error) {
-                        spoil(*watched);
+                        this->spoil(watched);
                         return;
                     }
                     this->on_ready(watched, watched->wants_read, CURL_CSELECT_IN, error);
@@ -169,13 +176,41 @@
     }
 
     // Bytes on an idle connection are no answer to any request, and libcurl does not look for them
-    // before it uses the connection again. It does see that the socket was shut down.
-    static void spoil(watched_socket& watched) {
+    // before it uses the connection again. It takes a connection for closed when a read from it
+    // finds the end at once.
+    void spoil(const socket_ptr& watched) {
+        // The first read makes room, so that a peer that waits to send more learns of the shutdown:
+        // its next byte is answered with a reset. The second one takes what came during the first,
+        // if the peer was as fast; after the shutdown no byte is accepted.
+        discard(watched->socket);
         error_code ignored;
-        std::array<char, 4096> discarded{};
-        while (watched.socket.read_some(asio::buffer(discarded), ignored) > 0) {
+        watched->socket.shutdown(tcp::socket::shutdown_both, ignored);
+        discard(watched->socket);
+        this->spoiled.push_back(watched);
+    }
+
+    // Takes what stands before the end of the spoiled connections. To be called right before
+    // libcurl looks at them, because the peer's bytes cause a connection error after the shutdown,
+    // and libcurl would take a connection with an error for an open one.
+    void discard_surplus() {
+        std::erase_if(this->spoiled, [](const std::weak_ptr<watched_socket>& each) {
+            auto watched = each.lock();
+            if (watched == nullptr || !watched->socket.is_open()) {
+                return true;
+            }
+            discard(watched->socket);
+            return false;
+        });
+    }
+
+    static void discard(tcp::socket& socket) {
+        std::array<char, read_bytes> discarded{};
+        std::size_t total = 0;
+        error_code error;
+        while (error != asio::error::eof && error != asio::error::would_block &&
+               total < discard_limit_bytes) {
+            total += 1 + socket.read_some(asio::buffer(discarded), error);
         }
-        watched.socket.shutdown(tcp::socket::shutdown_both, ignored);
     }
 
     // Whether the connection has brought more than a transfer may read.
@@ -222,6 +257,7 @@
     void on_time() { this->act(CURL_SOCKET_TIMEOUT, 0); }
 
     void act(curl_socket_t descriptor, int what) {
+        this->discard_surplus();
         int running = 0;
         curl_multi_socket_action(this->multi, descriptor, what, &running);
         this->finish_transfers();
@@ -241,8 +277,9 @@
     io::event_loop& loop;
     io::loop_timer timer;
     CURLM* multi = nullptr;
-    std::map<curl_socket_t, socket_ptr> sockets;  // Open ones, also idle.
-    std::map<CURL*, completion> transfers;        // In progress.
+    std::map<curl_socket_t, socket_ptr> sockets;         // Open ones, also idle.
+    std::map<CURL*, completion> transfers;               // In progress.
+    std::vector<std::weak_ptr<watched_socket>> spoiled;  // Shut down; libcurl closes them.
 };
 
 curl_loop::curl_loop(io::event_loop& loop, const curl_loop_options& options)
--- a/packages/edge/testing/endless_response_test.cc
+++ b/packages/edge/testing/endless_response_test.cc
@@ -309,4 +309,38 @@
     }
 }
 
+// Guards against a loop that reads one idle connection for ever, and against a later request that
+// is sent on this connection and counts as lost.
+BOOST_AUTO_TEST_CASE(bytes_without_end_after_a_response_close_the_connection) {
+    for (milliseconds delay : {milliseconds(0), milliseconds(50)}) {
+        auto counted = std::make_shared<closed_count>();
+        fixture setup([counted, delay](const raw_socket& socket, int number) {
+            socket.read_until("\r\n\r\n");
+            std::string body = "b" + std::to_string(number);
+            socket.write(status_line);
+            socket.write("Content-Length: 2\r\n\r\n" + body);
+            std::this_thread::sleep_for(delay);
+            if (socket.write_until_closed(std::string(mebibyte, 'x'), full_speed, stand_in_limit)) {
+                ++counted->closed;
+            }
+        });
+        memory_peak memory;
+        for (int i = 1; i <= 3; ++i) {
+            auto begin = steady::now();
+            auto result = setup.start().get();
+            const auto* response = std::get_if<http_response>(&result);
+            const auto* lost = std::get_if<response_lost>(&result);
+            BOOST_TEST_INFO("request " << i << ": "
+                                       << (lost != nullptr ? lost->detail : "not lost"));
+            BOOST_TEST_REQUIRE(response != nullptr);
+            BOOST_TEST(response->body == "b" + std::to_string(i));
+            BOOST_TEST((steady::now() - begin < result_limit));
+            BOOST_TEST(counted->reaches(i, milliseconds(1000)));
+        }
+        BOOST_TEST(memory.growth() < 6 * mebibyte);
+        BOOST_TEST(setup.probe.longest().count() < loop_gap_limit.count());
+        BOOST_TEST_MESSAGE("after a response: loop gap " << setup.probe.longest().count() << " ms");
+    }
+}
+
 }  // namespace trefoil::edge
