Say which bound a lost response has passed

What operators saw: a response that was given up at a bound had the same reason upstream_failed in the line of the call and in trefoil_calls_total as a broken connection.

Cause: the egress took its reason for log and metric from the answer to the ingress. It now names the bound there; callers and the ingress still get upstream_failed with the outcome unknown (502), so nothing is promised.

--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -245,6 +245,8 @@
     const edge::header_profile& names = this->options.headers;
     result = check_response(names, std::move(result), call.call.request_id);
     gate::gate_changes changes = this->gate.finish(id, kind_of(result), latency, now);
+    const auto* lost = std::get_if<edge::response_lost>(&result);
+    std::string_view cause = lost != nullptr ? edge::loss_name(lost->why) : std::string_view();
     messages::call_result answer = result_of(names, std::move(result));
     answer.sequence = id.sequence;
     this->complete(answer, call, now);
@@ -255,7 +257,7 @@
     } else {
         ++this->unknown;
     }
-    this->note_end(id, call, answer, now);
+    this->note_end(id, call, answer, cause.empty() ? answer.reason : cause, now);
     call.reply(std::move(answer));
     this->apply(changes);
 }
@@ -275,18 +277,19 @@
             std::chrono::ceil<std::chrono::milliseconds>(why.retry_after).count())};
     mono_time now = this->clock.now();
     this->complete(answer, **held, now);
-    this->note_end(id, **held, answer, now);
+    this->note_end(id, **held, answer, answer.reason, now);
     (*held)->reply(std::move(answer));
 }
 
 void egress::note_end(const gate::call_id& id, const held_call& call,
-                      const messages::call_result& answer, mono_time now) const {
+                      const messages::call_result& answer, std::string_view reason,
+                      mono_time now) const {
     auto upstream = this->upstream_id.read();
     bool ran = call.started != mono_time();
     mono_duration waited = (ran ? call.started : now) - call.arrived;
     mono_duration took = ran ? now - call.started : mono_duration(0);
     this->observer.on_call_ended({.outcome = outcome_name(answer.outcome),
-                                  .reason = answer.reason,
+                                  .reason = reason,
                                   .started = ran,
                                   .waited = waited,
                                   .took = took});
@@ -294,7 +297,7 @@
               .ingress = id.instance,
               .upstream = upstream == nullptr ? std::string_view() : std::string_view(*upstream),
               .outcome = outcome_name(answer.outcome),
-              .reason = answer.reason,
+              .reason = reason,
               .status = answer.status,
               .load = answer.load,
               .waited = waited,
--- a/packages/daemon/egress.h
+++ b/packages/daemon/egress.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "admission/context_table.h"
 #include "base/board_slot.h"
@@ -99,8 +100,10 @@
 
     gate::offered_call describe(const gate::call_id& id, const held_call& held) const;
     void complete(messages::call_result& answer, const held_call& call, mono_time now) const;
+    // `reason` may say more than the answer does.
     void note_end(const gate::call_id& id, const held_call& call,
-                  const messages::call_result& answer, mono_time now) const;
+                  const messages::call_result& answer, std::string_view reason,
+                  mono_time now) const;
     void apply(const gate::gate_changes& changes);
     void start(const gate::call_id& id);
     void abort(const gate::call_id& id);
--- a/packages/edge/testing/raw_peer.h
+++ b/packages/edge/testing/raw_peer.h
@@ -114,8 +114,11 @@
 class raw_server {
 public:
     explicit raw_server(std::function<void(raw_socket, int)> serve)
+        : raw_server(raw_socket::loopback(0), std::move(serve)) {}
+    raw_server(sockaddr_in address, std::function<void(raw_socket, int)> serve)
         : listener(::socket(AF_INET, SOCK_STREAM, 0)) {
-        sockaddr_in address = raw_socket::loopback(0);
+        int on = 1;
+        ::setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
         require(::bind(this->listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
                 "bind");
         ::listen(this->listener, 128);
--- a/testing/support/process.h
+++ b/testing/support/process.h
@@ -16,6 +16,8 @@
 
 #include <chrono>
 #include <csignal>
+#include <cstddef>
+#include <fstream>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -84,6 +86,17 @@
         return this->status;
     }
 
+    // The most memory that the process has held, in bytes; 0 when it has ended.
+    std::size_t peak_memory() const {
+        std::ifstream file("/proc/" + std::to_string(this->id) + "/status");
+        std::string word;
+        std::size_t kib = 0;
+        while (file >> word && word != "VmHWM:") {
+        }
+        file >> kib;
+        return kib << 10U;
+    }
+
 private:
     pid_t id = -1;
     std::optional<int> status;  // Set when the process was reaped.
