--- a/packages/edge/arriving_response.cc
+++ b/packages/edge/arriving_response.cc
@@ -52,8 +52,6 @@
             return "response_too_many_bytes";
         case response_loss::no_room:
             return "response_no_room";
-        case response_loss::of_another_request:
-            return "response_of_another_request";
         case response_loss::broken:
             break;
     }
--- a/packages/edge/arriving_response.h
+++ b/packages/edge/arriving_response.h
@@ -43,7 +43,6 @@
     body_too_large,       // Above response_limits::body_bytes, as sent or as declared.
     too_many_bytes,       // Above what a response of full size takes on the connection.
     no_room,              // All responses together would take too much memory.
-    of_another_request,   // By what the response says of itself.
 };
 
 // The name for logs and metrics.
