Let lenders of new processes begin with some tokens

Cause: a lender begins without tokens, so that one that takes over from another adds nothing to what that one spent. A new process has nobody beside it that spends.

Now it begins with its part of what the rate gives in 500 ms, once, when it hears most of the fleet. A restart takes longer than that from the end of the process before to the first totals, so the sum in a window is not above what the formula in rate_division.h allows for the rate.

--- a/packages/admission/demand_limiter.cc
+++ b/packages/admission/demand_limiter.cc
@@ -36,6 +36,7 @@
             next.emplace(each.workspace,
                          bucket{.limit = each, .counted_at = now, .division = division})
                 .first->second;
+        target.new_until = now + this->options.start_time;
         // A new process cannot know what the fleet has admitted lately.
         target.level = std::max(0.0, division.capacity());
         if (!division.lent()) {
@@ -89,6 +90,12 @@
 }
 
 // A lender that hears a few daemons only holds their part of the depth.
+double demand_limiter::lender_depth(const bucket& each) const {
+    double heard_part = static_cast<double>(this->heard) / (this->heard + this->missing);
+    double lenders = this->heard_parts(each);
+    return each.division.bucket_requests() * each.division.parts() * heard_part / lenders;
+}
+
 double demand_limiter::bucket_capacity(const bucket& each, mono_time now) const {
     const rate_division& division = each.division;
     if (!division.lent()) {
@@ -98,10 +105,8 @@
     if (!this->totals_valid(now)) {
         return division.alone_requests();
     }
-    double part = static_cast<double>(this->heard) / (this->heard + this->missing);
-    double lenders = this->heard_parts(each);
-    double depth = division.bucket_requests() * division.parts() * part / lenders +
-                   this->share_of(each, now) * seconds(this->options.bucket_time);
+    double depth =
+        this->lender_depth(each) + this->share_of(each, now) * seconds(this->options.bucket_time);
     return std::max(depth, division.alone_requests());
 }
 
@@ -141,6 +146,12 @@
         return request_admitted{};
     }
     bucket& target = found->second;
+    this->begin_lending(target, now);
+    target.lender_until = now + this->options.lender_life;
+    return this->take(target, now);
+}
+
+void demand_limiter::begin_lending(bucket& target, mono_time now) {
     if (!this->reports(target, now)) {
         // The lender before may have used its whole bucket just now.
         target.tokens = 0;
@@ -150,8 +161,13 @@
         target.own_in_total = 0;
         target.counted_at = now;
     }
-    target.lender_until = now + this->options.lender_life;
-    return this->take(target, now);
+    // Not before most of the fleet is heard: a daemon without others must begin without tokens.
+    bool most_heard = this->totals_valid(now) && this->heard > this->missing;
+    if (target.division.lent() && now < target.new_until && most_heard) {
+        target.new_until = mono_time::min();
+        double gained = target.division.fleet_rate() * seconds(this->options.start_gap);
+        target.tokens += gained / target.division.parts();
+    }
 }
 
 demand_decision demand_limiter::admit_alone(const std::string& workspace, mono_time now) {
--- a/packages/admission/demand_limiter.h
+++ b/packages/admission/demand_limiter.h
@@ -124,6 +124,8 @@
         rate_division division;
         // Until when this daemon is the lender; before its first request it is none.
         mono_time lender_until = mono_time::min();
+        // Until when this daemon, as a lender, may take what a new process begins with; once.
+        mono_time new_until = mono_time::min();
     };
 
     // What this daemon reports as its demand.
@@ -136,6 +138,8 @@
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     double heard_parts(const bucket& each) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     bool reports(const bucket& each, mono_time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    double lender_depth(const bucket& each) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void begin_lending(bucket& target, mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     demand_decision take(bucket& from, mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void refill(bucket& each, mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
--- a/packages/admission/demand_options.h
+++ b/packages/admission/demand_options.h
@@ -52,6 +52,13 @@
     // The same two parts for a rate that is lent.
     double used_overage_lent = 0.75;
     double bucket_part_lent = 0.7;
+    // A lender of a new process begins with what its domain's part of the rate gives in this time,
+    // in which neither its predecessor nor itself has admitted: a process takes longer than this
+    // from the end of the one before to its first totals. Without it callers that come back after
+    // a restart of the fleet are refused until shares have filled the buckets.
+    std::chrono::milliseconds start_gap{500};
+    // How long a process is new.
+    std::chrono::milliseconds start_time{3000};
     // How long a lender that nobody asks keeps its bucket. Callers of a workspace of 2/s leave a
     // failure domain alone for several seconds now and then.
     std::chrono::milliseconds lender_life{10000};
--- a/packages/admission/testing/large_fleet_test.cc
+++ b/packages/admission/testing/large_fleet_test.cc
@@ -187,6 +187,25 @@
     check_bound(fleet, setup.limits);
 }
 
+// Guards against refusals of callers within their rates that come back to a fleet of new processes,
+// whose lenders have no tokens yet. Half a second is left for the first totals.
+BOOST_AUTO_TEST_CASE(callers_find_tokens_soon_after_a_restart_of_the_fleet) {
+    for (std::uint64_t seed : {1, 2, 3}) {
+        demand_fleet_options setup = large_fleet(seed);
+        demand_fleet fleet(setup);
+        fleet.load(usual_traffic(), fleet.all(), milliseconds(500));
+        int refused = 0;
+        int calls = 0;
+        for (const auto& [name, each] :
+             fleet.load(usual_traffic(), fleet.all(), milliseconds(2000))) {
+            refused += each.refused;
+            calls += each.calls;
+        }
+        BOOST_TEST_MESSAGE("refused " << refused << " of " << calls);
+        BOOST_TEST(refused * 100 <= calls * 6);
+    }
+}
+
 // Guards against a bucket that each of several lenders, one after the other, finds full.
 BOOST_AUTO_TEST_CASE(rolling_restarts_stay_within_the_bound) {
     demand_fleet_options setup = large_fleet(7);
