Tick every 20 ms, and look at all connections once a second

Callers saw: late answers on machines with 0.1 core; each wake-up and each system call is charged there.

The timer is 20 ms; 10 ms as before while a queued call of the egress has something due sooner, as its shortest pause is 10 ms. Deadlines of attempts, waiting admissions and the limits' own sends are noticed up to 20 ms late (10 ms before). Idle connections are looked for once a second, leftovers of instances only when there can be some, and old refusals every 500 ms; all three change only when memory is released.

No test of its own: behaviour is unchanged but for the delays named above.

--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -16,7 +16,11 @@
 namespace {
 
 constexpr std::string_view fleet_protocol = "trefoil/1";
-constexpr std::chrono::milliseconds timer_interval{10};
+// How late a call's deadline is noticed at most. Each tick wakes the process, which a machine with
+// a small share of a core pays for also when nothing is due.
+constexpr std::chrono::milliseconds timer_interval{20};
+// The same while a queued call of the egress has something due sooner. Its shortest pause is 10 ms.
+constexpr std::chrono::milliseconds short_timer_interval{10};
 // After the home of a limit was killed, its calls are refused until the loans to it have ended. A
 // shorter time costs more messages.
 constexpr std::chrono::milliseconds loan_time{2000};
@@ -215,7 +219,9 @@
     this->limits.tick();
     this->local_egress.tick();
     this->local_ingress.tick();
-    this->timer.arm(timer_interval);
+    auto due = this->local_egress.next_tick();
+    bool soon = due.has_value() && *due < this->clock.now() + timer_interval;
+    this->timer.arm(soon ? short_timer_interval : timer_interval);
 }
 
 // The egress obeys the configuration and the list by itself, so that an ingress with an older view
--- a/packages/daemon/egress.h
+++ b/packages/daemon/egress.h
@@ -12,6 +12,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "admission/context_table.h"
@@ -68,6 +69,8 @@
 
     // Starts or refuses queued calls whose time has come. To be called every few milliseconds.
     void tick();
+    // When tick() has something to do next, if no other event comes first.
+    std::optional<mono_time> next_tick() const { return this->gate.next_wakeup(); }
 
     // From now on new calls are refused as stopping.
     void drain() { this->gate.drain(); }
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds silence_limit{750};
+// Between removals of what the choice remembers for too long; it does not use it meanwhile.
+constexpr std::chrono::milliseconds expiry_interval{500};
 constexpr unsigned status_too_large = 413;
 constexpr unsigned status_request_timeout = 408;
 // No response is sent; for metrics and logs.
@@ -364,7 +366,10 @@
 void ingress::tick() {
     mono_time now = this->clock.now();
     this->stalls.tick(now);
-    this->choice.expire(now);
+    if (now >= this->next_expiry) {
+        this->next_expiry = now + expiry_interval;
+        this->choice.expire(now);
+    }
     std::vector<std::pair<std::uint64_t, std::shared_ptr<attempt>>> expired;
     this->attempts.for_each([&](std::uint64_t sequence, const std::shared_ptr<attempt>& each) {
         if (each->expires <= now || this->peer_is_silent(*each, now)) {
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -107,7 +107,8 @@
     upstream_choice choice;
     routing::retry_policy policy;
     service_budgets budgets;
-    stall_guard stalls;  // Used by tick() only.
+    stall_guard stalls;     // Used by tick() only.
+    mono_time next_expiry;  // Used by tick() only.
     std::atomic<std::uint64_t> next_sequence{1};
     std::atomic<std::size_t> in_progress{0};
     sharded_map<std::uint64_t, std::shared_ptr<attempt>> attempts;  // By sequence; not yet over.
--- a/packages/daemon/peer_links.cc
+++ b/packages/daemon/peer_links.cc
@@ -15,6 +15,9 @@
 
 constexpr std::size_t queue_capacity = 64;
 constexpr std::size_t early_call_capacity = 256;
+// Short against the idle limit. The look at all connections costs more than anything else in
+// tick().
+constexpr std::chrono::milliseconds idle_check_interval{1000};
 
 }  // namespace
 
@@ -168,6 +171,7 @@
             opened = state.links.back()->id;
         } else if (state.waiting.size() < queue_capacity) {
             state.waiting.push_back(std::move(message));
+            this->has_leftovers = true;
         } else {
             rejected = std::move(message);
         }
@@ -248,6 +252,7 @@
         std::erase_if(state.links, [id](const auto& each) { return each->id == id; });
         last = state.links.empty();
     });
+    this->has_leftovers = true;
     this->receiver.on_link_closed(id, *peer, last);
 }
 
@@ -322,8 +327,13 @@
 
 void peer_links::tick() {
     mono_time now = this->clock.now();
-    this->drop_expired(now);
-    this->close_idle(now);
+    if (this->has_leftovers.exchange(false)) {
+        this->drop_expired(now);
+    }
+    if (now >= this->next_idle_check) {
+        this->next_idle_check = now + idle_check_interval;
+        this->close_idle(now);
+    }
 }
 
 void peer_links::drop_expired(mono_time now) {
@@ -335,6 +345,7 @@
                 state.waiting.erase(state.waiting.begin() + static_cast<std::ptrdiff_t>(i));
             } else {
                 ++i;
+                this->has_leftovers = true;
             }
         }
     });
--- a/packages/daemon/peer_links.h
+++ b/packages/daemon/peer_links.h
@@ -9,6 +9,7 @@
 #ifndef TREFOIL_DAEMON_PEER_LINKS_H_
 #define TREFOIL_DAEMON_PEER_LINKS_H_
 
+#include <atomic>
 #include <chrono>
 #include <deque>
 #include <functional>
@@ -112,7 +113,8 @@
     // Keeps connections to these instances although they are idle.
     void set_kept(std::vector<std::string> instances);
 
-    // Drops expired queued messages and closes idle connections. To be called about every 50 ms.
+    // Drops expired queued messages and closes idle connections. To be called about every 50 ms, by
+    // one thread.
     void tick();
 
     std::size_t open_count() const { return this->by_connection.size(); }
@@ -152,6 +154,10 @@
     void drop_expired(mono_time now);
 
     const peer_links_options options;
+    mono_time next_idle_check;  // Used by tick() only.
+    // Whether a message may wait or an instance may have neither links nor messages, so that tick()
+    // has to look.
+    std::atomic<bool> has_leftovers{false};
     link_receiver& receiver;
     const time_source& clock;
     sharded_map<transport::connection_id, std::shared_ptr<link>> by_connection;
