--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -17,6 +17,8 @@
 // connection costs some KB and a few heartbeats.
 constexpr std::size_t neighbour_connections = 32;
 constexpr std::chrono::milliseconds neighbour_check_interval{250};
+// Between removals of what the choice remembers for too long; it does not use it meanwhile.
+constexpr std::chrono::milliseconds expiry_interval{500};
 constexpr unsigned status_too_large = 413;
 constexpr unsigned status_request_timeout = 408;
 // No response is sent; for metrics and logs.
@@ -407,7 +409,10 @@
 void ingress::tick() {
     mono_time now = this->clock.now();
     this->stalls.tick(now);
-    this->choice.expire(now);
+    if (now >= this->next_expiry) {
+        this->next_expiry = now + expiry_interval;
+        this->choice.expire(now);
+    }
     this->connect_neighbours(now);
     std::vector<std::pair<std::uint64_t, std::shared_ptr<attempt>>> expired;
     this->attempts.for_each([&](std::uint64_t sequence, const std::shared_ptr<attempt>& each) {
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -114,8 +114,10 @@
     upstream_choice choice;
     routing::retry_policy policy;
     service_budgets budgets;
-    stall_guard stalls;                                 // Used by tick() only.
-    mono_time next_neighbour_check = mono_time::min();  // Likewise.
+    // Used by tick() only.
+    stall_guard stalls;
+    mono_time next_expiry;
+    mono_time next_neighbour_check;
     std::atomic<std::uint64_t> next_sequence{1};
     std::atomic<std::size_t> in_progress{0};
     sharded_map<std::uint64_t, std::shared_ptr<attempt>> attempts;  // By sequence; not yet over.
--- a/packages/daemon/peer_links.cc
+++ b/packages/daemon/peer_links.cc
@@ -17,6 +17,9 @@
 constexpr std::size_t queue_capacity = 64;
 constexpr std::size_t early_call_capacity = 256;
 constexpr std::chrono::milliseconds close_check_interval{5};
+// Short against the idle limit. The look at all connections costs more than anything else in
+// tick().
+constexpr std::chrono::milliseconds idle_check_interval{1000};
 
 }  // namespace
 
@@ -194,6 +197,7 @@
         } else if (state.waiting.size() < queue_capacity) {
             state.waiting.push_back(std::move(message));
             state.address = address;
+            this->has_leftovers = true;
         } else {
             rejected = std::move(message);
         }
@@ -281,6 +285,7 @@
         std::erase_if(state.links, [id](const auto& each) { return each->id == id; });
         last = state.links.empty();
     });
+    this->has_leftovers = true;
     this->receiver.on_link_closed(id, *peer, {.last = last, .finished_by_peer = finished_by_peer});
 }
 
@@ -356,9 +361,14 @@
 
 void peer_links::tick() {
     mono_time now = this->clock.now();
-    this->drop_expired(now);
-    this->dial_for_waiting();
-    this->close_idle();
+    if (this->has_leftovers.exchange(false)) {
+        this->drop_expired(now);
+        this->dial_for_waiting();
+    }
+    if (now >= this->next_idle_check) {
+        this->next_idle_check = now + idle_check_interval;
+        this->close_idle();
+    }
 }
 
 // The dial for a message may have been put off by the rate of new connections.
@@ -383,6 +393,7 @@
                 state.waiting.erase(state.waiting.begin() + static_cast<std::ptrdiff_t>(i));
             } else {
                 ++i;
+                this->has_leftovers = true;
             }
         }
     });
--- a/packages/daemon/peer_links.h
+++ b/packages/daemon/peer_links.h
@@ -123,7 +123,8 @@
     // without a result were not run. To be called while the loop runs.
     void leave(bool settled, std::chrono::milliseconds limit);
 
-    // Drops expired queued messages and closes idle connections. To be called about every 50 ms.
+    // Drops expired queued messages and closes idle connections. To be called about every 50 ms, by
+    // one thread.
     void tick();
 
     std::size_t open_count() const { return this->by_connection.size(); }
@@ -170,6 +171,10 @@
     void dial_for_waiting();
 
     const peer_links_options options;
+    mono_time next_idle_check;  // Used by tick() only.
+    // Whether a message may wait or an instance may have neither links nor messages, so that tick()
+    // has to look.
+    std::atomic<bool> has_leftovers{false};
     link_receiver& receiver;
     const time_source& clock;
     sharded_map<transport::connection_id, std::shared_ptr<link>> by_connection;
