Let unchanged documents be confirmed under a restarted daemon's revision

What was seen: with six daemons of one zone, two of them following the store, a restart of one other after ten heartbeats made all six follow the store for as long as the test watched: 29 calls in 5 s instead of 5.

Cause: a follower names the instance list by the store's revision of its first load. Heartbeats change that revision and not the document, so a restarted daemon names the same list by a greater revision. The others pulled it and then took their own copy for stale: readers confirmed nothing until the next real change. This was so before readers were chosen, too, but then a majority of the daemons hid it.

Ruled out: naming the list by the greatest revision of its items, because a removal would then leave the name as it was.

--- a/packages/dissemination/core.cc
+++ b/packages/dissemination/core.cc
@@ -226,6 +226,24 @@
 
 // Documents.
 
+// Takes over the revision by which a peer names the body that is held here. Daemons that mirror a
+// platform name a document by the revision at which they first loaded it.
+void core::adopt_revision(mono_time now, std::size_t index, const messages::document_state& named) {
+    const held_document& own = this->held.held(index);
+    bool same_body = own.revision != 0 && named.checksum == own.checksum;
+    if (!same_body || named.revision <= own.revision) {
+        return;
+    }
+    auto body = this->held.body(index, own.revision);
+    if (body.has_value()) {
+        this->offer(now, index,
+                    messages::document{.name = this->held.name(index),
+                                       .revision = named.revision,
+                                       .checksum = named.checksum,
+                                       .body = std::move(*body)});
+    }
+}
+
 void core::offer(mono_time now, std::size_t index, const messages::document& offered) {
     std::uint64_t before = this->held.held(index).revision;
     this->held.offer(index, offered, this->actions);
--- a/packages/dissemination/core.h
+++ b/packages/dissemination/core.h
@@ -113,6 +113,7 @@
     void reply(mono_time now, const std::string& peer, const messages::digest& question);
     void use_reply(mono_time now, const std::string& peer, const messages::digest& message,
                    const comparison& result);
+    void adopt_revision(mono_time now, std::size_t index, const messages::document_state& named);
     void offer(mono_time now, std::size_t index, const messages::document& offered);
     read_outcome use_document(mono_time now, const platform_schedule::call& sent,
                               const platform_document& answer);
--- a/packages/dissemination/core_gossip.cc
+++ b/packages/dissemination/core_gossip.cc
@@ -42,6 +42,7 @@
         if (!index.has_value()) {
             continue;
         }
+        this->adopt_revision(now, *index, state);
         const held_document& own = this->held.held(*index);
         this->puller.announced(*index, peer, state, own, now, this->pull_delay(now, peer));
         result.newer_there = result.newer_there || state.revision > own.revision;
--- a/packages/dissemination/testing/core_test.cc
+++ b/packages/dissemination/testing/core_test.cc
@@ -287,6 +287,42 @@
     BOOST_TEST(store.held("base").revision == 4U);
 }
 
+// Guards against a document that crosses the network although its body is held under an older
+// revision, and against daemons that hold one list under different revisions.
+BOOST_AUTO_TEST_CASE(an_equal_body_under_a_newer_revision_is_not_asked_for) {
+    fake_document_store store;
+    seeded_random random(37);
+    mono_time now(std::chrono::hours(1));
+    core_options options;
+    options.instance = "x";
+    options.site = "s0";
+    core subject(options, store, random, now);
+    membership::instance_record peer;
+    peer.id = "y";
+    subject.connection_opened(now, peer, "");
+    auto receive_list = [&](std::uint64_t revision, const std::string& body) {
+        subject.receive(now, "y",
+                        messages::document{.name = "instances",
+                                           .revision = revision,
+                                           .checksum = checksum64(body),
+                                           .body = body});
+    };
+    std::string list = R"({"instances": []})";
+    receive_list(4, list);
+    auto held = [&] { return subject.documents().held(list_index).revision; };
+    BOOST_TEST(held() == 4U);
+    subject.take_actions();
+    messages::digest announcement;
+    announcement.documents = {{"instances", 9, checksum64(list), 9}};
+    subject.receive(now, "y", announcement);
+    BOOST_TEST(held() == 9U);
+    for (const action& each : subject.take_actions()) {
+        const auto* message = std::get_if<send_message>(&each);
+        BOOST_TEST((message == nullptr ||
+                    !std::holds_alternative<messages::document_request>(message->message)));
+    }
+}
+
 // Guards against an overlay that a peer of another site confirms although it does not hold it.
 BOOST_AUTO_TEST_CASE(sites_hold_and_confirm_their_own_overlay) {
     auto subject = settled_fleet({.count = 40, .domains = 8, .sites = 2, .seed = 23});
