Refuse websocket handshakes with a body

What could happen: anyone who reaches the peer port could make a daemon hold up to 32 MB a connection before any proof, for the 2 s that a handshake may take.

Cause: websocketpp collects the body of an HTTP request up to its own bound, 32,000,000 bytes. A handshake has no body, so the bound is 0 now.

--- a/packages/edge/testing/endless_response_test.cc
+++ b/packages/edge/testing/endless_response_test.cc
@@ -3,10 +3,10 @@
 #define BOOST_TEST_MODULE edge_endless_response
 #include <atomic>
 #include <boost/test/unit_test.hpp>
-#include <fstream>
 #include <future>
 #include <thread>
 
+#include "base/testing/memory_peak.h"
 #include "edge/testing/raw_peer.h"
 #include "edge/upstream_client.h"
 
@@ -17,6 +17,7 @@
 using std::chrono::milliseconds;
 using testing::raw_server;
 using testing::raw_socket;
+using trefoil::testing::memory_peak;
 using steady = std::chrono::steady_clock;
 
 constexpr milliseconds full_speed{0};
@@ -45,34 +46,6 @@
     milliseconds pause = full_speed;
 };
 
-// The most memory that the process has held since reset().
-class memory_peak {
-public:
-    memory_peak() {
-        std::ofstream("/proc/self/clear_refs") << "5";
-        this->before = resident();
-    }
-    std::size_t growth() const {
-        std::size_t now = resident();
-        return now > this->before ? now - this->before : 0;
-    }
-
-private:
-    static std::size_t resident() {
-        std::ifstream status("/proc/self/status");
-        std::string word;
-        while (status >> word) {
-            if (word == "VmHWM:") {
-                std::size_t kib = 0;
-                status >> kib;
-                return kib << 10U;
-            }
-        }
-        return 0;
-    }
-    std::size_t before = 0;
-};
-
 // Notes the longest time for which the loop did not come to its timer.
 class loop_probe {
 public:
--- a/packages/edge/testing/raw_peer.h
+++ b/packages/edge/testing/raw_peer.h
@@ -63,11 +63,16 @@
         auto end = std::chrono::steady_clock::now() + limit;
         timeval patience{.tv_sec = 0, .tv_usec = 50'000};
         ::setsockopt(this->descriptor, SOL_SOCKET, SO_SNDTIMEO, &patience, sizeof(patience));
+        std::size_t done = 0;  // Of the unit.
         while (std::chrono::steady_clock::now() < end) {
-            auto sent = ::send(this->descriptor, unit.data(), unit.size(), MSG_NOSIGNAL);
+            auto sent =
+                ::send(this->descriptor, unit.data() + done, unit.size() - done, MSG_NOSIGNAL);
             if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
                 return true;
             }
+            if (sent > 0) {
+                done = (done + static_cast<std::size_t>(sent)) % unit.size();
+            }
             std::this_thread::sleep_for(pause);
         }
         return false;
--- a/packages/transport/frame_socket.cc
+++ b/packages/transport/frame_socket.cc
@@ -102,6 +102,7 @@
         endpoint.init_asio(&this->context);
         endpoint.set_open_handshake_timeout(open_timeout_ms);
         endpoint.set_max_message_size(small_frame_bytes);
+        endpoint.set_max_http_body_size(0);  // A handshake has none.
         endpoint.set_tcp_post_init_handler([&endpoint](websocketpp::connection_hdl hdl) {
             websocketpp::lib::error_code error;
             auto connection = endpoint.get_con_from_hdl(hdl, error);
