Drop peer connections that send websocket pings

What could happen: a sender on the peer port that pings and never reads made the daemon queue answers without a bound, before any proof, until the connection was dropped as silent after 2 s.

Cause: websocketpp answers each ping by itself and queues the answer; the unsent limit of 16 MiB is checked for frames of our own only. The protocol between daemons has its own ping messages and uses no websocket pings, so a ping is not answered and ends its connection.

Evidence: the stream "pings" of transport_endless_frames_test: four senders made the process grow by 199,924 KiB within 2.3 s on the code before, and the test failed; 0 KiB and closed after 2 ms now.

--- a/packages/transport/frame_socket.cc
+++ b/packages/transport/frame_socket.cc
@@ -142,6 +142,10 @@
                 this->drop(id);
             }
         });
+        connection->set_ping_handler([this, id](websocketpp::connection_hdl, const std::string&) {
+            this->drop(id);
+            return false;
+        });
         connection->set_close_handler([this, id](websocketpp::connection_hdl) { this->gone(id); });
         connection->set_fail_handler([this, id](websocketpp::connection_hdl) { this->gone(id); });
         if (outgoing) {
--- a/packages/transport/testing/endless_frames_test.cc
+++ b/packages/transport/testing/endless_frames_test.cc
@@ -63,6 +63,7 @@
         "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n";
     constexpr unsigned char first_part = 0x02;
     constexpr unsigned char next_part = 0x00;
+    constexpr unsigned char ping = 0x89;
     std::string huge_frame = std::string("\x82\xff\x7f", 3) + std::string(11, '\0');
     return {
         {.name = "one handshake line", .start = "GET /", .unit = repeat("a")},
@@ -74,6 +75,7 @@
         {.name = "parts of a frame",
          .start = upgrade + frame(first_part, "d"),
          .unit = repeat(frame(next_part, std::string(100, 'd')))},
+        {.name = "pings", .start = upgrade, .unit = repeat(frame(ping, std::string(100, 'p')))},
     };
 }
 
