Close the socket of a dropped peer connection at once

What was seen: a sender that sends empty parts of a frame without end kept its connection after it was dropped as silent at 2 s: the sender had not seen it closed when 5 s had passed, on all four connections of the test.

Cause: terminate() of websocketpp shuts the socket down and leaves the close to the end of the pending read, which goes on while there is input. drop() now closes the socket itself, which ends the read.

Evidence: the stream "empty parts of a frame" of transport_endless_frames_test: 0 of 4 connections closed within 5 s on the code before (the log has peer_connection_silent for each after 2 s); all closed after 2,040 ms now. transport_peer_endpoint_test passes.

--- a/packages/transport/frame_socket.cc
+++ b/packages/transport/frame_socket.cc
@@ -83,8 +83,12 @@
     void drop(connection_id id) {
         this->with_connection(id, [](auto& connection) {
             // The connection's own handlers run on its strand, so terminate() has to run there too.
-            connection->get_strand()->post(
-                [connection] { connection->terminate(websocketpp::lib::error_code()); });
+            connection->get_strand()->post([connection] {
+                connection->terminate(websocketpp::lib::error_code());
+                // Until it is closed, the socket is read to the end of what the peer has sent.
+                boost::system::error_code ignored;
+                connection->get_raw_socket().close(ignored);
+            });
             return true;
         });
     }
--- a/packages/transport/testing/endless_frames_test.cc
+++ b/packages/transport/testing/endless_frames_test.cc
@@ -75,6 +75,9 @@
         {.name = "parts of a frame",
          .start = upgrade + frame(first_part, "d"),
          .unit = repeat(frame(next_part, std::string(100, 'd')))},
+        {.name = "empty parts of a frame",
+         .start = upgrade + frame(first_part, ""),
+         .unit = repeat(frame(next_part, ""))},
         {.name = "pings", .start = upgrade, .unit = repeat(frame(ping, std::string(100, 'p')))},
     };
 }
