Bound chunk lines and trailers of requests

What could happen: a caller that sends a chunked body could fill the daemon's memory, for up to 150 s a connection (header and idle time-out).

Cause: Boost.Beast leaves an incomplete chunk line or trailer in the session's buffer until it is complete, and bounds only the header and the body. The buffer had no bound while a request arrives. Extensions of complete chunks take no memory, but 16 GB would fit into a body of 1 MiB.

Evidence: edge_endless_request_test, four callers for 4 s, on the code before: an endless chunk size 1,430,684 KiB, one endless trailer line 422,900 KiB, endless trailer lines 141,552 KiB; none of these connections nor that with an endless chunk extension was closed. 7 checks failed. Now each is refused with 431 and closed within 1.3 s, of which 1 s is the time for which a refused caller may take its response; growth is 5.5 MiB at most. edge_http_server_test and edge_http_test pass. The stream of chunks with extensions was added afterwards and was not run on the code before.

Ruled out by the same test: request line, header lines, empty lines and chunks without end (header and body limits hold), requests without end behind one that is handled (read up to 64 KiB), and endless bytes after a refusal (read for 1 s, nothing kept).

--- a/packages/edge/http_session.cc
+++ b/packages/edge/http_session.cc
@@ -23,6 +23,9 @@
 // Bytes of further requests that are read while one is handled. Beyond them a leaving caller is
 // noticed late.
 constexpr std::size_t read_ahead_limit = 64U << 10U;
+// How many bytes a request may take for each byte of body that it may have. A chunk of one byte
+// takes six.
+constexpr std::size_t framing_factor = 8;
 constexpr std::chrono::seconds linger_time{1};
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_request_timeout = 408;
@@ -177,12 +180,14 @@
         this->parser->eager(true);
         this->parser->header_limit(static_cast<std::uint32_t>(this->owner.limits().header_bytes));
         this->parser->body_limit(this->owner.limits().body_bytes);
+        this->parsed_bytes = 0;
         this->enter(phase::receiving);
     }
     bool had_header = this->parser->is_header_done();
     error_code error;
     std::size_t used = this->parser->put(this->buffer.data(), error);
     this->buffer.consume(used);
+    this->parsed_bytes += used;
     if (error && error != http::error::need_more) {
         this->refuse(status_of(error));
         return;
@@ -192,9 +197,21 @@
     }
     if (this->parser->is_done()) {
         this->hand_over();
+    } else if (this->passes_limit()) {
+        this->refuse(status_headers_too_large);
     }
 }
 
+// Whether a request that is not complete takes more than its header and its body may. The parser
+// bounds neither the line before a chunk nor the trailer, which it leaves in the buffer until they
+// are complete, nor how much the extensions of all chunks take.
+bool http_session::passes_limit() const {
+    const server_limits& limits = this->owner.limits();
+    return this->buffer.size() > limits.header_bytes ||
+           this->parsed_bytes >
+               limits.header_bytes + read_bytes + framing_factor * limits.body_bytes;
+}
+
 // Checks a request whose header has arrived. Returns false after refusing it.
 bool http_session::accept_header() {
     const auto& message = this->parser->get();
--- a/packages/edge/http_session.h
+++ b/packages/edge/http_session.h
@@ -67,6 +67,7 @@
     void on_read(const boost::system::error_code& error, std::size_t bytes);
     void parse();
     bool accept_header();
+    bool passes_limit() const;
     void refuse(unsigned status);
     void hand_over();
     void write(http_response response, bool keep_connection);
@@ -79,6 +80,7 @@
     session_owner& owner;
     boost::beast::flat_buffer buffer;           // Bytes that arrived and were not parsed.
     std::optional<parser_type> parser;          // Of the request that arrives.
+    std::size_t parsed_bytes = 0;               // Likewise.
     std::shared_ptr<pending_response> waiting;  // Set while the handler has the request.
     phase state = phase::idle;
     clock::time_point since;  // When the phase began.
