Bound the lines of the platform's answers

What could happen: a platform in trouble that sends trailer lines without end filled the memory of a daemon that reads it, for up to the whole time of a call, which is seconds for a watch.

Cause: http_reader bounds the body and appends header lines, and with them trailers, without a bound; Debian's libcurl bounds headers (300 KiB) but not trailers.

Evidence: source_http_reader_test, case an_answer_without_end_is_no_answer: 783,180 KiB and 3,157 ms (the time-out) for trailer lines on the code before, 2 checks failed; 7 ms and no growth now. All lines of an answer together may take 64 KiB.

Ruled out by the same test: header lines, interim responses, a body and chunks without end already ended within 23 ms.

--- a/packages/source/http_reader.cc
+++ b/packages/source/http_reader.cc
@@ -21,6 +21,9 @@
 constexpr int probe_interval_s = 1;
 constexpr int probe_count = 2;
 constexpr int poll_timeout_ms = 10'000;
+// Bytes of all lines of an answer: status lines, headers and trailers, also of interim responses.
+// The platform's answers have a few hundred.
+constexpr std::size_t head_bytes_max = 64U << 10U;
 
 // libcurl initialises itself with the first handle in a way that is not safe between threads, so
 // it is initialised once before.
@@ -32,6 +35,7 @@
 // The answer of one call while it arrives.
 struct arriving_answer {
     std::size_t max_body_bytes = 0;
+    std::size_t head_bytes = 0;
     http_answer answer;
 };
 
@@ -47,10 +51,15 @@
 
 std::size_t receive_header(char* data, std::size_t size, std::size_t count, void* target) {
     std::string_view line(data, size * count);
+    auto& state = *static_cast<arriving_answer*>(target);
+    state.head_bytes += line.size();
+    if (state.head_bytes > head_bytes_max) {
+        return 0;
+    }
     std::size_t colon = line.find(':');
     if (colon != std::string_view::npos) {
-        auto& headers = static_cast<arriving_answer*>(target)->answer.headers;
-        headers.emplace_back(trim(line.substr(0, colon)), trim(line.substr(colon + 1)));
+        state.answer.headers.emplace_back(trim(line.substr(0, colon)),
+                                          trim(line.substr(colon + 1)));
     }
     return line.size();
 }
@@ -94,7 +103,8 @@
         if (this->easy == nullptr || this->multi == nullptr) {
             return no_answer{.detail = "libcurl has no memory"};
         }
-        arriving_answer state{.max_body_bytes = options.max_body_bytes, .answer = {}};
+        arriving_answer state{
+            .max_body_bytes = options.max_body_bytes, .head_bytes = 0, .answer = {}};
         unsigned silence_ms = static_cast<unsigned>(options.silence_limit.count());
         this->prepare(url, timeout, options, state, silence_ms);
         this->ended.store(stopping.load());
--- /dev/null
+++ b/packages/source/testing/http_reader_test.cc
@@ -0,0 +1,86 @@
+// Tests of the reader against servers that send bytes without end.
+
+#define BOOST_TEST_MODULE source_http_reader
+#include "source/http_reader.h"
+
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <thread>
+#include <vector>
+
+#include "base/testing/memory_peak.h"
+#include "edge/testing/raw_peer.h"
+
+namespace trefoil::source {
+
+namespace {
+
+using edge::testing::raw_server;
+using edge::testing::raw_socket;
+using std::chrono::milliseconds;
+
+struct stream {
+    std::string name;
+    std::string start;
+    std::string unit;
+};
+
+std::string repeat(std::string_view unit) {
+    constexpr std::size_t unit_bytes = 64U << 10U;
+    std::string text;
+    while (text.size() < unit_bytes) {
+        text += unit;
+    }
+    return text;
+}
+
+std::vector<stream> streams() {
+    const std::string status_line = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = status_line + "Transfer-Encoding: chunked\r\n\r\n";
+    return {
+        {.name = "header lines", .start = status_line, .unit = repeat("X-A: b\r\n")},
+        {.name = "interim responses", .start = "", .unit = repeat("HTTP/1.1 100 Go on\r\n\r\n")},
+        {.name = "a body", .start = status_line + "\r\n", .unit = repeat("b")},
+        {.name = "chunks", .start = chunked, .unit = repeat("10\r\n0123456789abcdef\r\n")},
+        {.name = "trailer lines", .start = chunked + "0\r\n", .unit = repeat("X-A: b\r\n")},
+    };
+}
+
+}  // namespace
+
+// Guards against a platform in trouble that fills the daemon's memory or holds its reader for the
+// whole time of a call.
+BOOST_AUTO_TEST_CASE(an_answer_without_end_is_no_answer) {
+    constexpr std::size_t memory_limit = std::size_t{8} << 20U;
+    for (const stream& each : streams()) {
+        BOOST_TEST_CONTEXT(each.name) {
+            std::atomic<int> closed{0};
+            raw_server server([&](const raw_socket& socket, int) {
+                socket.read_until("\r\n\r\n");
+                socket.write(each.start);
+                closed +=
+                    socket.write_until_closed(each.unit, milliseconds(0), std::chrono::seconds(5))
+                        ? 1
+                        : 0;
+            });
+            trefoil::testing::memory_peak memory;
+            http_reader reader({});
+            auto begin = std::chrono::steady_clock::now();
+            auto result = reader.get("http://127.0.0.1:" + std::to_string(server.port()) + "/",
+                                     milliseconds(3000));
+            auto took =
+                std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - begin);
+            BOOST_TEST(std::holds_alternative<no_answer>(result));
+            BOOST_TEST(took.count() < 1500);
+            BOOST_TEST(memory.growth() < memory_limit);
+            BOOST_TEST_MESSAGE(each.name << ": " << took.count() << " ms, memory "
+                                         << memory.growth() / 1024 << " KiB");
+            while (closed == 0 && std::chrono::steady_clock::now() - begin < milliseconds(4500)) {
+                std::this_thread::sleep_for(milliseconds(5));
+            }
+            BOOST_TEST(closed == 1);
+        }
+    }
+}
+
+}  // namespace trefoil::source
