Show that a response of full size crosses a peer connection

Guards the bound of responses (1 MiB of body, 64 KiB of lines) against the bound of frames (4 MiB): a frame above it ends the connection with all calls on it, so a response that the egress accepts must fit.

--- a/packages/transport/testing/peer_endpoint_test.cc
+++ b/packages/transport/testing/peer_endpoint_test.cc
@@ -149,6 +149,25 @@
     BOOST_TEST(left.events.closed == 0);
 }
 
+// Guards against a response that the egress accepts and the connection does not carry: a frame
+// above the bound would end the connection with all calls on it.
+BOOST_AUTO_TEST_CASE(a_response_of_full_size_crosses_a_connection) {
+    constexpr std::size_t body_bytes = std::size_t{1} << 20U;   // edge::max_body_bytes.
+    constexpr std::size_t head_bytes = std::size_t{64} << 10U;  // edge::max_response_head_bytes.
+    constexpr std::size_t line_bytes = 4;                       // The shortest line: "a:", CR, LF.
+    node left("left", "a-shared-fleet-secret", 7);
+    node right("right", "a-shared-fleet-secret", 8);
+    connection_id id = left.endpoint.connect(right.address());
+    BOOST_REQUIRE(left.events.wait([&] { return left.events.opened.size() == 1; }));
+    BOOST_REQUIRE(right.events.wait([&] { return right.events.opened.size() == 1; }));
+    messages::call_result response{.sequence = 1, .body = std::string(body_bytes, '\xff')};
+    response.headers.assign(head_bytes / line_bytes, {.name = "a", .value = ""});
+    BOOST_TEST(left.endpoint.send(id, response));
+    BOOST_REQUIRE(right.events.wait([&] { return !right.events.received.empty(); }));
+    BOOST_TEST((right.events.received.front() == messages::peer_message(response)));
+    BOOST_TEST(left.events.closed == 0);
+}
+
 // Guards against a sender that does not know the fleet secret and is believed.
 BOOST_AUTO_TEST_CASE(peer_with_another_secret_is_rejected) {
     node left("left", "a-shared-fleet-secret", 2);
