--- a/packages/edge/http_session.h
+++ b/packages/edge/http_session.h
@@ -78,6 +78,7 @@
     void read_last();
     void parse();
     bool accept_header();
+    bool passes_limit() const;
     void refuse(unsigned status);
     void refuse_late();
     void hand_over();
@@ -93,6 +94,7 @@
     session_owner& owner;
     boost::beast::flat_buffer buffer;           // Bytes that arrived and were not parsed.
     std::optional<parser_type> parser;          // Of the request that arrives.
+    std::size_t parsed_bytes = 0;               // Likewise.
     std::shared_ptr<pending_response> waiting;  // Set while the handler has the request.
     phase state = phase::idle;
     clock::time_point since;      // When the phase began.
--- a/packages/transport/frame_socket.cc
+++ b/packages/transport/frame_socket.cc
@@ -106,8 +106,12 @@
     void drop(connection_id id) {
         this->with_connection(id, [](auto& connection) {
             // The connection's own handlers run on its strand, so terminate() has to run there too.
-            connection->get_strand()->post(
-                [connection] { connection->terminate(websocketpp::lib::error_code()); });
+            connection->get_strand()->post([connection] {
+                connection->terminate(websocketpp::lib::error_code());
+                // Until it is closed, the socket is read to the end of what the peer has sent.
+                boost::system::error_code ignored;
+                connection->get_raw_socket().close(ignored);
+            });
             return true;
         });
     }
@@ -133,6 +137,7 @@
         endpoint.init_asio(&this->context);
         endpoint.set_open_handshake_timeout(open_timeout_ms);
         endpoint.set_max_message_size(small_frame_bytes);
+        endpoint.set_max_http_body_size(0);  // A handshake has none.
         endpoint.set_tcp_post_init_handler([&endpoint](websocketpp::connection_hdl hdl) {
             websocketpp::lib::error_code error;
             auto connection = endpoint.get_con_from_hdl(hdl, error);
@@ -172,6 +177,10 @@
                 this->drop(id);
             }
         });
+        connection->set_ping_handler([this, id](websocketpp::connection_hdl, const std::string&) {
+            this->drop(id);
+            return false;
+        });
         connection->set_close_handler([this, id](websocketpp::connection_hdl) { this->gone(id); });
         connection->set_fail_handler([this, id](websocketpp::connection_hdl) { this->gone(id); });
         if (outgoing) {
