Leave on_call_message in the branch that holds the call back

Clang-tidy sees a use of the call after it was moved, which cannot happen. The branch that moves it now returns itself.

--- a/packages/daemon/peer_links.cc
+++ b/packages/daemon/peer_links.cc
@@ -291,9 +291,8 @@
 void peer_links::on_call_message(link& from, messages::call call, mono_time received) {
     mono_time sent;
     bool refused = false;
-    bool waits = false;
     {
-        std::lock_guard lock(from.mutex);
+        std::unique_lock lock(from.mutex);
         auto estimate = from.offset.earliest_send(call.sent_us, received);
         if (const auto* time = std::get_if<mono_time>(&estimate)) {
             sent = *time;
@@ -301,14 +300,12 @@
             refused = from.early_calls.size() >= early_call_capacity;
             if (!refused) {
                 from.early_calls.emplace_back(std::move(call), received);
-                waits = true;
+                lock.unlock();
+                this->endpoint.probe(from.id);
+                return;
             }
         }
     }
-    if (waits) {
-        this->endpoint.probe(from.id);
-        return;
-    }
     if (refused) {
         this->endpoint.send(from.id,
                             messages::call_result{.sequence = call.sequence,
