Leave connections alone that peers open while the daemon ends

Peers connected again, the ending daemon closed each new connection at once, and waited for up to 1 s because one was always open.

Now only the connections that are open when the wait begins are closed and awaited. A new one stays: it brings a digest that says the instance leaves.

--- a/packages/daemon/peer_links.cc
+++ b/packages/daemon/peer_links.cc
@@ -262,9 +262,6 @@
     for (queued_message& each : waiting) {
         this->transmit(id, std::move(each));
     }
-    if (this->leaving) {
-        this->finish(opened);
-    }
 }
 
 void peer_links::on_close(transport::connection_id id, const messages::hello* peer,
@@ -420,22 +417,18 @@
     });
 }
 
-void peer_links::finish(const std::shared_ptr<link>& each) {
-    this->endpoint.finish(each->id, this->leaving_settled && !each->result_lost,
-                          [] { return true; });
-}
-
 void peer_links::leave(bool settled, std::chrono::milliseconds limit) {
-    this->leaving_settled = settled;
-    this->leaving = true;
     std::vector<std::shared_ptr<link>> open;
     this->by_connection.for_each(
         [&](transport::connection_id, const auto& each) { open.push_back(each); });
     for (const auto& each : open) {
-        this->finish(each);
+        this->endpoint.finish(each->id, settled && !each->result_lost, [] { return true; });
     }
+    auto remains = [this](const auto& each) {
+        return this->by_connection.find(each->id).has_value();
+    };
     mono_time end = this->clock.now() + limit;
-    while (this->open_count() > 0 && this->clock.now() < end) {
+    while (std::any_of(open.begin(), open.end(), remains) && this->clock.now() < end) {
         std::this_thread::sleep_for(close_check_interval);
     }
 }
--- a/packages/daemon/peer_links.h
+++ b/packages/daemon/peer_links.h
@@ -9,7 +9,6 @@
 #ifndef TREFOIL_DAEMON_PEER_LINKS_H_
 #define TREFOIL_DAEMON_PEER_LINKS_H_
 
-#include <atomic>
 #include <chrono>
 #include <deque>
 #include <functional>
@@ -119,7 +118,8 @@
     void set_kept(std::vector<std::string> instances);
 
     // Closes all connections after the results that were sent on them, and waits for that for at
-    // most `limit`. With `settled` no call of a peer runs or will run: peers learn that calls
+    // most `limit`. One that a peer opens meanwhile stays open: closing it would make the peer open
+    // the next. With `settled` no call of a peer runs or will run: peers learn that calls
     // without a result were not run. To be called while the loop runs.
     void leave(bool settled, std::chrono::milliseconds limit);
 
@@ -163,7 +163,6 @@
     bool is_idle(const link& each) const;
     void close_idle();
     void finish_idle(const std::shared_ptr<link>& idle);
-    void finish(const std::shared_ptr<link>& each);
     void withdraw(const link& each);
     void drop_expired(mono_time now);
 
@@ -182,9 +181,6 @@
     mono_time dial_tokens_at;
     seeded_random random;
 
-    std::atomic<bool> leaving{false};
-    std::atomic<bool> leaving_settled{false};
-
     transport::peer_endpoint endpoint;
 };
 
