--- a/packages/transport/testing/endless_frames_test.cc
+++ b/packages/transport/testing/endless_frames_test.cc
@@ -30,7 +30,7 @@
     void on_open(connection_id, const messages::hello&, bool) override {}
     void on_message(connection_id, const messages::hello&, messages::peer_message,
                     mono_time) override {}
-    void on_close(connection_id, const messages::hello*) override {}
+    void on_close(connection_id, const messages::hello*, bool) override {}
 };
 
 // What a sender writes: `start` once, `unit` without end.
