Give results the time that is left of a stop to reach peers

A machine of 0.1 core may not run for 90 ms at a time, so peers saw a lost connection, and a call that was never read ended as unknown.

Test: the_end_of_a_stop_uses_the_time_that_is_left (a new function, so it could not be run on the code before).

--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -25,10 +25,6 @@
 // shorter time costs more messages.
 constexpr std::chrono::milliseconds loan_time{2000};
 constexpr std::chrono::milliseconds loan_renew_interval{700};
-// How long the last results may take to reach peers, and peers to confirm that they have them. The
-// shorter one fits into stop_settings::closing_time.
-constexpr std::chrono::milliseconds flush_time{1000};
-constexpr std::chrono::milliseconds short_flush_time{50};
 
 // Start time in microseconds with random low bits, so that two starts in one microsecond differ and
 // a later start is greater.
@@ -173,6 +169,7 @@
         return;
     }
     this->running = false;
+    mono_time stop_began = this->clock.now();
     log(log_level::info, "drain_started");
     this->board.phase = lifecycle::draining;
     this->local_egress.drain();
@@ -186,7 +183,7 @@
     this->platform.service->stop();
     this->control.stop();
     this->links.leave(settled || this->local_egress.idle(),
-                      this->options.stop.within.count() > 0 ? short_flush_time : flush_time);
+                      this->options.stop.closing_limit(this->clock.now() - stop_began));
     this->loop.stop();
     this->links.stop();
     log(log_level::info, "daemon_stopped");
--- a/packages/daemon/settings.cc
+++ b/packages/daemon/settings.cc
@@ -306,6 +306,18 @@
     return std::clamp(left, std::chrono::milliseconds(0), this->limit);
 }
 
+std::chrono::milliseconds stop_settings::closing_limit(mono_duration elapsed) const {
+    // Peers confirm within some round trips, which a busy machine may take long for.
+    constexpr std::chrono::milliseconds longest{1000};
+    constexpr std::chrono::milliseconds shortest{50};
+    if (this->within.count() == 0) {
+        return longest;
+    }
+    auto left = this->within - closing_time -
+                std::chrono::duration_cast<std::chrono::milliseconds>(elapsed);
+    return std::clamp(left, shortest, longest);
+}
+
 result<settings, settings_failures> load_settings(const std::string& path) {
     auto body = read_file(path, "");
     if (auto* failure = std::get_if<unreadable_file>(&body)) {
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -24,6 +24,7 @@
 #include "admission/demand_limiter.h"
 #include "base/log.h"
 #include "base/result.h"
+#include "base/time.h"
 #include "config/validation_failure.h"
 #include "daemon/socket_address.h"
 
@@ -51,6 +52,8 @@
     // Longest time for requests that are held, with `within` taken into account. The last
     // `closing_time` of it is left for the refusals of what is still held.
     std::chrono::milliseconds holding_limit() const;
+    // How long results may take to leave at the end of a stop that has lasted for `elapsed`.
+    std::chrono::milliseconds closing_limit(mono_duration elapsed) const;
     // Enough to send the refusals and to end the threads of a daemon with its usual processor.
     static constexpr std::chrono::milliseconds closing_time{300};
 
--- a/packages/daemon/testing/settings_test.cc
+++ b/packages/daemon/testing/settings_test.cc
@@ -166,4 +166,15 @@
     BOOST_TEST(failures_of(complete + "stop: {within_s: -1}\n") != "");
 }
 
+// Guards against results that a slow machine has no time to send at the end of a stop, although
+// most of the time that the stop may take is left.
+BOOST_AUTO_TEST_CASE(the_end_of_a_stop_uses_the_time_that_is_left) {
+    using std::chrono::milliseconds;
+    stop_settings platform{.within = milliseconds(6000)};
+    BOOST_CHECK(platform.closing_limit(milliseconds(2500)) == milliseconds(1000));
+    BOOST_CHECK(platform.closing_limit(milliseconds(5200)) == milliseconds(500));
+    BOOST_CHECK(platform.closing_limit(milliseconds(6000)) == milliseconds(50));
+    BOOST_CHECK(stop_settings{}.closing_limit(milliseconds(62'000)) == milliseconds(1000));
+}
+
 }  // namespace trefoil::daemon
