Use an instance again as soon as a connection to it is open

Found in review: an instance whose connection was lost was refused as no_upstream for a second even after a new connection was open, and a call whose own deadline passed while it waited for a connection counted as a failure of the instance.

Test first: a_new_connection_ends_the_time_after_a_failure fails without the reset.

--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -279,7 +279,8 @@
     }
     this->choice.ended_without_result((*found)->instance);
     this->note_end(**found, name_of(end), reason, {});
-    if (end == routing::attempt_end::not_sent) {
+    // A call whose own time ran out while it waited for a connection says nothing of the instance.
+    if (end == routing::attempt_end::not_sent && reason != reasons::deadline_exceeded) {
         this->choice.connection_failed((*found)->instance, this->clock.now());
     }
     bool sent = end != routing::attempt_end::not_sent;
--- a/packages/routing/load_table.cc
+++ b/packages/routing/load_table.cc
@@ -78,7 +78,12 @@
 }
 
 void load_table::set_connected(const std::string& instance, bool connected) {
-    this->loads.update(instance, [&](instance_load& load) { load.connected = connected; });
+    this->loads.update(instance, [&](instance_load& load) {
+        load.connected = connected;
+        if (connected) {
+            load.connection_failed_at.reset();
+        }
+    });
 }
 
 void load_table::connection_failed(const std::string& instance, mono_time now) {
--- a/packages/routing/testing/upstream_picker_test.cc
+++ b/packages/routing/testing/upstream_picker_test.cc
@@ -71,6 +71,21 @@
     }
 }
 
+// Guards against an only upstream that is refused for the rest of a second although its connection
+// was lost and is open again.
+BOOST_AUTO_TEST_CASE(a_new_connection_ends_the_time_after_a_failure) {
+    seeded_random random(3);
+    upstream_picker picker({.failure_domain = "d1"});
+    std::vector<candidate> candidates = {live("a", "d1")};
+    load_table loads;
+    loads.connection_failed("a", start);
+    BOOST_TEST(std::holds_alternative<no_upstream_available>(
+        picker.pick(candidates, {}, loads, {}, start, random)));
+    loads.set_connected("a", true);
+    BOOST_TEST(std::holds_alternative<picked_upstream>(
+        picker.pick(candidates, {}, loads, {}, start, random)));
+}
+
 // Guards against cross-domain traffic without need, and against queueing at home while another
 // domain is free.
 BOOST_AUTO_TEST_CASE(own_domain_first_until_it_is_full) {
