Count only full instances before a call is offered as late

Found in review: answers of stopping or taken-out instances counted as refusals for want of room, so that in a rolling stop four of them made a call late although other instances had room.

--- a/packages/daemon/entry_call.h
+++ b/packages/daemon/entry_call.h
@@ -34,6 +34,7 @@
     std::size_t sent = 0;             // Attempts.
     std::vector<std::string> tried;
     std::vector<std::string> refused;  // Part of `tried`: their upstreams did not see the call.
+    std::size_t overloaded = 0;        // How many of them were full.
     // The shortest time after which one of them could have started it.
     std::optional<std::chrono::milliseconds> retry_after;
     // An upstream's 502, 503 or 504 for which a retry was made. The caller gets it when no retry
--- a/packages/daemon/upstream_choice.cc
+++ b/packages/daemon/upstream_choice.cc
@@ -84,7 +84,7 @@
                                   thread_random());
     };
     this->ask_once(call, candidates, now);
-    if (call.refused.size() >= most_refusals && !this->accept_late_place(call, now)) {
+    if (call.overloaded >= most_refusals && !this->accept_late_place(call, now)) {
         return routing::every_upstream_tried{};
     }
     routing::pick_result choice = choose();
@@ -116,6 +116,7 @@
         return refused && !this->late_places.expected(each, call.message.route, now);
     });
     call.refused.clear();
+    call.overloaded = 0;
     return true;
 }
 
@@ -162,6 +163,7 @@
         return;
     }
     call.refused.push_back(instance);
+    call.overloaded += result.reason == reasons::overloaded ? 1 : 0;
     if (by_time && call.message.may_be_late && call.objective.count() > 0) {
         this->late_places.add(instance, call.message.route, now);
     }
