--- a/packages/routing/load_table.h
+++ b/packages/routing/load_table.h
@@ -65,8 +65,8 @@
     // The egress ran a call, whatever the result.
     void accepted(const std::string& instance);
 
-    // The first connection to the instance's daemon is open, which ends the time after a failure, or
-    // the last one is closed.
+    // The first connection to the instance's daemon is open, which ends the time after a failure,
+    // or the last one is closed.
     void set_connected(const std::string& instance, bool connected);
 
     // A connection could not be opened, or was lost.
