Let every daemon follow a mirrored platform unless the settings name fewer

Cause, by calculation and not by a run: a configuration of 820 routes is a document of 188 KB, and a follower behind a link of 10 Mbit/s needs 0.15 s to send it once, up to 11 times for its part of a domain.

The store has the bandwidth, and the pause of a follower during a series of changes stays. platform_followers brings the rule back where links allow it; the whole-path tests of it set it to 2.

--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -55,7 +55,7 @@
         core.seeds.push_back(seed.text());
     }
     if (mirrors) {
-        dissemination::use_mirror(core);
+        dissemination::use_mirror(core, options.platform_followers);
     }
     return core;
 }
--- a/packages/daemon/settings.cc
+++ b/packages/daemon/settings.cc
@@ -24,6 +24,7 @@
 constexpr std::size_t secret_characters_min = 16;
 constexpr std::uint32_t milliseconds_max = 600'000;
 constexpr std::uint32_t retries_max = 100'000;
+constexpr std::uint32_t followers_max = 1'000;
 constexpr double seconds_max = 600;
 constexpr double requests_max = 1e6;
 constexpr std::string_view expected_address =
@@ -64,6 +65,10 @@
             this->read_address(this->fields.required("upstream", expected_address));
         this->read_platform();
         this->read_platform_protocol();
+        this->parsed.platform_followers =
+            config::read_integer(this->fields.optional("platform_followers"), 0, followers_max,
+                                 this->invalid)
+                .value_or(this->parsed.platform_followers);
         this->read_regions();
         this->read_stop();
         this->read_limits();
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -80,6 +80,9 @@
     std::string platform{};  // URL without a trailing slash.
     // Names the adapter that reads the platform.
     std::string platform_protocol{"documents"};
+    // Daemons of each failure domain that follow a mirrored platform and pass its documents on; 0:
+    // every daemon follows it.
+    std::size_t platform_followers = 0;
     std::map<std::string, std::string> regions{};  // By failure domain; others have no region.
     stop_settings stop{};
     retry_settings retries{};
--- a/packages/dissemination/core_options.cc
+++ b/packages/dissemination/core_options.cc
@@ -4,11 +4,10 @@
 
 namespace trefoil::dissemination {
 
-void use_mirror(core_options& options) {
+void use_mirror(core_options& options, std::size_t followers) {
+    constexpr std::size_t every_daemon = 1'000'000;
     constexpr milliseconds short_interval{200};
-    options.mirrored = true;
-    // Reads of the mirror cost nothing, so they are short and confirm often.
-    options.watch_wait = milliseconds(500);
+    options.readers_per_domain = followers == 0 ? every_daemon : followers;
     options.read_interval = short_interval;
     options.longest_backoff = short_interval;
     options.first_read_spread = short_interval;
@@ -16,8 +15,13 @@
     // The platform brings a change to all readers within some ten milliseconds.
     options.refresh_after = milliseconds(300);
     options.pull_delay = milliseconds(700);
-    // Changes must be in force everywhere within 1 s; a reader's follower adds up to 150 ms.
-    options.announcement_gap = milliseconds(400);
+    if (followers > 0) {
+        options.mirrored = true;
+        // Reads of the mirror cost nothing, so they are short and confirm often.
+        options.watch_wait = milliseconds(500);
+        // Changes must be in force everywhere within 1 s; a reader's follower adds up to 150 ms.
+        options.announcement_gap = milliseconds(400);
+    }
 }
 
 }  // namespace trefoil::dissemination
--- a/packages/dissemination/core_options.h
+++ b/packages/dissemination/core_options.h
@@ -45,8 +45,8 @@
     milliseconds longest_backoff{30000};
     milliseconds first_read_spread{2000};
 
-    // The platform's documents are mirrored here, and the mirror is suspended while nobody needs
-    // it. Reads of the mirror cost nothing; following the platform does.
+    // The platform's documents are mirrored by some daemons, and the mirror here is suspended while
+    // nobody needs it. Reads of the mirror cost nothing; following the platform does.
     bool mirrored = false;
     // How often a daemon asks one of the readers of its domain, in turn, how old its confirmation
     // by the platform is. With two readers and 23 daemons in a domain a reader answers 23 short
@@ -81,8 +81,9 @@
     bool check_pauses = true;    // Counts confirmations from the request, not from the response.
 };
 
-// Sets the times that suit a mirrored platform.
-void use_mirror(core_options& options);
+// Sets the times that suit a mirrored platform. `followers`: how many daemons of each failure
+// domain follow it and pass its documents on; 0: every daemon follows it.
+void use_mirror(core_options& options, std::size_t followers);
 
 }  // namespace trefoil::dissemination
 
--- a/packages/dissemination/testing/mirrored_platform_test.cc
+++ b/packages/dissemination/testing/mirrored_platform_test.cc
@@ -22,7 +22,7 @@
 // `every_daemon`: all daemons follow the store, which shows what the choice of readers saves.
 fleet_options mirrored_options(std::size_t count, bool every_daemon) {
     fleet_options options{.count = count, .domains = fleet_domains, .seed = 3};
-    use_mirror(options.core);
+    use_mirror(options.core, 2);
     if (every_daemon) {
         options.core.readers_per_domain = count;
     }
