--- a/packages/daemon/testing/settings_test.cc
+++ b/packages/daemon/testing/settings_test.cc
@@ -108,12 +108,12 @@
     expect_failure("site: north", "site: a/b",
                    "t.yaml:3: site: expected a name of 1 to 64 letters, digits, dots, hyphens and "
                    "underscores that starts with a letter or digit, found \"a/b\"");
-    expect_failure(
-        "seeds:", "seed:",
-        "t.yaml:8: seed: unknown field, expected one of instance, name, "
-        "failure_domain, site, service, listen, upstream, platform, platform_protocol, "
-        "regions, stop, limits, retries, seeds, fleet_secret, fleet_secret_file, trust_network, "
-        "log_level");
+    expect_failure("seeds:", "seed:",
+                   "t.yaml:8: seed: unknown field, expected one of instance, name, "
+                   "failure_domain, site, service, listen, upstream, platform, platform_protocol, "
+                   "platform_followers, regions, stop, limits, retries, seeds, fleet_secret, "
+                   "fleet_secret_file, trust_network, "
+                   "log_level");
     expect_failure("log_level: debug", R"(log_level: "a\nb")",
                    R"(t.yaml:10: log_level: expected debug, info, warning, error or off, found )"
                    R"("a\x0ab")");
