--- a/packages/admission/rate_limiter.h
+++ b/packages/admission/rate_limiter.h
@@ -7,7 +7,7 @@
 //     limiter.set_members("station-1", {"station-1", "station-2"});
 //     admission::limiter_output out;
 //     auto result = limiter.try_admit("north", call_id, clock.now(), out);
-//     // Send out.messages, finish the calls in out.decisions; call tick() every 10 ms.
+//     // Send out.messages, finish the calls in out.decisions; call tick() every 20 ms.
 //
 // docs/limits.md has the rules and the argument that all daemons together stay within a limit.
 
--- a/packages/daemon/demand_exchange.h
+++ b/packages/daemon/demand_exchange.h
@@ -61,7 +61,7 @@
     // the daemons, otherwise when the lender has answered or left two requests without an answer.
     void admit(const std::string& workspace, mono_time now, demand_callback decided);
 
-    // Sends what is due. To be called about every 10 ms.
+    // Sends what is due. To be called about every 20 ms.
     void tick(const membership::view& view, mono_time now);
 
     void on_report(const std::string& from, const messages::demand_report& report, mono_time now);
--- a/packages/daemon/limit_service.h
+++ b/packages/daemon/limit_service.h
@@ -56,7 +56,7 @@
     void on_message(const std::string& from, const messages::peer_message& message);
 
     // Takes over new limits and members from the blackboard and does what is due. To be called
-    // about every 10 ms by one thread.
+    // about every 20 ms by one thread.
     void tick();
 
     std::optional<admission::rate_limiter::pool_state> inspect(const std::string& workspace) {
--- a/packages/edge/testing/http_server_test.cc
+++ b/packages/edge/testing/http_server_test.cc
@@ -245,7 +245,7 @@
 }
 
 // Guards against an idle connection that is closed with a request in its receive buffer, which its
-// caller then loses (incident hbf-pumpnet-grown).
+// caller then loses.
 BOOST_FIXTURE_TEST_CASE(a_stop_answers_a_request_that_arrived_unread, fixture) {
     io::event_loop loop;
     loop.start();
--- a/packages/routing/testing/large_service_test.cc
+++ b/packages/routing/testing/large_service_test.cc
@@ -175,7 +175,7 @@
 }  // namespace
 
 // Guards against ingresses that all prefer the same instances of a large service and find them full
-// while most others have room (incident hbf-pumpnet-grown).
+// while most others have room.
 BOOST_AUTO_TEST_CASE(ingresses_of_a_large_service_do_not_crowd_the_quickest_instances) {
     for (std::uint64_t seed : {1, 2, 3}) {
         outcome counted = large_service(0.45, seed).run();
