Measure resident memory without the sanitizer's quarantine

AddressSanitizer keeps freed memory for some time, so tests that bound the resident memory of the process would measure that.

--- a/cmake/trefoil.cmake
+++ b/cmake/trefoil.cmake
@@ -26,3 +26,12 @@
   add_test(NAME ${name} COMMAND ${name} --log_level=test_suite ${others})
   set_tests_properties(${name} PROPERTIES TIMEOUT 120)
 endfunction()
+
+# trefoil_measures_memory(NAME) says that a test checks how much memory stays resident. AddressSanitizer
+# otherwise keeps freed memory for some time.
+function(trefoil_measures_memory name)
+  if(TREFOIL_TESTS AND TREFOIL_SANITIZE)
+    set_tests_properties(${name} PROPERTIES
+      ENVIRONMENT "ASAN_OPTIONS=quarantine_size_mb=0:thread_local_quarantine_size_kb=0")
+  endif()
+endfunction()
