Take the idle time of a connection when its response begins

In a sanitizer build a_lower_idle_time_spares_connections_that_are_idle_ already failed: a caller that had its response could see the idle time lowered before the server had entered the idle phase, and was then held to the shorter one. The response is what the caller counts from.

--- a/packages/edge/http_session.cc
+++ b/packages/edge/http_session.cc
@@ -130,6 +130,7 @@
     error_code ignored;
     this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     this->socket.non_blocking(true, ignored);  // For read_last().
+    this->idle_limit = this->owner.limits().idle_timeout;
     this->enter(phase::idle);
     this->read();
 }
@@ -137,9 +138,6 @@
 void http_session::enter(phase next) {
     this->state = next;
     this->since = clock::now();
-    if (next == phase::idle) {
-        this->idle_limit = this->owner.limits().idle_timeout;
-    }
 }
 
 void http_session::read() {
@@ -327,6 +325,7 @@
 
 void http_session::write(http_response response, bool keep_connection) {
     this->enter(phase::responding);
+    this->idle_limit = this->owner.limits().idle_timeout;
     bool bodiless = response.status == status_no_content || response.status == status_not_modified;
     http::response<http::string_body> message;
     message.result(response.status);
