--- a/packages/edge/http_session.h
+++ b/packages/edge/http_session.h
@@ -99,8 +99,8 @@
     phase state = phase::idle;
     clock::time_point since;      // When the phase began.
     clock::time_point last_read;  // When the last bytes arrived.
-    // The idle time that was in force when the last response began, or the connection. Its caller may
-    // count on it.
+    // The idle time that was in force when the last response began, or the connection. Its caller
+    // may count on it.
     std::chrono::milliseconds idle_limit{0};
     bool reading = false;  // Whether a read is in progress.
     bool ending = false;   // Whether no further request is taken after the present one.
