Let the slow reader of a test show its progress to the server

The reader has a buffer of 64 KiB now and reads slowly to the end, so it takes longer in all and is never without progress for the idle time. Bounds and check are as before.

--- a/packages/edge/testing/http_server_test.cc
+++ b/packages/edge/testing/http_server_test.cc
@@ -364,7 +364,8 @@
 
 // Guards against a response that is cut off because its reader takes longer than the idle time.
 BOOST_FIXTURE_TEST_CASE(a_slow_reader_gets_its_whole_response, fixture) {
-    raw_socket slow = this->connect();
+    constexpr int part = 64 << 10;
+    raw_socket slow = raw_socket::connect_to(this->port, part);
     std::string body(std::size_t{8} << 20U, 'x');
     this->server->set_limits({.body_bytes = body.size(), .idle_timeout = milliseconds(400)});
     std::string request =
@@ -374,16 +375,13 @@
     BOOST_TEST(eventually([&] { return this->handler.handled == 1; }, milliseconds(5000)));
     writer.join();
     std::size_t got = 0;
-    constexpr std::size_t part = std::size_t{256} << 10U;
     while (true) {
         std::size_t more = slow.read_some(part).size();
         if (more == 0) {
             break;
         }
         got += more;
-        if (got < body.size() / 2) {
-            std::this_thread::sleep_for(milliseconds(80));
-        }
+        std::this_thread::sleep_for(milliseconds(10));
     }
     BOOST_TEST(got > body.size());
 }
--- a/packages/edge/testing/raw_peer.h
+++ b/packages/edge/testing/raw_peer.h
@@ -36,8 +36,14 @@
     raw_socket(raw_socket&& other) noexcept : descriptor(std::exchange(other.descriptor, -1)) {}
     ~raw_socket() { this->close(); }
 
-    static raw_socket connect_to(std::uint16_t port) {
+    // With `receive_buffer` bytes, unless it is 0, the peer sees soon how much was read here.
+    static raw_socket connect_to(std::uint16_t port, int receive_buffer = 0) {
         raw_socket made(::socket(AF_INET, SOCK_STREAM, 0));
+        if (receive_buffer > 0) {
+            require(::setsockopt(made.descriptor, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                                 sizeof(receive_buffer)),
+                    "setsockopt");
+        }
         sockaddr_in address = loopback(port);
         require(::connect(made.descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
                 "connect");
