Take no call before the state of the upstream is known

Callers could see, in the first 20 ms of a daemon that says it is ready, that a call ran at an upstream which is taken out or another one than expected: the list is taken over by the loop's timer, after readiness is published. Ruled out: a lost list (the same daemon had it in force) and a lost header (all others were there).

--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -146,7 +146,8 @@
         return;
     }
     // The upstream beside the daemon may be of another service than the ingress believes.
-    if (held->call.service != this->board.settings.read()->service) {
+    if (!this->availability_known ||
+        held->call.service != this->board.settings.read()->service) {
         this->refuse(id, {.reason = gate::refusal_reason::no_upstream,
                           .outcome = messages::call_outcome::not_run});
         return;
@@ -353,6 +354,7 @@
 
 void egress::set_availability(gate::upstream_availability availability) {
     this->apply(this->gate.set_availability(availability));
+    this->availability_known = true;
 }
 
 void egress::trust_slots(std::uint32_t slots) {
--- a/packages/daemon/egress.h
+++ b/packages/daemon/egress.h
@@ -77,7 +77,11 @@
     void drain() { this->gate.drain(); }
 
     bool idle() const { return this->gate.idle() && this->calls.size() == 0; }
+    // Calls are refused as no_upstream before the first one: the upstream may be taken out, or
+    // another one than the ingress expects.
     void set_availability(gate::upstream_availability availability);
+    // Whether set_availability() was called.
+    bool takes_calls() const { return this->availability_known; }
     // The identity that requests name as the expected upstream; empty when it is not known.
     void set_upstream(std::string id);
     void configure(std::uint32_t slots, std::size_t queue);
@@ -123,6 +127,7 @@
     gate::upstream_gate gate;
     sharded_map<gate::call_id, std::shared_ptr<held_call>> calls;
     board_slot<std::string> upstream_id;
+    std::atomic<bool> availability_known{false};  // Never reset.
     std::atomic<std::uint64_t> started{0};
     std::atomic<std::uint64_t> answered{0};
     std::atomic<std::uint64_t> refused{0};
--- /dev/null
+++ b/packages/daemon/testing/egress_test.cc
@@ -0,0 +1,74 @@
+// Tests of the egress with an upstream that is a plain socket.
+
+#define BOOST_TEST_MODULE daemon_egress
+#include "daemon/egress.h"
+
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <future>
+#include <memory>
+#include <string>
+
+#include "daemon/request_metrics.h"
+#include "edge/testing/raw_peer.h"
+
+namespace trefoil::daemon {
+
+namespace {
+
+using edge::testing::raw_server;
+using edge::testing::raw_socket;
+
+struct fixture {
+    fixture() {
+        auto given = std::make_shared<settings>();
+        given->service = "station";
+        this->board.settings.publish(std::move(given));
+    }
+
+    messages::call_result run(std::uint64_t sequence) {
+        auto done = std::make_shared<std::promise<messages::call_result>>();
+        auto result = done->get_future();
+        this->tested.offer(
+            {.instance = "i-1", .incarnation = 1, .sequence = sequence},
+            {.service = "station", .method = "GET", .target = "/"},
+            this->clock.now() + std::chrono::seconds(2), 0,
+            [done](messages::call_result each) { done->set_value(std::move(each)); });
+        return result.get();
+    }
+
+    std::atomic<int> connections{0};
+    std::promise<std::string> head;
+    raw_server upstream{[this](raw_socket socket, int) {
+        ++this->connections;
+        this->head.set_value(socket.read_until("\r\n\r\n"));
+        socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    }};
+    blackboard board;
+    machine_time_source clock;
+    admission::context_table contexts;
+    request_metrics metrics{this->clock};
+    egress tested{{.upstream = "127.0.0.1:" + std::to_string(this->upstream.port())},
+                  this->board,
+                  this->contexts,
+                  this->metrics,
+                  this->clock};
+};
+
+}  // namespace
+
+// Guards against calls that a starting daemon passes on before it has looked whether its upstream
+// is taken out, and without the identity that the upstream checks.
+BOOST_FIXTURE_TEST_CASE(calls_are_refused_until_the_state_of_the_upstream_is_known, fixture) {
+    messages::call_result early = this->run(1);
+    BOOST_TEST((early.outcome == messages::call_outcome::not_run));
+    BOOST_TEST(early.reason == "no_upstream");
+    BOOST_TEST(this->connections == 0);
+    this->tested.set_upstream("station-1/7");
+    this->tested.set_availability(gate::upstream_availability::available);
+    BOOST_TEST((this->run(2).outcome == messages::call_outcome::answered));
+    BOOST_TEST(this->head.get_future().get().find("Trefoil-Upstream: station-1/7\r\n") !=
+               std::string::npos);
+}
+
+}  // namespace trefoil::daemon
