Learn from open connections and from questions which instances are alive

Cause: the age vector of digests says when an instance was heard to hold nothing newer, which only replies to gossip tell. Open connections did not count as contact, and a question told nothing, so that the news of a live instance spread to one more daemon a second: with 91 daemons the tail is older than the 10 s for which reports count.

Digests carry a second vector with the times of contact, in questions as well as replies, and an open connection counts as contact: the transport closes it when it is silent. The first vector, which confirms documents, is as before. A digest without the second vector is read as before.

Ruled out: lists of different revisions (all 91 daemons held 93), a starved machine (calls took 4 ms between daemons then).

--- a/packages/dissemination/confirmation.cc
+++ b/packages/dissemination/confirmation.cc
@@ -84,18 +84,18 @@
     }
 }
 
-void confirmation::alive(const std::string& peer, mono_time asked_at,
+void confirmation::alive(const std::string& peer, mono_time at,
                          const std::vector<std::uint8_t>& ages) {
     auto index = this->list->index_of(peer);
     if (index.has_value()) {
-        this->alive_at[*index] = std::max(this->alive_at[*index], asked_at);
+        this->alive_at[*index] = std::max(this->alive_at[*index], at);
     }
     if (ages.size() != this->alive_at.size()) {
         return;
     }
     for (std::size_t i = 0; i < ages.size(); ++i) {
         if (ages[i] != age_unknown) {
-            this->alive_at[i] = std::max(this->alive_at[i], asked_at - ages[i] * age_unit);
+            this->alive_at[i] = std::max(this->alive_at[i], at - ages[i] * age_unit);
         }
     }
 }
@@ -139,12 +139,21 @@
     return at == unknown_time ? std::nullopt : std::optional<mono_time>(at);
 }
 
-std::vector<std::uint8_t> confirmation::ages(mono_time now) const {
-    std::vector<std::uint8_t> result(this->heard_at.size());
+std::vector<std::uint8_t> confirmation::encode_ages(const std::vector<mono_time>& times,
+                                                    mono_time now) const {
+    std::vector<std::uint8_t> result(times.size());
     for (std::size_t i = 0; i < result.size(); ++i) {
-        result[i] = encode_age(now, this->self_index == i ? now : this->heard_at[i]);
+        result[i] = encode_age(now, this->self_index == i ? now : times[i]);
     }
     return result;
 }
 
+std::vector<std::uint8_t> confirmation::ages(mono_time now) const {
+    return this->encode_ages(this->heard_at, now);
+}
+
+std::vector<std::uint8_t> confirmation::contact_ages(mono_time now) const {
+    return this->encode_ages(this->alive_at, now);
+}
+
 }  // namespace trefoil::dissemination
--- a/packages/dissemination/confirmation.h
+++ b/packages/dissemination/confirmation.h
@@ -52,8 +52,9 @@
     void heard(const std::string& peer, bool same_site, mono_time asked_at,
                const std::vector<std::uint8_t>& ages);
 
-    // A peer's reply showed which instances are alive, whatever they hold.
-    void alive(const std::string& peer, mono_time asked_at, const std::vector<std::uint8_t>& ages);
+    // A peer was in contact at `at`, and said how long ago each instance was, whatever they hold.
+    // `ages` is empty unless both have the same list.
+    void alive(const std::string& peer, mono_time at, const std::vector<std::uint8_t>& ages);
 
     // Applies source (c). Costs a selection over the list when there is something new.
     void apply_majority(mono_time now);
@@ -70,12 +71,15 @@
 
     // The age vector for a digest: unit 100 ms, rounded up.
     std::vector<std::uint8_t> ages(mono_time now) const;
+    // The same with the times of alive_times().
+    std::vector<std::uint8_t> contact_ages(mono_time now) const;
     std::uint64_t list_revision() const { return this->list->revision(); }
     // For membership::tracker::reported_contacts, in the list's order.
     const std::vector<mono_time>& alive_times() const { return this->alive_at; }
 
 private:
     mono_time majority_of(mono_time now, bool own_site_only);
+    std::vector<std::uint8_t> encode_ages(const std::vector<mono_time>& times, mono_time now) const;
 
     std::string self;
     std::string site;
--- a/packages/dissemination/core.cc
+++ b/packages/dissemination/core.cc
@@ -49,6 +49,7 @@
 
 void core::tick(mono_time now) {
     this->held.refresh();
+    this->note_connections(now);
     this->update_following(now);
     this->read_platform(now);
     if (this->options.gossip) {
@@ -64,6 +65,7 @@
     comparison result = this->compare(now, peer, message);
     if (message.wants_reply) {
         this->peers.used_by_peer(now, peer);
+        this->use_question(now, peer, message);
         this->reply(now, peer, message);
     } else {
         this->use_reply(now, peer, message, result);
@@ -147,7 +149,7 @@
     this->peers.connected(now, peer, opened_address);
     if (this->options.gossip && !this->start.ready()) {
         // A daemon that starts asks each peer at once.
-        this->ask(this->rounds.ask(now, peer.id));
+        this->ask(now, this->rounds.ask(now, peer.id));
     } else if (this->options.gossip && this->leaving) {
         this->send(peer.id, this->make_digest());
     }
--- a/packages/dissemination/core.h
+++ b/packages/dissemination/core.h
@@ -125,7 +125,9 @@
     void update_following(mono_time now);
     void refresh_hanging_watch(mono_time now);
     messages::digest make_digest() const;
-    void ask(const gossip_rounds::question& question);
+    void ask(mono_time now, const gossip_rounds::question& question);
+    void note_connections(mono_time now);
+    void use_question(mono_time now, const std::string& peer, const messages::digest& question);
     void send(const std::string& peer, messages::peer_message message);
     void send_rounds(mono_time now);
     void read_platform(mono_time now);
@@ -152,6 +154,7 @@
     mono_time vouched_at = unknown_time;
     mono_time refreshed_at = unknown_time;  // When the platform was last asked to look again.
     mono_time announced_at = unknown_time;
+    mono_time connections_noted_at = unknown_time;
     bool announce_pending = false;  // A new revision is held that peers have not been told of.
     core_counts totals;
     std::vector<action> actions;
--- a/packages/dissemination/core_gossip.cc
+++ b/packages/dissemination/core_gossip.cc
@@ -24,13 +24,16 @@
     return result;
 }
 
-void core::ask(const gossip_rounds::question& question) {
+void core::ask(mono_time now, const gossip_rounds::question& question) {
     messages::digest message = this->make_digest();
     message.wants_reply = true;
     message.round = question.round;
     // A reply carries the age vector only when both sides name the same list, so that naming none
     // asks for a short reply.
     message.list_revision = question.wants_ages ? message.list_revision : 0;
+    if (question.wants_ages) {
+        message.contact_ages = this->confirmations.contact_ages(now);
+    }
     this->send(question.peer, std::move(message));
 }
 
@@ -68,10 +71,30 @@
     }
     if (question.list_revision == answer.list_revision) {
         answer.ages = this->confirmations.ages(now);
+        answer.contact_ages = this->confirmations.contact_ages(now);
     }
     this->send(peer, std::move(answer));
 }
 
+// When a question was sent is not known. What was under way for long only delays a suspicion.
+void core::use_question(mono_time now, const std::string& peer, const messages::digest& question) {
+    if (question.list_revision == this->confirmations.list_revision()) {
+        this->confirmations.alive(peer, now, question.contact_ages);
+    }
+}
+
+// A connection without a sign of life is closed by its owner, so an open one counts as contact.
+void core::note_connections(mono_time now) {
+    constexpr milliseconds interval{500};
+    if (this->connections_noted_at != unknown_time && now - this->connections_noted_at < interval) {
+        return;
+    }
+    this->connections_noted_at = now;
+    for (const auto& [id, connection] : this->peers.connections()) {
+        this->confirmations.alive(id, now, {});
+    }
+}
+
 void core::use_reply(mono_time now, const std::string& peer, const messages::digest& message,
                      const comparison& result) {
     auto asked = this->rounds.take(peer, message.round);
@@ -82,7 +105,8 @@
     static const std::vector<std::uint8_t> no_ages;
     bool same_list = message.list_revision == this->confirmations.list_revision();
     const auto& ages = same_list ? message.ages : no_ages;
-    this->confirmations.alive(peer, from, ages);
+    const auto& contact_ages = message.contact_ages.empty() ? message.ages : message.contact_ages;
+    this->confirmations.alive(peer, from, same_list ? contact_ages : no_ages);
     auto connection = this->peers.connections().find(peer);
     if (connection != this->peers.connections().end()) {
         this->start.responded(peer, connection->second.record.failure_domain);
@@ -110,13 +134,13 @@
     auto question = this->rounds.due(now, this->peers.partners(now), this->confirmed_at(),
                                      this->confirmations.platform_confirmed_at());
     if (question.has_value()) {
-        this->ask(*question);
+        this->ask(now, *question);
     }
     bool hurry =
         this->vouched_at == unknown_time || now - this->vouched_at > this->options.fallback_after;
     auto to_reader = this->rounds.due_reader(now, this->peers.connected_readers(), hurry);
     if (to_reader.has_value()) {
-        this->ask(*to_reader);
+        this->ask(now, *to_reader);
     }
 }
 
--- a/packages/dissemination/testing/fleet.cc
+++ b/packages/dissemination/testing/fleet.cc
@@ -2,6 +2,7 @@
 
 #include "dissemination/testing/fleet.h"
 
+#include <algorithm>
 #include <ctime>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -373,6 +374,14 @@
     return documents.held(documents.index_of(name).value()).revision_in_force;
 }
 
+std::size_t fleet::suspected(std::size_t index) const {
+    const auto& listed = this->nodes[index]->tracker->refresh(this->time)->listed();
+    return static_cast<std::size_t>(
+        std::count_if(listed.begin(), listed.end(), [](const membership::member& each) {
+            return each.state == membership::instance_state::suspected;
+        }));
+}
+
 bool fleet::all(const std::function<bool(std::size_t)>& condition) const {
     for (std::size_t i = 0; i < this->nodes.size(); ++i) {
         if (!condition(i)) {
--- a/packages/dissemination/testing/fleet.h
+++ b/packages/dissemination/testing/fleet.h
@@ -58,6 +58,8 @@
 
     std::uint64_t held(std::size_t index, const std::string& name) const;
     std::uint64_t in_force(std::size_t index, const std::string& name) const;
+    // How many listed instances a node takes for suspected.
+    std::size_t suspected(std::size_t index) const;
     bool confirmed(std::size_t index) const { return this->at(index).confirmed(this->time); }
     // Whether `condition` holds for every node.
     bool all(const std::function<bool(std::size_t)>& condition) const;
--- a/packages/messages/codec.cc
+++ b/packages/messages/codec.cc
@@ -41,8 +41,12 @@
         documents.push_back(
             json::array({each.name, each.revision, each.checksum, each.revision_in_force}));
     }
-    return json::array({m.wants_reply, m.round, m.leaving, std::move(documents), m.platform_age_ms,
-                        m.list_revision, json::binary(m.ages)});
+    json list = json::array({m.wants_reply, m.round, m.leaving, std::move(documents),
+                             m.platform_age_ms, m.list_revision, json::binary(m.ages)});
+    if (!m.contact_ages.empty()) {
+        list.push_back(json::binary(m.contact_ages));
+    }
+    return list;
 }
 
 json fields(const document_request& m) {
@@ -189,6 +193,9 @@
     }
     read_all(in, m.platform_age_ms, m.list_revision);
     m.ages = in.next().get_binary();
+    if (in.has_more()) {
+        m.contact_ages = in.next().get_binary();
+    }
 }
 
 void read_fields(field_reader& in, document_request& m) {
--- a/packages/messages/messages.h
+++ b/packages/messages/messages.h
@@ -78,7 +78,10 @@
     std::vector<document_state> documents;
     std::int64_t platform_age_ms = age_unknown_ms;
     std::uint64_t list_revision = 0;  // Revision of the instance list that `ages` refers to.
-    std::vector<std::uint8_t> ages;   // Per list entry, unit 100 ms, 255 = unknown.
+    // Per list entry, unit 100 ms, 255 = unknown: when it was known to hold nothing newer.
+    std::vector<std::uint8_t> ages;
+    // The same: when it was known to be alive. Absent from an earlier version.
+    std::vector<std::uint8_t> contact_ages;
 
     friend bool operator==(const digest&, const digest&) = default;
 };
