--- a/packages/edge/http_session.cc
+++ b/packages/edge/http_session.cc
@@ -281,7 +281,20 @@
     this->write(this->owner.handler().refuse(status), false);
 }
 
+// Whether the caller's close has arrived behind the bytes that were read. A loop that is behind
+// would otherwise find it only after the request was passed on.
+bool http_session::caller_has_left() {
+    char byte = 0;
+    error_code error;
+    this->socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error && error != asio::error::would_block && error != asio::error::try_again;
+}
+
 void http_session::hand_over() {
+    if (this->caller_has_left()) {
+        this->close();
+        return;
+    }
     auto message = this->parser->release();
     this->parser.reset();
     this->keep_alive = message.keep_alive();
--- a/packages/edge/http_session.h
+++ b/packages/edge/http_session.h
@@ -81,6 +81,7 @@
     bool passes_limit() const;
     void refuse(unsigned status);
     void refuse_late();
+    bool caller_has_left();
     void hand_over();
     void write(http_response response, bool keep_connection);
     void write_some(const std::shared_ptr<outgoing_response>& response);
--- a/packages/edge/testing/http_server_test.cc
+++ b/packages/edge/testing/http_server_test.cc
@@ -189,6 +189,28 @@
     }
 }
 
+// Guards against work for a caller whose close came before its request was read.
+BOOST_FIXTURE_TEST_CASE(a_request_of_a_caller_that_has_left_is_not_handled, fixture) {
+    io::event_loop loop;
+    loop.start();
+    this->start({.loop = &loop});
+    raw_socket leaving = this->connect_idle();
+    raw_socket staying = this->connect_idle();
+    {
+        blocked_loop blocked(loop);
+        leaving.write("GET /left HTTP/1.1\r\nHost: a\r\n\r\n");
+        leaving.close();
+        staying.write("GET /stays HTTP/1.1\r\nHost: a\r\n\r\n");
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    BOOST_TEST(has_status(staying.read_until("/stays|"), "200"));
+    BOOST_TEST(
+        eventually([&] { return this->server->open_connections() == 1; }, milliseconds(500)));
+    BOOST_TEST(this->handler.handled == 3);  // Two first requests and /stays.
+    this->server.reset();
+    loop.stop();
+}
+
 // Guards against idle connections that keep new callers out.
 BOOST_FIXTURE_TEST_CASE(the_longest_idle_connection_gives_way, fixture) {
     this->start({.max_connections = 3});
