Let lenders gain tokens before they are asked

Cause: a lender began to gain tokens with the first request that it was asked, from zero. A quiet fleet therefore has no tokens at all, however long it is quiet.

Change: at each report a daemon names the lent workspaces for which its own requests would find itself to be the lender, and begins to lend them, provided that its totals hold most of the fleet. This is exactly what a request at that moment did before, and the bound holds for every pattern of requests, so a single view of who lends needs no new room. Two daemons that both take themselves for the lender now both have full buckets after a quiet time, which was possible before with one stray request to each. Sums of demand therefore count the lenders (holders); where these are more than the failure domains, shares and depth are divided among that number. The field follows the others and is left out where it is 1, so reports do not grow.

--- a/packages/admission/demand_collector.cc
+++ b/packages/admission/demand_collector.cc
@@ -10,8 +10,10 @@
 
 void add(demand_sums& sums, const std::vector<messages::workspace_demand>& demands) {
     for (const messages::workspace_demand& each : demands) {
-        messages::workspace_demand& sum = sums[each.workspace];
-        sum.workspace = each.workspace;
+        auto [entry, added] = sums.try_emplace(
+            each.workspace, messages::workspace_demand{.workspace = each.workspace, .holders = 0});
+        messages::workspace_demand& sum = entry->second;
+        sum.holders += each.holders;
         sum.rate += each.rate;
         sum.admitted += each.admitted;
     }
--- a/packages/admission/demand_limiter.cc
+++ b/packages/admission/demand_limiter.cc
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <utility>
 
+#include "absl/container/flat_hash_set.h"
+
 namespace trefoil::admission {
 
 namespace {
@@ -63,11 +65,19 @@
            now - this->totals_at <= this->options.totals_life;
 }
 
+bool demand_limiter::most_heard(mono_time now) const {
+    return this->totals_valid(now) && this->heard > this->missing;
+}
+
 // Of the buckets that the rate is divided among, those whose reports are in the totals. A failure
-// domain of which a part was heard counts as that part.
+// domain of which a part was heard counts as that part. A failure domain whose daemons do not agree
+// who lends has several lenders, and all of them together hold no more than the usual number.
 double demand_limiter::heard_parts(const bucket& each) const {
+    if (!each.division.lent()) {
+        return this->heard;
+    }
     double part = static_cast<double>(this->heard) / (this->heard + this->missing);
-    return each.division.lent() ? std::max(1.0, each.division.parts() * part) : this->heard;
+    return std::max({1.0, each.division.parts() * part, static_cast<double>(each.holders)});
 }
 
 double demand_limiter::share_of(const bucket& each, mono_time now) const {
@@ -117,7 +127,7 @@
 }
 
 bool demand_limiter::reports(const bucket& each, mono_time now) const {
-    return !each.division.lent() || now < each.lender_until;
+    return !each.division.lent() || each.standing_by || now < each.lender_until;
 }
 
 void demand_limiter::refill(bucket& each, mono_time now) {
@@ -139,6 +149,33 @@
     return this->take(found->second, now);
 }
 
+std::vector<std::string> demand_limiter::lent_workspaces() {
+    absl::MutexLock lock(&this->mutex);
+    std::vector<std::string> names;
+    for (const auto& [name, each] : this->buckets) {
+        if (each.division.lent()) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+void demand_limiter::stand_by(const std::vector<std::string>& workspaces, mono_time now) {
+    absl::MutexLock lock(&this->mutex);
+    absl::flat_hash_set<std::string> named;
+    // A daemon that hears few others may take itself for the lender of every workspace.
+    if (this->most_heard(now)) {
+        named.insert(workspaces.begin(), workspaces.end());
+    }
+    for (auto& [name, each] : this->buckets) {
+        bool stands_by = each.division.lent() && named.contains(name);
+        if (stands_by) {
+            this->begin_lending(each, now);
+        }
+        each.standing_by = stands_by;
+    }
+}
+
 demand_decision demand_limiter::lend(const std::string& workspace, mono_time now) {
     absl::MutexLock lock(&this->mutex);
     auto found = this->buckets.find(workspace);
@@ -159,11 +196,11 @@
         target.demand = 0;
         target.total = 0;
         target.own_in_total = 0;
+        target.holders = 0;
         target.counted_at = now;
     }
     // Not before most of the fleet is heard: a daemon without others must begin without tokens.
-    bool most_heard = this->totals_valid(now) && this->heard > this->missing;
-    if (target.division.lent() && now < target.new_until && most_heard) {
+    if (target.division.lent() && now < target.new_until && this->most_heard(now)) {
         target.new_until = mono_time::min();
         double gained = target.division.fleet_rate() * seconds(this->options.start_gap);
         target.tokens += gained / target.division.parts();
@@ -229,6 +266,7 @@
         this->refill(each, now);
         each.own_in_total = this->reported_demand(each);
         each.total = each.own_in_total;
+        each.holders = 0;
     }
     // Daemons that were not heard count as using their even shares.
     double unheard = static_cast<double>(totals.missing) / (totals.heard + totals.missing);
@@ -239,6 +277,7 @@
         }
         bucket& target = found->second;
         target.total = std::max(each.rate, target.own_in_total);
+        target.holders = each.holders;
         double rate = target.division.fleet_rate();
         double change = (each.admitted + rate * unheard - rate) * elapsed;
         target.level = std::max(0.0, target.level + change);
--- a/packages/admission/demand_limiter.h
+++ b/packages/admission/demand_limiter.h
@@ -95,6 +95,13 @@
 
     demand_decision try_admit(const std::string& workspace, mono_time now);
 
+    // The workspaces whose rates are lent.
+    std::vector<std::string> lent_workspaces();
+
+    // Names the workspaces for which this daemon would be asked as the lender. Their buckets fill
+    // without a request. To be called before each report.
+    void stand_by(const std::vector<std::string>& workspaces, mono_time now);
+
     // Decides as the lender of the failure domain.
     demand_decision lend(const std::string& workspace, mono_time now);
 
@@ -117,13 +124,16 @@
         double demand = 0;           // Per second, as reported last.
         double total = 0;            // As in the latest totals.
         double own_in_total = 0;     // This daemon's demand in these totals.
+        std::uint32_t holders = 0;   // Daemons with a bucket, likewise.
         // Of the fleet's bucket; above the capacity after admissions that the totals told late.
         double level = 0;
         double tokens = 0;
         mono_time counted_at;
         rate_division division;
-        // Until when this daemon is the lender; before its first request it is none.
+        // Until when this daemon is the lender because it was asked.
         mono_time lender_until = mono_time::min();
+        // Whether it is the lender because it would be asked.
+        bool standing_by = false;
         // Until when this daemon, as a lender, may take what a new process begins with; once.
         mono_time new_until = mono_time::min();
     };
@@ -132,6 +142,8 @@
     double reported_demand(const bucket& each) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     double bucket_requests(const workspace_limit& limit) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     double fleet_capacity(const workspace_limit& limit) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // Whether the totals are valid and most of the fleet is in them.
+    bool most_heard(mono_time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     bool totals_valid(mono_time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     double share_of(const bucket& each, mono_time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     double bucket_capacity(const bucket& each, mono_time now) const
--- a/packages/admission/testing/demand_fleet.h
+++ b/packages/admission/testing/demand_fleet.h
@@ -111,6 +111,13 @@
         this->later(this->options.detection, [this] { this->follow(); });
     }
 
+    // Every second daemon of its failure domain takes the daemon for dead, although messages
+    // between them pass.
+    void set_doubted(int index, bool doubted) {
+        this->nodes[index].doubted = doubted;
+        this->follow();
+    }
+
     void set_limits(const std::vector<workspace_limit>& next) {
         this->limits = next;
         for (node& each : this->nodes) {
@@ -254,6 +261,7 @@
         int incarnation = 0;
         int group = 0;
         bool alive = true;
+        bool doubted = false;
     };
     struct delivery {
         mono_time at;
@@ -312,7 +320,9 @@
         std::vector<std::string> live;
         for (const std::string& each : this->fleet[self.domain]) {
             const node& other = this->nodes[this->indices[each]];
-            if (other.alive && other.group == self.group) {
+            bool doubts = other.doubted && index / this->options.domains % 2 == 1 &&
+                          index != this->indices[each];
+            if (other.alive && other.group == self.group && !doubts) {
                 live.push_back(each);
             }
         }
@@ -380,6 +390,13 @@
 
     void report(int index) {
         node& self = this->nodes[index];
+        std::vector<std::string> lends;
+        for (const std::string& each : self.limiter->lent_workspaces()) {
+            if (self.asker->lends(each, this->now)) {
+                lends.push_back(each);
+            }
+        }
+        self.limiter->stand_by(lends, this->now);
         auto report = self.limiter->report(this->now);
         int target = this->collector_of(self.domain, self.group);
         this->send(index, target, report, [this, index, target, report] {
--- a/packages/admission/testing/large_fleet_test.cc
+++ b/packages/admission/testing/large_fleet_test.cc
@@ -207,6 +207,100 @@
     }
 }
 
+// Guards against refusals of the first requests after a quiet time, in which no lender was asked
+// and so none had begun to gain tokens. The pattern: daemons are up for seconds before traffic
+// begins. The bound is the users' wish that requests within the rate are not refused.
+BOOST_AUTO_TEST_CASE(the_first_callers_of_a_quiet_fleet_find_tokens) {
+    for (std::uint64_t seed : {1, 2, 3}) {
+        demand_fleet_options setup = large_fleet(seed);
+        for (int rank = 0; rank < workspaces; ++rank) {
+            setup.limits[rank].rate = demand_of(rank) * 1.6;
+            setup.limits[rank].burst = setup.limits[rank].rate;
+        }
+        demand_fleet fleet(setup);
+        fleet.load({}, fleet.all(), seconds(8));
+        int refused = 0;
+        int calls = 0;
+        for (const auto& [name, each] : fleet.load(usual_traffic(), fleet.all(), seconds(2))) {
+            refused += each.refused;
+            calls += each.calls;
+        }
+        BOOST_TEST_MESSAGE("refused " << refused << " of " << calls);
+        BOOST_TEST(refused * 100 <= calls);
+        check_bound(fleet, setup.limits);
+    }
+}
+
+// Guards against tokens of a lender that stands by, beside those that its predecessor spent just
+// before it was killed. The pattern: quiet, then a sudden rise, then a third of the daemons die.
+BOOST_AUTO_TEST_CASE(lenders_killed_after_they_spent_everything_stay_within_the_bound) {
+    for (double factor : {overload, 30.0}) {
+        demand_fleet_options setup = large_fleet(9);
+        demand_fleet fleet(setup);
+        fleet.load({}, fleet.all(), seconds(8));
+        for (int third = 0; third < 3; ++third) {
+            fleet.load(usual_traffic(factor), fleet.all(), milliseconds(200));
+            for (int i = 0; i < setup.daemons; ++i) {
+                bool dies = i / setup.domains % 3 == third;
+                fleet.set_alive(i, !dies);
+                if (!dies && third > 0 && i / setup.domains % 3 == third - 1) {
+                    fleet.restart(i);
+                }
+            }
+            fleet.load({}, fleet.all(), milliseconds(1700));
+        }
+        fleet.load(usual_traffic(factor), fleet.all(), seconds(6));
+        check_bound(fleet, setup.limits);
+    }
+}
+
+// Guards against tokens of new lenders that stand by, beside what the former processes spent just
+// before all were killed.
+BOOST_AUTO_TEST_CASE(a_quiet_fleet_killed_after_a_sudden_rise_stays_within_the_bound) {
+    for (double factor : {overload, 30.0}) {
+        demand_fleet_options setup = large_fleet(10);
+        demand_fleet fleet(setup);
+        fleet.load({}, fleet.all(), seconds(8));
+        fleet.load(usual_traffic(factor), fleet.all(), milliseconds(200));
+        for (int i = 0; i < setup.daemons; ++i) {
+            fleet.set_alive(i, false);
+        }
+        fleet.load({}, fleet.all(), milliseconds(600));
+        for (int i = 0; i < setup.daemons; ++i) {
+            fleet.set_alive(i, true);
+            fleet.restart(i);
+        }
+        fleet.load({}, fleet.all(), milliseconds(1500));
+        fleet.load(usual_traffic(factor), fleet.all(), seconds(6));
+        check_bound(fleet, setup.limits);
+    }
+}
+
+// Guards against two full buckets in a failure domain whose daemons do not agree who lends, at once
+// and in turn.
+BOOST_AUTO_TEST_CASE(two_views_of_who_lends_stay_within_the_bound) {
+    for (double factor : {overload, 30.0}) {
+        demand_fleet_options setup = large_fleet(11);
+        demand_fleet fleet(setup);
+        for (bool doubted : {true, false, true, false}) {
+            for (int i = 0; i < setup.daemons; ++i) {
+                fleet.set_doubted(i, doubted && i / setup.domains % 4 < 2);
+            }
+            fleet.load({}, fleet.all(), milliseconds(2500));
+            fleet.load(usual_traffic(factor), fleet.all(), milliseconds(300));
+        }
+        fleet.load(usual_traffic(factor), fleet.all(), seconds(6));
+        check_bound(fleet, setup.limits);
+        demand_fleet quiet(setup);
+        for (int i = 0; i < setup.daemons; ++i) {
+            quiet.set_doubted(i, i / setup.domains % 4 < 2);
+        }
+        quiet.load({}, quiet.all(), seconds(8));
+        quiet.load(usual_traffic(factor), quiet.all(), seconds(6));
+        check_bound(quiet, setup.limits);
+    }
+}
+
 // Guards against a bucket that each of several lenders, one after the other, finds full.
 BOOST_AUTO_TEST_CASE(rolling_restarts_stay_within_the_bound) {
     demand_fleet_options setup = large_fleet(7);
--- a/packages/admission/token_asker.cc
+++ b/packages/admission/token_asker.cc
@@ -49,6 +49,10 @@
     return this->ask({.call = call, .workspace = workspace}, now);
 }
 
+bool token_asker::lends(const std::string& workspace, mono_time now) {
+    return this->lender_of(workspace, now) == this->self;
+}
+
 std::optional<std::uint64_t> token_asker::on_answer(std::uint64_t round) {
     auto found = this->waiting.find(round);
     if (found == this->waiting.end()) {
--- a/packages/admission/token_asker.h
+++ b/packages/admission/token_asker.h
@@ -67,6 +67,9 @@
     // The lender is this daemon itself where it has the highest score, and then nothing waits.
     token_ask start(const std::string& workspace, std::uint64_t call, mono_time now);
 
+    // Whether a request of this daemon would find the daemon itself to be the lender.
+    bool lends(const std::string& workspace, mono_time now);
+
     // The call that the answer decides; nothing when it is too late.
     std::optional<std::uint64_t> on_answer(std::uint64_t round);
 
--- a/packages/daemon/demand_exchange.cc
+++ b/packages/daemon/demand_exchange.cc
@@ -203,7 +203,19 @@
     }
 }
 
+// Names to the limiter what this daemon would be asked for as the lender.
+void demand_exchange::stand_by(mono_time now) {
+    std::vector<std::string> lends = this->limiter.lent_workspaces();
+    {
+        absl::MutexLock lock(&this->mutex);
+        std::erase_if(lends,
+                      [&](const std::string& each) { return !this->asker.lends(each, now); });
+    }
+    this->limiter.stand_by(lends, now);
+}
+
 void demand_exchange::report(mono_time now) {
+    this->stand_by(now);
     messages::demand_report report = this->limiter.report(now);
     std::optional<messages::demand_totals> own_answer;
     collector target;
--- a/packages/daemon/demand_exchange.h
+++ b/packages/daemon/demand_exchange.h
@@ -94,6 +94,7 @@
              mono_time now);
     void ask_again(mono_time now);
     void decide(std::uint64_t call, const admission::demand_decision& decision);
+    void stand_by(mono_time now);
     void report(mono_time now);
     void tell_collectors(mono_time now);
 
--- a/packages/messages/codec.cc
+++ b/packages/messages/codec.cc
@@ -117,8 +117,13 @@
 json demand_list(const std::vector<workspace_demand>& demands) {
     json list = json::array();
     for (const workspace_demand& each : demands) {
-        list.push_back(json::array(
-            {each.workspace, static_cast<float>(each.rate), static_cast<float>(each.admitted)}));
+        json entry = json::array(
+            {each.workspace, static_cast<float>(each.rate), static_cast<float>(each.admitted)});
+        // Left out where it says nothing, as in each daemon's own report.
+        if (each.holders != 1) {
+            entry.push_back(each.holders);
+        }
+        list.push_back(std::move(entry));
     }
     return list;
 }
@@ -274,6 +279,9 @@
         field_reader entry(each);
         workspace_demand item;
         read_all(entry, item.workspace, item.rate, item.admitted);
+        if (entry.has_more()) {
+            entry.read(item.holders);
+        }
         demands.push_back(std::move(item));
     }
     return demands;
--- a/packages/messages/messages.h
+++ b/packages/messages/messages.h
@@ -247,8 +247,9 @@
 // What one workspace asks for and gets, in requests per second.
 struct workspace_demand {
     std::string workspace;
-    double rate = 0;      // Asked for, smoothed.
-    double admitted = 0;  // Admitted since the report before.
+    double rate = 0;            // Asked for, smoothed.
+    double admitted = 0;        // Admitted since the report before.
+    std::uint32_t holders = 1;  // Daemons whose reports are in the sums.
 
     friend bool operator==(const workspace_demand&, const workspace_demand&) = default;
 };
--- a/packages/messages/testing/codec_test.cc
+++ b/packages/messages/testing/codec_test.cc
@@ -65,6 +65,7 @@
     BOOST_TEST(round_trips(token_grant{3, "a", 7, 2, 500, false, true}));
     BOOST_TEST(round_trips(demand_report{5, {{"a", 1.5, 0.5}, {"b", 0.25, 0}}}));
     BOOST_TEST(round_trips(demand_totals{5, 9, 1, {{"a", 1024, 512}}}));
+    BOOST_TEST(round_trips(demand_totals{5, 9, 1, {{"a", 1024, 512, 4}, {"b", 1, 1, 0}}}));
     BOOST_TEST(round_trips(domain_demand{"d1", 3, 2, {{"a", 0.5, 0.25}}}));
 }
 
