Make the path of a field only when a failure names it

Callers of a daemon on a tenth of a core wait while it takes over a version of the configuration. Each of the thousands of fields of a document formatted its path and the text of its bounds as it was read, although only failures use them, and each node held a copy of its document's name.

A field now refers to the map or list that holds it, and the path is made from these links. Nodes of one document share its name.

--- a/packages/config/build_snapshot.cc
+++ b/packages/config/build_snapshot.cc
@@ -25,7 +25,7 @@
 
 void require_map(const yaml_node& root, validation_failures& failures) {
     if (root.kind != yaml_kind::map) {
-        location where{root.document, root.line, ""};
+        location where{*root.document, root.line, ""};
         failures.emplace_back(
             wrong_type{std::move(where), "a map of sections", "a value of another type"});
     }
@@ -35,7 +35,7 @@
     for (std::string_view name : fleet_wide_sections) {
         if (const yaml_node* section = overlay.find(name)) {
             failures.emplace_back(
-                fleet_wide_section{location{section->document, section->line, std::string(name)}});
+                fleet_wide_section{location{*section->document, section->line, std::string(name)}});
         }
     }
 }
@@ -53,7 +53,7 @@
         bool removal = entry.value.kind == yaml_kind::remove;
         if (!known && !removal) {
             failures.emplace_back(unresolved_reference{
-                location{entry.value.document, entry.value.line,
+                location{*entry.value.document, entry.value.line,
                          child_path("failure_domains", entry.key)},
                 "the name of a failure domain that the base document lists", ""});
         }
--- a/packages/config/field_reader.cc
+++ b/packages/config/field_reader.cc
@@ -39,17 +39,9 @@
     failures.emplace_back(wrong_type{field.where(), std::string(expected), kind_of(*field.value)});
 }
 
-// Returns the text of an unquoted scalar, or null with a failure.
-const std::string* plain_text(const yaml_field& field, std::string_view expected,
-                              validation_failures& failures) {
-    if (field.value == nullptr) {
-        return nullptr;
-    }
-    if (field.value->kind != yaml_kind::scalar || field.value->quoted) {
-        reject_type(field, expected, failures);
-        return nullptr;
-    }
-    return &field.value->text;
+// Whether the node is an unquoted scalar.
+bool is_plain(const yaml_node& node) {
+    return node.kind == yaml_kind::scalar && !node.quoted;
 }
 
 // Parses the whole text; `Number` decides between integers and decimal fractions.
@@ -62,27 +54,44 @@
     return complete ? std::optional<Number>(number) : std::nullopt;
 }
 
+// `kind` is "an integer" or "a number".
 template <class Number>
 std::optional<Number> read_between(const yaml_field& field, Number min, Number max,
-                                   const std::string& expected, validation_failures& failures) {
-    const std::string* text = plain_text(field, expected, failures);
-    if (text == nullptr) {
+                                   std::string_view kind, validation_failures& failures) {
+    if (field.value == nullptr) {
         return std::nullopt;
     }
-    std::optional<Number> number = parse<Number>(*text);
-    // Written so that "nan" fails, too.
-    bool allowed = number && *number >= min && *number <= max;
-    if (!allowed) {
+    if (is_plain(*field.value)) {
+        std::optional<Number> number = parse<Number>(field.value->text);
+        // Written so that "nan" fails, too.
+        bool allowed = number && *number >= min && *number <= max;
+        if (allowed) {
+            return number;
+        }
+    }
+    std::string expected = fmt::format("{} from {} to {}", kind, min, max);
+    if (is_plain(*field.value)) {
         reject_value(field, expected, failures);
-        return std::nullopt;
+    } else {
+        reject_type(field, expected, failures);
     }
-    return number;
+    return std::nullopt;
 }
 
 }  // namespace
 
+std::string yaml_field::path() const {
+    if (this->parent == nullptr) {
+        return "";
+    }
+    bool in_list =
+        this->parent->value != nullptr && this->parent->value->kind == yaml_kind::sequence;
+    return in_list ? element_path(this->parent->path(), this->index)
+                   : child_path(this->parent->path(), this->name);
+}
+
 location yaml_field::where() const {
-    return location{this->value->document, this->value->line, this->path};
+    return location{*this->value->document, this->value->line, this->path()};
 }
 
 std::string yaml_field::shown() const {
@@ -90,11 +99,13 @@
 }
 
 yaml_field root_field(const yaml_node& root) {
-    return yaml_field{.value = &root, .path = "", .secret = false};
+    return yaml_field{.value = &root};
 }
 
-map_reader::map_reader(yaml_field map, validation_failures& failures)
-    : source(std::move(map)), sink(failures) {
+map_reader::map_reader(const yaml_field& map, validation_failures& failures)
+    : source(map), sink(failures) {
+    constexpr std::size_t usual_fields = 16;
+    this->defined.reserve(usual_fields);
     bool present = this->source.value != nullptr;
     if (present && this->source.value->kind != yaml_kind::map) {
         reject_type(this->source, "a map", this->sink);
@@ -103,10 +114,11 @@
 }
 
 yaml_field map_reader::optional(std::string_view name) {
-    this->defined.emplace_back(name);
+    this->defined.push_back(name);
     return yaml_field{
         .value = this->source.value == nullptr ? nullptr : this->source.value->find(name),
-        .path = child_path(this->source.path, name),
+        .parent = &this->source,
+        .name = name,
         .secret = this->source.secret};
 }
 
@@ -115,7 +127,7 @@
     bool missing = this->source.value != nullptr && field.value == nullptr;
     if (missing) {
         location where = this->source.where();
-        where.path = field.path;
+        where.path = field.path();
         this->sink.emplace_back(missing_field{std::move(where), std::string(expected)});
     }
     return field;
@@ -137,15 +149,14 @@
         if (known) {
             continue;
         }
-        yaml_field field{.value = &entry.value, .path = child_path(this->source.path, entry.key)};
+        yaml_field field{.value = &entry.value, .parent = &this->source, .name = entry.key};
         this->sink.emplace_back(
             unknown_field{field.where(), fmt::format("{}", fmt::join(this->defined, ", "))});
     }
 }
 
-std::vector<std::pair<std::string, yaml_field>> read_entries(const yaml_field& map,
-                                                             validation_failures& failures) {
-    std::vector<std::pair<std::string, yaml_field>> entries;
+std::vector<yaml_field> read_entries(const yaml_field& map, validation_failures& failures) {
+    std::vector<yaml_field> entries;
     if (map.value == nullptr) {
         return entries;
     }
@@ -153,10 +164,10 @@
         reject_type(map, "a map", failures);
         return entries;
     }
+    entries.reserve(map.value->entries.size());
     for (const yaml_entry& entry : map.value->entries) {
-        yaml_field field{
-            .value = &entry.value, .path = child_path(map.path, entry.key), .secret = map.secret};
-        entries.emplace_back(entry.key, std::move(field));
+        entries.push_back(yaml_field{
+            .value = &entry.value, .parent = &map, .name = entry.key, .secret = map.secret});
     }
     return entries;
 }
@@ -184,26 +195,30 @@
 }
 
 std::optional<bool> read_boolean(const yaml_field& field, validation_failures& failures) {
-    const std::string* text = plain_text(field, "true or false", failures);
-    if (text == nullptr) {
+    constexpr std::string_view expected = "true or false";
+    if (field.value == nullptr) {
         return std::nullopt;
     }
-    if (*text != "true" && *text != "false") {
-        reject_value(field, "true or false", failures);
+    if (!is_plain(*field.value)) {
+        reject_type(field, expected, failures);
+        return std::nullopt;
+    }
+    const std::string& text = field.value->text;
+    if (text != "true" && text != "false") {
+        reject_value(field, expected, failures);
         return std::nullopt;
     }
-    return *text == "true";
+    return text == "true";
 }
 
 std::optional<std::uint32_t> read_integer(const yaml_field& field, std::uint32_t min,
                                           std::uint32_t max, validation_failures& failures) {
-    return read_between(field, min, max, fmt::format("an integer from {} to {}", min, max),
-                        failures);
+    return read_between(field, min, max, "an integer", failures);
 }
 
 std::optional<double> read_number(const yaml_field& field, double min, double max,
                                   validation_failures& failures) {
-    return read_between(field, min, max, fmt::format("a number from {} to {}", min, max), failures);
+    return read_between(field, min, max, "a number", failures);
 }
 
 std::vector<yaml_field> read_list(const yaml_field& field, std::string_view expected,
@@ -217,9 +232,8 @@
         return elements;
     }
     for (std::size_t i = 0; i < field.value->items.size(); ++i) {
-        elements.push_back(yaml_field{.value = &field.value->items[i],
-                                      .path = element_path(field.path, i),
-                                      .secret = field.secret});
+        elements.push_back(yaml_field{
+            .value = &field.value->items[i], .parent = &field, .index = i, .secret = field.secret});
     }
     return elements;
 }
--- a/packages/config/field_reader.h
+++ b/packages/config/field_reader.h
@@ -10,6 +10,7 @@
 #ifndef TREFOIL_CONFIG_FIELD_READER_H_
 #define TREFOIL_CONFIG_FIELD_READER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -23,11 +24,17 @@
 
 // A place in a tree. `value` is null when the field is absent. The readers below return nothing for
 // an absent field, without a failure, and nothing with a failure for one that does not fit.
+//
+// A field is valid as long as its parent and its name. Its path is made of these when a failure
+// needs it: a large document has thousands of fields, and seldom a failure.
 struct yaml_field {
     const yaml_node* value = nullptr;
-    std::string path;
-    bool secret = false;  // Failures must not show the value.
+    const yaml_field* parent = nullptr;  // The map or list that holds it; null for the root.
+    std::string_view name{};             // Its key in a map.
+    std::size_t index = 0;               // Its position in a list.
+    bool secret = false;                 // Failures must not show the value.
 
+    std::string path() const;
     location where() const;
     // The text of a scalar, or nothing when it must not be shown.
     std::string shown() const;
@@ -35,12 +42,16 @@
 
 yaml_field root_field(const yaml_node& root);
 
-// Reads the fields of one map and remembers which ones are defined.
+// Reads the fields of one map and remembers which ones are defined. The fields that it returns
+// refer to it.
 class map_reader {
 public:
     // Adds a failure when the field is present and not a map; all its fields are then absent.
-    map_reader(yaml_field map, validation_failures& failures);
+    map_reader(const yaml_field& map, validation_failures& failures);
+    map_reader(const map_reader&) = delete;
+    map_reader& operator=(const map_reader&) = delete;
 
+    // Names must outlive the reader.
     yaml_field optional(std::string_view name);
     // Adds a failure when the map is present and lacks the field.
     yaml_field required(std::string_view name, std::string_view expected);
@@ -54,13 +65,12 @@
 
 private:
     yaml_field source;  // `value` is null unless it is a map.
-    std::vector<std::string> defined;
+    std::vector<std::string_view> defined;
     validation_failures& sink;
 };
 
-// The entries of a map from names to values. Adds failures for a field that is not a map.
-std::vector<std::pair<std::string, yaml_field>> read_entries(const yaml_field& map,
-                                                             validation_failures& failures);
+// The entries of a map from names to values. Adds a failure for a field that is not a map.
+std::vector<yaml_field> read_entries(const yaml_field& map, validation_failures& failures);
 
 std::optional<std::string> read_text(const yaml_field& field, std::string_view expected,
                                      validation_failures& failures);
--- a/packages/config/json_reader.cc
+++ b/packages/config/json_reader.cc
@@ -3,6 +3,7 @@
 
 #include "config/json_reader.h"
 
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <unordered_set>
 #include <utility>
@@ -16,7 +17,8 @@
 // Builds the tree from the events of nlohmann::json's SAX parser, which fixes the signatures.
 class tree_events final : public nlohmann::json_sax<json> {
 public:
-    explicit tree_events(const document& given) : source(given) {}
+    explicit tree_events(const document& source)
+        : name_of_document(std::make_shared<const std::string>(source.name)) {}
 
     bool null() override { return this->add(this->make(yaml_kind::null)); }
     bool boolean(bool value) override { return this->add_scalar(value ? "true" : "false", false); }
@@ -37,8 +39,8 @@
         frame& parent = this->open.back();
         parent.key = std::move(name);
         if (!parent.keys.insert(parent.key).second) {
-            this->failures.emplace_back(
-                duplicate_key{{this->source.name, 1, child_path(this->parent_path(), parent.key)}});
+            this->failures.emplace_back(duplicate_key{
+                {*this->name_of_document, 1, child_path(this->parent_path(), parent.key)}});
         }
         return true;
     }
@@ -62,7 +64,7 @@
     yaml_node make(yaml_kind kind) const {
         yaml_node made;
         made.kind = kind;
-        made.document = this->source.name;
+        made.document = this->name_of_document;
         return made;
     }
 
@@ -110,7 +112,7 @@
         return path;
     }
 
-    const document& source;
+    std::shared_ptr<const std::string> name_of_document;
     std::vector<frame> open;  // From the root inwards.
 };
 
--- a/packages/config/section_context.h
+++ b/packages/config/section_context.h
@@ -30,13 +30,13 @@
     // Reads a section of named entries; `read_entry` gets the name and the reader of its map.
     template <class ReadEntry>
     void for_each_entry(const yaml_field& section, ReadEntry read_entry) {
-        for (auto& [name, field] : read_entries(section, this->sink)) {
-            if (!is_name(name)) {
+        for (const yaml_field& field : read_entries(section, this->sink)) {
+            if (!is_name(field.name)) {
                 this->reject_key(
                     field, "a name of 1 to 64 letters, digits, dots, hyphens and underscores");
             }
             map_reader entry(field, this->sink);
-            read_entry(name, entry);
+            read_entry(std::string(field.name), entry);
             entry.reject_unknown();
         }
     }
--- a/packages/config/workspace_section.cc
+++ b/packages/config/workspace_section.cc
@@ -87,7 +87,8 @@
     yaml_field section = context.sections.optional("keys");
     section.secret = true;
     std::map<std::string, std::string> id_by_digest;
-    for (auto& [id, field] : read_entries(section, context.sink)) {
+    for (const yaml_field& field : read_entries(section, context.sink)) {
+        std::string id(field.name);
         if (!is_key_id(id)) {
             context.reject_key(field, "a key id: a name without 32 or more hex digits in a row");
         }
--- a/packages/config/yaml_node.h
+++ b/packages/config/yaml_node.h
@@ -10,6 +10,7 @@
 #define TREFOIL_CONFIG_YAML_NODE_H_
 
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,7 +27,8 @@
 
 struct yaml_node {
     yaml_kind kind = yaml_kind::null;
-    std::string document{};           // Name of the document that the node comes from.
+    // Name of the document that the node comes from. All its nodes share it.
+    std::shared_ptr<const std::string> document;
     int line = 1;                     // Line of the key for values of a map.
     std::string text;                 // Of a scalar.
     bool quoted = false;              // A quoted scalar is always text, never a number or boolean.
--- a/packages/config/yaml_reader.cc
+++ b/packages/config/yaml_reader.cc
@@ -7,6 +7,7 @@
 #include <yaml-cpp/parser.h>
 
 #include <istream>
+#include <memory>
 #include <sstream>
 #include <unordered_set>
 #include <utility>
@@ -27,7 +28,8 @@
 // failure of its kind and parsing goes on, so that one run reports all of them.
 class tree_builder final : public YAML::EventHandler {
 public:
-    tree_builder(const document& from, yaml_options with) : source(from), options(with) {}
+    tree_builder(const document& from, yaml_options with)
+        : source(from), name(std::make_shared<const std::string>(from.name)), options(with) {}
 
     void OnDocumentStart(const YAML::Mark& /*mark*/) override {}
     void OnDocumentEnd() override {}
@@ -114,7 +116,7 @@
     yaml_node make(yaml_kind kind, const YAML::Mark& mark) const {
         yaml_node made;
         made.kind = kind;
-        made.document = this->source.name;
+        made.document = this->name;
         made.line = line_of(mark);
         return made;
     }
@@ -190,6 +192,7 @@
     }
 
     const document& source;
+    std::shared_ptr<const std::string> name;  // Of the document.
     yaml_options options;
     std::vector<open_node> open;  // From the root inwards.
 };
@@ -232,7 +235,7 @@
     if (empty) {
         yaml_node empty_map;
         empty_map.kind = yaml_kind::map;
-        empty_map.document = source.name;
+        empty_map.document = std::make_shared<const std::string>(source.name);
         return empty_map;
     }
     return std::move(builder.root);
--- a/packages/daemon/settings.cc
+++ b/packages/daemon/settings.cc
@@ -157,9 +157,9 @@
 
     void read_regions() {
         config::yaml_field section = this->fields.optional("regions");
-        for (auto& [domain, field] : config::read_entries(section, this->invalid)) {
+        for (const config::yaml_field& field : config::read_entries(section, this->invalid)) {
             if (auto region = config::read_name(field, "the name of a region", this->invalid)) {
-                this->parsed.regions.emplace(domain, std::move(*region));
+                this->parsed.regions.emplace(field.name, std::move(*region));
             }
         }
     }
