Build and merge the trees of documents without copies

The JSON reader kept a hash set of copied keys for each map, and the merge copied the whole base for an overlay that changes one section. Keys that ascend, as programs write them, are now compared with the last one only, and the merge moves the nodes.

--- a/packages/config/build_snapshot.cc
+++ b/packages/config/build_snapshot.cc
@@ -82,13 +82,13 @@
 }
 
 // Moves the failures of a reading into `failures`; returns the tree, or null after a failure.
-const yaml_node* take_tree(result<yaml_node, validation_failures>& outcome,
-                           validation_failures& failures) {
+yaml_node* take_tree(result<yaml_node, validation_failures>& outcome,
+                     validation_failures& failures) {
     if (auto* found = std::get_if<validation_failures>(&outcome)) {
         failures.insert(failures.end(), found->begin(), found->end());
         return nullptr;
     }
-    const yaml_node* root = std::get_if<yaml_node>(&outcome);
+    auto* root = std::get_if<yaml_node>(&outcome);
     require_map(*root, failures);
     return root;
 }
@@ -100,14 +100,15 @@
     validation_failures failures;
     auto base_outcome = read_yaml(base, {.allow_remove = false});
     auto overlay_outcome = read_yaml(overlay, {.allow_remove = true});
-    const yaml_node* base_tree = take_tree(base_outcome, failures);
-    const yaml_node* overlay_tree = take_tree(overlay_outcome, failures);
+    yaml_node* base_tree = take_tree(base_outcome, failures);
+    yaml_node* overlay_tree = take_tree(overlay_outcome, failures);
     if (!failures.empty()) {
         return report(std::move(failures), base.name);
     }
     check_fleet_wide_sections(*overlay_tree, failures);
     check_failure_domains(*base_tree, *overlay_tree, failures);
-    snapshot_contents contents = detail::read_sections(merge(*base_tree, *overlay_tree), failures);
+    yaml_node merged = merge(std::move(*base_tree), std::move(*overlay_tree));
+    snapshot_contents contents = detail::read_sections(merged, failures);
     if (!failures.empty()) {
         return report(std::move(failures), base.name);
     }
--- a/packages/config/json_reader.cc
+++ b/packages/config/json_reader.cc
@@ -38,7 +38,7 @@
     bool key(string_t& name) override {
         frame& parent = this->open.back();
         parent.key = std::move(name);
-        if (!parent.keys.insert(parent.key).second) {
+        if (is_duplicate(parent)) {
             this->failures.emplace_back(duplicate_key{
                 {*this->name_of_document, 1, child_path(this->parent_path(), parent.key)}});
         }
@@ -57,10 +57,24 @@
 private:
     struct frame {
         yaml_node node;
-        std::string key;  // In a map: of the value that comes next.
-        std::unordered_set<std::string> keys;
+        std::string key{};                       // In a map: of the value that comes next.
+        std::unordered_set<std::string> keys{};  // Seen so far; empty while they ascend.
     };
 
+    // Programs write the keys of a map in order. Then a key is new when it follows the last one.
+    static bool is_duplicate(frame& map) {
+        const std::vector<yaml_entry>& earlier = map.node.entries;
+        if (map.keys.empty()) {
+            if (earlier.empty() || earlier.back().key < map.key) {
+                return false;
+            }
+            for (const yaml_entry& each : earlier) {
+                map.keys.insert(each.key);
+            }
+        }
+        return !map.keys.insert(map.key).second;
+    }
+
     yaml_node make(yaml_kind kind) const {
         yaml_node made;
         made.kind = kind;
@@ -76,7 +90,7 @@
     }
 
     bool open_node(yaml_kind kind) {
-        this->open.push_back({.node = this->make(kind), .key = {}, .keys = {}});
+        this->open.push_back({.node = this->make(kind)});
         return true;
     }
 
@@ -95,7 +109,7 @@
         if (parent.node.kind == yaml_kind::sequence) {
             parent.node.items.push_back(std::move(value));
         } else {
-            parent.node.entries.push_back({parent.key, std::move(value)});
+            parent.node.entries.push_back({std::move(parent.key), std::move(value)});
         }
         return true;
     }
--- a/packages/config/yaml_node.cc
+++ b/packages/config/yaml_node.cc
@@ -32,42 +32,36 @@
 }
 
 // A map of the overlay that replaces nothing must not keep the nodes that stand for removals.
-yaml_node without_removals(const yaml_node& source) {
-    yaml_node kept = source;
-    kept.entries.clear();
-    for (const yaml_entry& entry : source.entries) {
-        if (entry.value.kind != yaml_kind::remove) {
-            kept.entries.push_back({entry.key, without_removals(entry.value)});
-        }
+void drop_removals(yaml_node& tree) {
+    std::erase_if(tree.entries,
+                  [](const yaml_entry& entry) { return entry.value.kind == yaml_kind::remove; });
+    for (yaml_entry& entry : tree.entries) {
+        drop_removals(entry.value);
     }
-    return kept;
 }
 
-yaml_node merge_maps(const yaml_node& base, const yaml_node& overlay) {
-    std::unordered_map<std::string_view, const yaml_node*> changes;
-    for (const yaml_entry& entry : overlay.entries) {
-        changes.emplace(entry.key, &entry.value);
+void merge_maps(yaml_node& base, yaml_node& overlay) {
+    std::unordered_map<std::string_view, yaml_entry*> changes;
+    for (yaml_entry& entry : overlay.entries) {
+        changes.emplace(entry.key, &entry);
     }
-    yaml_node merged = base;
-    merged.entries.clear();
-    for (const yaml_entry& entry : base.entries) {
+    for (yaml_entry& entry : base.entries) {
         auto change = changes.find(entry.key);
         if (change == changes.end()) {
-            merged.entries.push_back(entry);
             continue;
         }
-        if (change->second->kind != yaml_kind::remove) {
-            merged.entries.push_back({entry.key, merge(entry.value, *change->second)});
-        }
+        entry.value = merge(std::move(entry.value), std::move(change->second->value));
         changes.erase(change);
     }
-    for (const yaml_entry& entry : overlay.entries) {
+    std::erase_if(base.entries,
+                  [](const yaml_entry& entry) { return entry.value.kind == yaml_kind::remove; });
+    for (yaml_entry& entry : overlay.entries) {
         bool added = changes.contains(entry.key) && entry.value.kind != yaml_kind::remove;
         if (added) {
-            merged.entries.push_back({entry.key, without_removals(entry.value)});
+            drop_removals(entry.value);
+            base.entries.push_back(std::move(entry));
         }
     }
-    return merged;
 }
 
 }  // namespace
@@ -81,11 +75,13 @@
     return nullptr;
 }
 
-yaml_node merge(const yaml_node& base, const yaml_node& overlay) {
+yaml_node merge(yaml_node base, yaml_node overlay) {
     if (base.kind == yaml_kind::map && overlay.kind == yaml_kind::map) {
-        return merge_maps(base, overlay);
+        merge_maps(base, overlay);
+        return base;
     }
-    return without_removals(overlay);
+    drop_removals(overlay);
+    return overlay;
 }
 
 std::string child_path(std::string_view parent, std::string_view key) {
--- a/packages/config/yaml_node.h
+++ b/packages/config/yaml_node.h
@@ -55,8 +55,9 @@
 
 // Merges an overlay into a base: maps merge, everything else in the overlay replaces, and keys with
 // the value `!remove` disappear. Removing a key that the base lacks has no effect, so that a base
-// may stop defining it before the overlays are changed.
-yaml_node merge(const yaml_node& base, const yaml_node& overlay);
+// may stop defining it before the overlays are changed. Base and overlay are moved, not copied:
+// an overlay changes little of a large base.
+yaml_node merge(yaml_node base, yaml_node overlay);
 
 // Appends a key to a path. Text that is no name and, under the section `keys`, text that is neither
 // a key id nor a defined field is replaced by "<hidden>", because it could contain a key.
