Keep the routes that a version of the base document leaves as they are

Callers of a daemon on a tenth of a core wait while it takes over a version.

Only success is quick: after any failure, with an overlay that changes routes, and for a base that is not JSON, both documents are read as a whole, as before. The table of routes sorts only what is out of order.

--- a/packages/config/active_configuration.cc
+++ b/packages/config/active_configuration.cc
@@ -4,8 +4,6 @@
 
 #include <algorithm>
 
-#include "config/build_snapshot.h"
-
 namespace trefoil::config {
 
 namespace {
@@ -170,7 +168,7 @@
         return false;
     }
     bool is_newest = base_choice == this->base.newest && overlay_choice == this->overlay.newest;
-    auto outcome = build_snapshot(*base_choice, *overlay_choice);
+    auto outcome = this->builder.build(base_choice, *overlay_choice);
     if (auto* failures = std::get_if<validation_failures>(&outcome)) {
         this->invalid_pairs.insert(revisions);
         if (is_newest) {
@@ -178,7 +176,7 @@
         }
         return false;
     }
-    this->current = std::make_shared<const snapshot>(std::move(std::get<snapshot>(outcome)));
+    this->current = std::get<std::shared_ptr<const snapshot>>(std::move(outcome));
     this->base.in_force = base_choice;
     this->overlay.in_force = overlay_choice;
     if (is_newest) {
--- a/packages/config/active_configuration.h
+++ b/packages/config/active_configuration.h
@@ -30,6 +30,7 @@
 
 #include "config/document.h"
 #include "config/snapshot.h"
+#include "config/snapshot_builder.h"
 #include "config/validation_failure.h"
 
 namespace trefoil::config {
@@ -138,6 +139,7 @@
 
     slot base;
     slot overlay;
+    snapshot_builder builder;
     std::shared_ptr<const snapshot> current;
     std::optional<rejected_pair> failure;
     // Revisions of pairs that were found invalid, so that a repeated offer costs no validation.
--- a/packages/config/build_snapshot.cc
+++ b/packages/config/build_snapshot.cc
@@ -10,7 +10,6 @@
 #include <utility>
 
 #include "config/sections.h"
-#include "config/yaml_node.h"
 
 namespace trefoil::config {
 
@@ -95,11 +94,11 @@
 
 }  // namespace
 
-result<snapshot, validation_failures> build_snapshot(const document& base,
-                                                     const document& overlay) {
+result<snapshot, validation_failures> detail::build_from_trees(
+    const document& base, const document& overlay,
+    result<yaml_node, validation_failures> base_outcome,
+    result<yaml_node, validation_failures> overlay_outcome, std::vector<route> kept) {
     validation_failures failures;
-    auto base_outcome = read_yaml(base, {.allow_remove = false});
-    auto overlay_outcome = read_yaml(overlay, {.allow_remove = true});
     yaml_node* base_tree = take_tree(base_outcome, failures);
     yaml_node* overlay_tree = take_tree(overlay_outcome, failures);
     if (!failures.empty()) {
@@ -108,7 +107,7 @@
     check_fleet_wide_sections(*overlay_tree, failures);
     check_failure_domains(*base_tree, *overlay_tree, failures);
     yaml_node merged = merge(std::move(*base_tree), std::move(*overlay_tree));
-    snapshot_contents contents = detail::read_sections(merged, failures);
+    snapshot_contents contents = detail::read_sections(merged, std::move(kept), failures);
     if (!failures.empty()) {
         return report(std::move(failures), base.name);
     }
@@ -117,4 +116,10 @@
     return snapshot(std::move(contents));
 }
 
+result<snapshot, validation_failures> build_snapshot(const document& base,
+                                                     const document& overlay) {
+    return detail::build_from_trees(base, overlay, read_yaml(base, {.allow_remove = false}),
+                                    read_yaml(overlay, {.allow_remove = true}), {});
+}
+
 }  // namespace trefoil::config
--- a/packages/config/route_section.cc
+++ b/packages/config/route_section.cc
@@ -22,7 +22,13 @@
 
 class route_reader {
 public:
-    explicit route_reader(section_context& shared) : context(shared) {}
+    route_reader(section_context& shared, std::vector<route> kept)
+        : context(shared), kept_count(kept.size()), routes(std::move(kept)) {
+        for (std::size_t i = 0; i < this->routes.size(); ++i) {
+            this->check_services(this->routes[i]);
+            this->by_place[{this->routes[i].host, this->routes[i].path_prefix}].push_back(i);
+        }
+    }
 
     void read(const std::string& name, map_reader& entry) {
         route each{.name = name};
@@ -47,7 +53,16 @@
         this->routes.push_back(std::move(each));
     }
 
-    std::vector<route> take() { return std::move(this->routes); }
+    // In the order of names, in which the kept routes are already.
+    std::vector<route> take() {
+        auto by_name = [](const route& left, const route& right) { return left.name < right.name; };
+        auto added = this->routes.begin() + static_cast<std::ptrdiff_t>(this->kept_count);
+        if (!std::is_sorted(added, this->routes.end(), by_name)) {
+            std::sort(added, this->routes.end(), by_name);
+        }
+        std::inplace_merge(this->routes.begin(), added, this->routes.end(), by_name);
+        return std::move(this->routes);
+    }
 
 private:
     std::string read_host(const yaml_field& field) {
@@ -141,6 +156,17 @@
         return name.value_or("");
     }
 
+    // A kept route may name a service that this version lacks.
+    void check_services(const route& kept) {
+        for (const weighted_service& each : kept.targets()) {
+            if (!this->context.contents.services.contains(each.service)) {
+                location where{.path = child_path("routes", kept.name)};
+                this->context.sink.emplace_back(
+                    unresolved_reference{std::move(where), "the name of a service", each.service});
+            }
+        }
+    }
+
     unconfirmed_policy read_policy(const yaml_field& field) {
         std::string text =
             read_text(field, "refuse or serve", this->context.sink).value_or("refuse");
@@ -170,15 +196,16 @@
     }
 
     section_context& context;
-    std::vector<route> routes;
+    std::size_t kept_count;
+    std::vector<route> routes;  // The kept ones first.
     // Positions in `routes` by host and path prefix.
     std::map<std::pair<std::string, std::string>, std::vector<std::size_t>> by_place;
 };
 
 }  // namespace
 
-void read_routes(section_context& context) {
-    route_reader reader(context);
+void read_routes(section_context& context, std::vector<route> kept) {
+    route_reader reader(context, std::move(kept));
     context.for_each_entry(
         context.sections.optional("routes"),
         [&reader](const std::string& name, map_reader& entry) { reader.read(name, entry); });
--- a/packages/config/route_table.cc
+++ b/packages/config/route_table.cc
@@ -71,8 +71,10 @@
 }  // namespace
 
 route_table::route_table(std::vector<route> routes) : entries(std::move(routes)) {
-    std::sort(this->entries.begin(), this->entries.end(),
-              [](const route& left, const route& right) { return left.name < right.name; });
+    auto by_name = [](const route& left, const route& right) { return left.name < right.name; };
+    if (!std::is_sorted(this->entries.begin(), this->entries.end(), by_name)) {
+        std::sort(this->entries.begin(), this->entries.end(), by_name);
+    }
     std::unordered_map<std::string, std::set<std::size_t, std::greater<>>> lengths;
     for (std::size_t i = 0; i < this->entries.size(); ++i) {
         const route& each = this->entries[i];
--- a/packages/config/section_context.h
+++ b/packages/config/section_context.h
@@ -60,8 +60,8 @@
 };
 
 void read_services(section_context& context);
-// Reads the routes; requires that the services were read.
-void read_routes(section_context& context);
+// Reads the routes, beside those of an earlier version; requires that the services were read.
+void read_routes(section_context& context, std::vector<route> kept);
 // Reads workspaces, then keys, which refer to them.
 void read_workspaces_and_keys(section_context& context);
 
--- a/packages/config/sections.cc
+++ b/packages/config/sections.cc
@@ -92,7 +92,8 @@
            field.value->text == word;
 }
 
-snapshot_contents read_sections(const yaml_node& merged, validation_failures& failures) {
+snapshot_contents read_sections(const yaml_node& merged, std::vector<route> kept,
+                                validation_failures& failures) {
     map_reader sections(root_field(merged), failures);
     snapshot_contents contents;
     section_context context{.sections = sections, .sink = failures, .contents = contents};
@@ -100,7 +101,7 @@
     read_fleet(context);
     read_caller_limits(context);
     read_services(context);
-    read_routes(context);
+    read_routes(context, std::move(kept));
     read_workspaces_and_keys(context);
     read_taken_out(context, "failure_domains", contents.failure_domain_out);
     read_taken_out(context, "instances", contents.instance_out);
--- a/packages/config/sections.h
+++ b/packages/config/sections.h
@@ -4,6 +4,8 @@
 #ifndef TREFOIL_CONFIG_SECTIONS_H_
 #define TREFOIL_CONFIG_SECTIONS_H_
 
+#include <vector>
+
 #include "config/snapshot.h"
 #include "config/validation_failure.h"
 #include "config/yaml_node.h"
@@ -11,8 +13,9 @@
 namespace trefoil::config::detail {
 
 // Fills everything but the document versions. The result is complete only when no failure was
-// added.
-snapshot_contents read_sections(const yaml_node& merged, validation_failures& failures);
+// added. `kept` are routes beside those of the document, valid together.
+snapshot_contents read_sections(const yaml_node& merged, std::vector<route> kept,
+                                validation_failures& failures);
 
 }  // namespace trefoil::config::detail
 
--- /dev/null
+++ b/packages/config/snapshot_builder.cc
@@ -0,0 +1,129 @@
+// Implements the building of successive snapshots. Only success is quick: after any failure both
+// documents are read as a whole, so that what is reported does not depend on earlier versions.
+
+#include "config/snapshot_builder.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "config/build_snapshot.h"
+#include "config/json_reader.h"
+#include "config/yaml_node.h"
+
+namespace trefoil::config {
+
+namespace {
+
+constexpr std::string_view routes_section = "routes";
+
+bool by_name(const json_piece& left, const json_piece& right) {
+    return left.name < right.name;
+}
+
+// The body with only these members in its section of routes.
+std::string with_routes(const document& base, std::string_view section,
+                        const std::vector<json_piece>& members) {
+    auto start = static_cast<std::size_t>(section.data() - base.body.data());
+    std::string body = base.body.substr(0, start) + "{";
+    for (const json_piece& each : members) {
+        body += body.back() == '{' ? "\"" : ",\"";
+        body += each.name;
+        body += "\":";
+        body += each.text;
+    }
+    body += "}";
+    return body + base.body.substr(start + section.size());
+}
+
+bool changes_routes(const yaml_node& overlay) {
+    return overlay.find(routes_section) != nullptr;
+}
+
+}  // namespace
+
+// Returns nothing for a base without routes, and for one that only a parser can take apart.
+std::optional<snapshot_builder::base_pieces> snapshot_builder::split(
+    std::shared_ptr<const document> base) {
+    if (base->body.size() > document_bytes_max) {
+        return std::nullopt;
+    }
+    auto sections = split_json_object(base->body).value_or(std::vector<json_piece>());
+    auto section = std::find_if(sections.begin(), sections.end(),
+                                [](const json_piece& each) { return each.name == routes_section; });
+    auto routes = section == sections.end() ? std::nullopt : split_json_object(section->text);
+    if (!routes) {
+        return std::nullopt;
+    }
+    if (!std::is_sorted(routes->begin(), routes->end(), by_name)) {
+        std::sort(routes->begin(), routes->end(), by_name);
+    }
+    return base_pieces{std::move(base), section->text, std::move(*routes)};
+}
+
+result<std::shared_ptr<const snapshot>, validation_failures> snapshot_builder::build(
+    std::shared_ptr<const document> base, const document& overlay) {
+    auto pieces = split(base);
+    if (pieces && this->last_built != nullptr) {
+        if (auto quick = this->build_with_kept(*pieces, overlay)) {
+            this->last = std::move(*pieces);
+            this->last_built = std::make_shared<const snapshot>(std::move(*quick));
+            return this->last_built;
+        }
+    }
+    auto overlay_tree = read_yaml(overlay, {.allow_remove = true});
+    auto* overlay_root = std::get_if<yaml_node>(&overlay_tree);
+    bool routes_are_of_base = overlay_root != nullptr && !changes_routes(*overlay_root);
+    auto json_tree = pieces ? detail::read_json(*base) : std::nullopt;
+    bool is_json = json_tree.has_value();
+    auto base_tree = is_json ? std::move(*json_tree) : read_yaml(*base, {.allow_remove = false});
+    auto outcome =
+        detail::build_from_trees(*base, overlay, std::move(base_tree), std::move(overlay_tree), {});
+    if (auto* failures = std::get_if<validation_failures>(&outcome)) {
+        return std::move(*failures);
+    }
+    auto built = std::make_shared<const snapshot>(std::get<snapshot>(std::move(outcome)));
+    bool can_be_kept = is_json && routes_are_of_base;
+    this->last = can_be_kept ? std::move(*pieces) : base_pieces();
+    this->last_built = can_be_kept ? built : nullptr;
+    return built;
+}
+
+// Returns nothing when the documents have to be read as a whole.
+std::optional<snapshot> snapshot_builder::build_with_kept(const base_pieces& base,
+                                                          const document& overlay) {
+    std::vector<route> kept;
+    kept.reserve(base.routes.size());
+    std::vector<json_piece> changed;
+    const std::vector<json_piece>& earlier = this->last.routes;
+    auto found = earlier.begin();
+    for (const json_piece& each : base.routes) {
+        found = std::lower_bound(found, earlier.end(), each, by_name);
+        if (found == earlier.end() || *found != each) {
+            changed.push_back(each);
+            continue;
+        }
+        // Both are in the order of names.
+        auto position = static_cast<std::size_t>(found - earlier.begin());
+        kept.push_back(this->last_built->contents().routes.routes()[position]);
+    }
+    const document& source = *base.source;
+    document shortened{.name = source.name, .body = with_routes(source, base.section, changed)};
+    auto base_tree = detail::read_json(shortened);
+    auto overlay_tree = read_yaml(overlay, {.allow_remove = true});
+    auto* overlay_root = std::get_if<yaml_node>(&overlay_tree);
+    if (!base_tree || overlay_root == nullptr || changes_routes(*overlay_root)) {
+        return std::nullopt;
+    }
+    std::size_t count = kept.size();
+    auto outcome = detail::build_from_trees(source, overlay, std::move(*base_tree),
+                                            std::move(overlay_tree), std::move(kept));
+    auto* built = std::get_if<snapshot>(&outcome);
+    if (built == nullptr) {
+        return std::nullopt;
+    }
+    this->kept_count += count;
+    return std::move(*built);
+}
+
+}  // namespace trefoil::config
