Keep a silent connection between daemons open, out of use, for ten seconds

Cause: 2 s without a frame ended a connection between two daemons on which calls, or gossip, ran. That time cannot tell a slow peer from a lost path. Both kinds of call suffer: those that run at the slow daemon, whose results have no other way back, and those that the slow daemon sends when it runs again, over a connection that its peer closed meanwhile.

Change: after the same times as before (2 s, 5.5 s when idle) the connection is reported as silent and left out of use. New messages open another one, the choice avoids the instance, and gossip and limits count it as disconnected. The connection itself stays until it has been silent for 10 s. Whatever arrives on it before puts it to use again, behind a connection that was opened meanwhile. With calls it is still probed every 500 ms, so that a peer that restarted answers with a reset. A connection that this side closes is dropped after the former time, so that a stop takes no longer.

Ruled out: keeping only connections with running calls that are not idempotent.

Tests: a_peer_that_stands_still_for_three_seconds_delivers_its_results failed on the code before (result lost, connection closed). New calls use a new connection within 2.9 s, as before.

Price: a call that is not idempotent at a peer that is really lost is answered at its deadline, or after 10 s, instead of after 2 s.

--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -301,6 +301,16 @@
     this->control.on_link_open(peer, first);
 }
 
+void daemon::on_link_silent(transport::connection_id connection, const messages::hello& peer,
+                            bool last) {
+    this->local_ingress.on_connection_silent(connection, peer.instance);
+    if (last) {
+        log(log_level::info, "peer_lost", {{"instance", peer.instance}, {"address", peer.address}});
+        this->local_ingress.on_disconnected(peer.instance);
+    }
+    this->control.on_link_closed(peer, last);
+}
+
 void daemon::on_link_closed(transport::connection_id connection, const messages::hello& peer,
                             link_end end) {
     if (end.last) {
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -65,6 +65,8 @@
 
 private:
     void on_link_open(const messages::hello& peer, bool first) override;
+    void on_link_silent(transport::connection_id connection, const messages::hello& peer,
+                        bool last) override;
     void on_link_closed(transport::connection_id connection, const messages::hello& peer,
                         link_end end) override;
     void on_dial_failed(const std::string& address) override;
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -387,14 +387,26 @@
     }
 }
 
-void ingress::on_connection_lost(transport::connection_id connection, const std::string& instance,
-                                 bool not_run) {
-    std::vector<std::uint64_t> lost;
+std::vector<std::uint64_t> ingress::attempts_on(transport::connection_id connection) {
+    std::vector<std::uint64_t> found;
     this->attempts.for_each([&](std::uint64_t sequence, const std::shared_ptr<attempt>& each) {
         if (each->connection == connection) {
-            lost.push_back(sequence);
+            found.push_back(sequence);
         }
     });
+    return found;
+}
+
+void ingress::on_connection_silent(transport::connection_id connection,
+                                   const std::string& instance) {
+    if (!this->attempts_on(connection).empty()) {
+        this->choice.connection_failed(instance, this->clock.now());
+    }
+}
+
+void ingress::on_connection_lost(transport::connection_id connection, const std::string& instance,
+                                 bool not_run) {
+    std::vector<std::uint64_t> lost = this->attempts_on(connection);
     if (!lost.empty() && !not_run) {
         this->choice.connection_failed(instance, this->clock.now());
     }
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -62,8 +62,10 @@
 
     void on_result(messages::call_result result);
     void on_connected(const std::string& instance);
-    // The last connection to the instance has closed.
+    // The last connection to the instance has closed or fallen silent.
     void on_disconnected(const std::string& instance);
+    // Nothing arrives on this connection. Calls on it go on; new ones are better sent elsewhere.
+    void on_connection_silent(transport::connection_id connection, const std::string& instance);
     // Calls whose bytes may have left over this connection get no reply any more.
     // With `not_run` the peer has stated that it runs no call without a result.
     void on_connection_lost(transport::connection_id connection, const std::string& instance,
@@ -87,6 +89,7 @@
     void note_end(const attempt& each, std::string_view outcome, std::string_view reason,
                   mono_duration held) const;
     void send_local(std::uint64_t sequence, const call_ptr& call);
+    std::vector<std::uint64_t> attempts_on(transport::connection_id connection);
     void send_remote(std::uint64_t sequence, const call_ptr& call,
                      const routing::candidate& target);
     void finish_attempt(std::uint64_t sequence, messages::call_result result);
--- a/packages/daemon/peer_links.cc
+++ b/packages/daemon/peer_links.cc
@@ -38,6 +38,7 @@
     std::atomic<std::int64_t> last_used_us{0};   // Last message other than a heartbeat.
     std::atomic<std::int64_t> busy_until_us{0};  // Latest deadline of the calls of both sides.
     std::atomic<bool> result_lost{false};        // A result of a call could not be sent.
+    std::atomic<bool> silent{false};             // Out of use until something arrives.
 
     void use(mono_time now) { this->last_used_us = to_microseconds(now); }
     void expect_result(mono_time deadline) {
@@ -257,16 +258,45 @@
     opened->outgoing = outgoing;
     opened->use(this->clock.now());
     this->by_connection.update(id, [&](std::shared_ptr<link>& slot) { slot = opened; });
+    this->put_to_use(opened, true);
+}
+
+void peer_links::put_to_use(const std::shared_ptr<link>& usable, bool preferred) {
     std::deque<queued_message> waiting;
     bool first = false;
-    this->by_instance.update(peer.instance, [&](peer_state& state) {
+    this->by_instance.update(usable->peer.instance, [&](peer_state& state) {
         first = state.links.empty();
-        state.links.push_back(opened);
+        state.links.insert(preferred ? state.links.end() : state.links.begin(), usable);
         waiting.swap(state.waiting);
     });
-    this->receiver.on_link_open(peer, first);
+    this->receiver.on_link_open(usable->peer, first);
     for (queued_message& each : waiting) {
-        this->transmit(id, std::move(each));
+        this->transmit(usable->id, std::move(each));
+    }
+}
+
+// The next message opens another connection: a path that lost its state delivers nothing, while a
+// new one works.
+void peer_links::on_silent(transport::connection_id id, const messages::hello& peer) {
+    auto found = this->by_connection.find(id);
+    if (!found.has_value()) {
+        return;
+    }
+    (*found)->silent = true;
+    bool last = false;
+    this->by_instance.update(peer.instance, [&](peer_state& state) {
+        std::erase_if(state.links, [id](const auto& each) { return each->id == id; });
+        last = state.links.empty();
+    });
+    this->has_leftovers = true;
+    this->receiver.on_link_silent(id, peer, last);
+}
+
+// One that was opened meanwhile stays the one used.
+void peer_links::on_heard(transport::connection_id id, const messages::hello&) {
+    auto found = this->by_connection.find(id);
+    if (found.has_value() && (*found)->silent.exchange(false)) {
+        this->put_to_use(*found, false);
     }
 }
 
@@ -280,7 +310,7 @@
     bool last = false;
     this->by_instance.update(peer->instance, [&](peer_state& state) {
         std::erase_if(state.links, [id](const auto& each) { return each->id == id; });
-        last = state.links.empty();
+        last = state.links.empty() && !(*closed)->silent;
     });
     this->has_leftovers = true;
     this->receiver.on_link_closed(id, *peer, {.last = last, .finished_by_peer = finished_by_peer});
--- a/packages/daemon/peer_links.h
+++ b/packages/daemon/peer_links.h
@@ -38,7 +38,8 @@
 
 // How a connection ended.
 struct link_end {
-    bool last = false;  // No other one to this peer is open.
+    // No other one to this peer is in use, and this was not told before.
+    bool last = false;
     // The peer has sent all results that it had, and runs no call without one.
     bool finished_by_peer = false;
 };
@@ -48,6 +49,11 @@
 public:
     virtual ~link_receiver() = default;
     virtual void on_link_open(const messages::hello& peer, bool first) = 0;
+    // The connection brings nothing and is left out of use, but stays open for what the peer sends
+    // late. `last`: no other one to this peer is in use. on_link_open tells when the peer is heard
+    // again, on_link_closed when the connection ends.
+    virtual void on_link_silent(transport::connection_id connection, const messages::hello& peer,
+                                bool last) = 0;
     virtual void on_link_closed(transport::connection_id connection, const messages::hello& peer,
                                 link_end end) = 0;
     virtual void on_dial_failed(const std::string& address) = 0;
@@ -138,7 +144,7 @@
     };
     // Links and waiting messages of one instance.
     struct peer_state {
-        std::vector<std::shared_ptr<link>> links;  // Open; the one used is the last.
+        std::vector<std::shared_ptr<link>> links;  // Open and not silent; the last one is used.
         std::deque<queued_message> waiting;        // Empty while a link is open.
         std::string address;                       // To dial for them.
     };
@@ -151,9 +157,12 @@
     void on_open(transport::connection_id id, const messages::hello& peer, bool outgoing) override;
     void on_message(transport::connection_id id, const messages::hello& peer,
                     messages::peer_message message, mono_time received) override;
+    void on_silent(transport::connection_id id, const messages::hello& peer) override;
+    void on_heard(transport::connection_id id, const messages::hello& peer) override;
     void on_close(transport::connection_id id, const messages::hello* peer,
                   bool finished_by_peer) override;
 
+    void put_to_use(const std::shared_ptr<link>& usable, bool preferred);
     void on_pong(link& from, const messages::pong& pong, mono_time received);
     void on_call_message(link& from, messages::call call, mono_time received);
     std::optional<transport::connection_id> open_connection(const std::string& instance) const;
--- a/packages/daemon/testing/peer_links_test.cc
+++ b/packages/daemon/testing/peer_links_test.cc
@@ -27,8 +27,13 @@
 class recorder final : public link_receiver {
 public:
     void on_link_open(const messages::hello&, bool) override { ++this->opened; }
+    void on_link_silent(transport::connection_id, const messages::hello&, bool last) override {
+        this->lost += last ? 1 : 0;
+        ++this->silent;
+    }
     void on_link_closed(transport::connection_id, const messages::hello&, link_end end) override {
         this->finished += end.finished_by_peer ? 1 : 0;
+        this->lost += end.last ? 1 : 0;
         ++this->closed;
     }
     void on_dial_failed(const std::string&) override {}
@@ -41,6 +46,8 @@
     }
 
     std::atomic<int> opened{0};
+    std::atomic<int> silent{0};
+    std::atomic<int> lost{0};  // Times at which the last connection in use ended or fell silent.
     std::atomic<int> closed{0};
     std::atomic<int> finished{0};
     std::atomic<int> calls{0};
@@ -215,4 +222,90 @@
     BOOST_TEST(other.events.finished == 0);
 }
 
+// Guards against a call that is not idempotent and ends as "unknown" although its peer is only
+// slow: its result can come over this connection alone. New calls do not wait for the slow one.
+BOOST_AUTO_TEST_CASE(a_peer_that_stands_still_for_three_seconds_delivers_its_results) {
+    node caller("caller", 10);
+    node slow("slow", 11);
+    node again("slow", 12);  // Takes the place of a new connection to the same instance.
+    caller.links.dial(slow.address());
+    BOOST_REQUIRE(eventually([&] { return caller.links.is_open("slow"); }));
+    caller.send_call("slow", slow.address(), milliseconds(6000));
+    BOOST_REQUIRE(eventually([&] { return slow.events.calls == 1; }));
+    auto begin = std::chrono::steady_clock::now();
+    slow.while_blocked([&] {
+        BOOST_TEST(eventually([&] { return !caller.links.is_open("slow"); }, milliseconds(2900)));
+        caller.send_call("slow", again.address(), milliseconds(6000));
+        BOOST_TEST(eventually([&] { return again.events.calls == 1; }, milliseconds(500)));
+        std::this_thread::sleep_until(begin + milliseconds(3000));
+    });
+    slow.links.send_on(slow.events.connection, messages::call_result{.sequence = 1});
+    BOOST_TEST(eventually([&] { return caller.events.results == 1; }, milliseconds(1000)));
+    BOOST_TEST(caller.events.closed == 0);
+    BOOST_TEST(slow.events.closed == 0);
+    BOOST_TEST(caller.links.open_count() == 2U);
+}
+
+// Guards against a peer that is heard again and stays out of use, so that messages for it are
+// dropped or open one connection after the other.
+BOOST_AUTO_TEST_CASE(a_connection_that_is_heard_again_is_used_again) {
+    node caller("caller", 13);
+    node slow("slow", 14);
+    caller.links.dial(slow.address());
+    BOOST_REQUIRE(eventually([&] { return caller.links.is_open("slow"); }));
+    caller.send_call("slow", slow.address(), milliseconds(6000));
+    BOOST_REQUIRE(eventually([&] { return slow.events.calls == 1; }));
+    slow.while_blocked([&] {
+        BOOST_TEST(eventually([&] { return caller.events.silent == 1; }, milliseconds(2900)));
+        BOOST_TEST(!caller.links.is_open("slow"));
+        BOOST_TEST(!caller.links.send_if_open("slow", messages::cancel{.sequence = 9}));
+    });
+    BOOST_TEST(eventually([&] { return caller.links.is_open("slow"); }, milliseconds(1000)));
+    BOOST_TEST(caller.events.opened == 2);  // Once for each time at which the peer is reached.
+    caller.send_call("slow", slow.address(), milliseconds(1000));
+    BOOST_TEST(eventually([&] { return slow.events.calls == 2; }));
+    BOOST_TEST(slow.events.opened == 1);
+    BOOST_TEST(caller.events.closed == 0);
+}
+
+// Guards against a call that ends as "unknown" because a daemon that was slow sent it over a
+// connection which its peer had closed meanwhile.
+BOOST_AUTO_TEST_CASE(a_side_that_stood_still_can_send_over_its_connections) {
+    node slow("slow", 17);
+    node other("other", 18);
+    slow.links.dial(other.address());
+    BOOST_REQUIRE(eventually([&] { return other.links.is_open("slow"); }));
+    BOOST_REQUIRE(eventually([&] { return slow.links.is_open("other"); }));
+    other.send_call("slow", slow.address(), milliseconds(1000));
+    slow.while_blocked([&] {
+        BOOST_TEST(eventually([&] { return other.events.silent == 1; }, milliseconds(2900)));
+        std::this_thread::sleep_for(milliseconds(500));
+        slow.send_call("other", other.address(), milliseconds(3000));
+    });
+    BOOST_TEST(eventually([&] { return other.events.calls == 1; }, milliseconds(1000)));
+    BOOST_TEST(slow.events.closed == 0);
+    BOOST_TEST(other.events.closed == 0);
+}
+
+// Guards against a lost peer whose connection stays in the table, and against a loss that is
+// reported twice.
+BOOST_AUTO_TEST_CASE(a_silent_connection_closes_when_it_counts_as_lost) {
+    node caller("caller", 15);
+    node lost("lost", 16);
+    caller.links.dial(lost.address());
+    BOOST_REQUIRE(eventually([&] { return caller.links.is_open("lost"); }));
+    caller.send_call("lost", lost.address(), milliseconds(20'000));
+    BOOST_REQUIRE(eventually([&] { return lost.events.calls == 1; }));
+    auto begin = std::chrono::steady_clock::now();
+    lost.while_blocked([&] {
+        BOOST_TEST(eventually([&] { return caller.events.silent == 1; }, milliseconds(2900)));
+        BOOST_TEST(eventually([&] { return caller.events.closed == 1; }, milliseconds(10'000)));
+    });
+    auto ended = std::chrono::steady_clock::now() - begin;
+    BOOST_TEST((ended >= milliseconds(9'500)));
+    BOOST_TEST((ended <= milliseconds(11'000)));
+    BOOST_TEST(caller.links.open_count() == 0U);
+    BOOST_TEST(caller.events.lost == 1);
+}
+
 }  // namespace trefoil::daemon
--- a/packages/transport/connection_life.cc
+++ b/packages/transport/connection_life.cc
@@ -100,6 +100,17 @@
     return this->options.silence_limit + std::max(longer, std::chrono::milliseconds(0));
 }
 
+// Whether a side that waits has to ask now; notes that it does.
+bool connection_life::asks(bool waits_long, mono_time now) {
+    bool asked_lately =
+        this->probed_at.has_value() && now - *this->probed_at < this->options.heartbeat_interval;
+    if (!waits_long || asked_lately) {
+        return false;
+    }
+    this->probed_at = now;
+    return true;
+}
+
 life_verdict connection_life::check(mono_time now, const stall_guard& stalls) {
     std::lock_guard lock(this->mutex);
     drop_expired(this->calls_sent, now);
@@ -115,16 +126,17 @@
         since = std::max(since, first);
     }
     mono_duration silence = stalls.silence(since, now);
-    if (silence > this->patience(calls_out || calls_in)) {
-        return {.is_silent = true};
-    }
-    bool asked_lately =
-        this->probed_at.has_value() && now - *this->probed_at < this->options.heartbeat_interval;
     bool waits_long = (calls_out && silence >= this->options.probe_delay) ||
                       (calls_in && silence >= holder_probe_delay);
-    if (waits_long && !asked_lately) {
-        this->probed_at = now;
-        return {.needs_probe = true};
+    if (silence > this->options.loss_limit) {
+        return {.is_silent = true, .is_lost = true};
+    }
+    bool silent = silence > this->patience(calls_out || calls_in);
+    if (this->asks(waits_long, now)) {
+        return {.is_silent = silent, .needs_probe = true};
+    }
+    if (silent) {
+        return {.is_silent = true};
     }
     auto wanted = this->interval(now);
     bool due = now - this->pinged_at >= std::min(wanted, this->promised);
--- a/packages/transport/connection_life.h
+++ b/packages/transport/connection_life.h
@@ -1,7 +1,11 @@
-// Decides when a connection needs a heartbeat and when it counts as silent. A connection without
-// calls and without control traffic is pinged seldom: in a fleet nearly every daemon has a
-// connection to nearly every other, and frequent heartbeats were most of the frames. The side that
-// waits for a call's result asks for an answer at once when it hears nothing.
+// Decides when a connection needs a heartbeat, when it counts as silent and when as lost. A
+// connection without calls and without control traffic is pinged seldom: in a fleet nearly every
+// daemon has a connection to nearly every other, and frequent heartbeats were most of the frames.
+// The side that waits for a call's result asks for an answer at once when it hears nothing.
+//
+// Two seconds without a frame do not tell a slow peer from a lost path. A silent connection is left
+// out of use, because a new one may work, but stays open until it counts as lost: a slow peer still
+// sends results over it, and calls whose fate nobody could tell if it were closed meanwhile.
 //
 // Example:
 //
@@ -9,7 +13,8 @@
 //     life.sent(message, now);
 //     life.received(message, now);
 //     life_verdict verdict = life.check(now, stalls);
-//     if (verdict.is_silent) { ... } else if (verdict.needs_probe) { ... }
+//     if (verdict.is_lost) { ... } else if (verdict.is_silent) { ... }
+//     if (verdict.needs_probe) { ... }
 
 #ifndef TREFOIL_TRANSPORT_CONNECTION_LIFE_H_
 #define TREFOIL_TRANSPORT_CONNECTION_LIFE_H_
@@ -34,6 +39,9 @@
     // two intervals must fit.
     std::chrono::milliseconds idle_interval{4000};
     std::chrono::milliseconds silence_limit{2000};
+    // Longer than a planned stop takes (6 s on the users' sites), in which a slow daemon finishes
+    // its calls, and than the patience with an idle connection.
+    std::chrono::milliseconds loss_limit{10'000};
     // How long a side that waits for a result hears nothing before it asks. An ingress takes a peer
     // for silent after 750 ms, which leaves 350 ms for the answer.
     std::chrono::milliseconds probe_delay{300};
@@ -43,7 +51,8 @@
 };
 
 struct life_verdict {
-    bool is_silent = false;
+    bool is_silent = false;    // Not to be used for new messages.
+    bool is_lost = false;      // To be dropped; silent as well.
     bool needs_probe = false;  // A ping that the peer answers at once.
     bool needs_ping = false;
 
@@ -80,6 +89,7 @@
     static void drop_expired(open_calls& calls, mono_time now);
     std::chrono::milliseconds interval(mono_time now) const;
     mono_duration patience(bool waits) const;
+    bool asks(bool waits_long, mono_time now);
 
     const connection_life_options options;
     mutable std::mutex mutex;
--- a/packages/transport/peer_endpoint.cc
+++ b/packages/transport/peer_endpoint.cc
@@ -66,6 +66,9 @@
     messages::hello self;  // Our hello, with the nonce of this connection.
     std::optional<messages::hello> peer;
     std::atomic<bool> opened{false};  // Set once, after the peer's proof was checked.
+    // Used on the loop only.
+    bool silent = false;     // on_silent was reported and on_heard was not yet.
+    bool finishing = false;  // By this side: nothing that arrives is delivered any more.
     const mono_time connected;
     connection_life life;
     // The peer's last ping and when it was read here. Both are 0 before the first one.
@@ -154,9 +157,13 @@
 
 void peer_endpoint::finish(connection_id id, bool settled, std::function<bool()> still_wanted) {
     this->loop.post([this, id, settled, wanted = std::move(still_wanted)] {
-        if (wanted()) {
-            this->socket.finish(id, settled);
+        if (!wanted()) {
+            return;
         }
+        if (auto found = this->sessions.find(id); found.has_value()) {
+            (*found)->finishing = true;
+        }
+        this->socket.finish(id, settled);
     });
 }
 
@@ -205,6 +212,11 @@
     }
     peer.life.received(*message, received);
     this->count_received(*message, frame.size());
+    if (peer.silent) {
+        peer.silent = false;
+        log(log_level::info, "peer_connection_heard", {{"connection", std::to_string(id)}});
+        this->events.on_heard(id, *peer.peer);
+    }
     if (auto* hello = std::get_if<messages::hello>(message)) {
         this->on_hello(id, peer, *hello);
     } else if (auto* proof = std::get_if<messages::proof>(message)) {
@@ -320,14 +332,30 @@
     }
 }
 
+void peer_endpoint::note_silence(connection_id id, session& peer) {
+    if (peer.silent) {
+        return;
+    }
+    log(log_level::info, "peer_connection_silent", {{"connection", std::to_string(id)}});
+    peer.silent = true;
+    this->events.on_silent(id, *peer.peer);
+}
+
 void peer_endpoint::act(connection_id id, session& peer, const life_verdict& verdict,
                         mono_time now) {
-    if (verdict.is_silent) {
-        log(log_level::info, "peer_connection_silent", {{"connection", std::to_string(id)}});
+    bool dropped = verdict.is_silent && (!peer.opened || peer.finishing);
+    if (verdict.is_lost || dropped) {
+        log(log_level::info, "peer_connection_dropped", {{"connection", std::to_string(id)}});
         this->socket.drop(id);
-    } else if (!peer.opened) {
         return;
-    } else if (verdict.needs_probe) {
+    }
+    if (!peer.opened) {
+        return;
+    }
+    if (verdict.is_silent) {
+        this->note_silence(id, peer);
+    }
+    if (verdict.needs_probe) {
         this->probe(id);
     } else if (verdict.needs_ping) {
         this->send(id, peer.make_ping(now));
--- a/packages/transport/peer_endpoint.h
+++ b/packages/transport/peer_endpoint.h
@@ -1,7 +1,7 @@
 // Authenticated connections between daemons with heartbeats. A connection counts as open once both
-// sides have proved that they know the fleet secret. A connection on which nothing arrives for the
-// time that connection_life.h tells is dropped, because a path that lost its state delivers nothing
-// and reports no error.
+// sides have proved that they know the fleet secret. A connection on which nothing arrives is
+// reported as silent and dropped after the times that connection_life.h tells, because a path that
+// lost its state delivers nothing and reports no error.
 //
 // Example:
 //
@@ -42,6 +42,11 @@
     // delivered as a pong, with `received` less the time that the peer held it back.
     virtual void on_message(connection_id id, const messages::hello& peer,
                             messages::peer_message message, mono_time received) = 0;
+    // Nothing arrives any more; on_heard or on_close follows. The connection stays open for what
+    // the peer sends late.
+    virtual void on_silent(connection_id id, const messages::hello& peer) = 0;
+    // Something arrives again on a silent connection; delivered before it.
+    virtual void on_heard(connection_id id, const messages::hello& peer) = 0;
     // `peer` is null when the connection never opened. `finished_by_peer`: the peer has sent all
     // that it had to send, and acts on nothing to which it has not responded.
     virtual void on_close(connection_id id, const messages::hello* peer, bool finished_by_peer) = 0;
@@ -130,6 +135,7 @@
     void transmit(connection_id id, const messages::peer_message& message);
     void count_received(const messages::peer_message& message, std::size_t bytes);
     void check_connections(mono_time now);
+    void note_silence(connection_id id, session& peer);
     void act(connection_id id, session& peer, const life_verdict& verdict, mono_time now);
 
     const peer_endpoint_options options;
--- a/packages/transport/testing/connection_life_test.cc
+++ b/packages/transport/testing/connection_life_test.cc
@@ -23,6 +23,7 @@
         stall_guard stalls;
         bool frozen = false;
         bool silent = false;
+        bool lost = false;
         int frames = 0;
         std::vector<mono_time> pings;
     };
@@ -59,6 +60,7 @@
         one.stalls.tick(this->now);
         life_verdict verdict = one.life.check(this->now, one.stalls);
         one.silent = one.silent || verdict.is_silent;
+        one.lost = one.lost || verdict.is_lost;
         if (verdict.needs_probe) {
             this->deliver(one, other, messages::ping{});
         } else if (verdict.needs_ping) {
@@ -83,6 +85,17 @@
         return std::nullopt;
     }
 
+    // Returns how long it took until a side found the connection lost; nothing within `length`.
+    std::optional<milliseconds> run_until_lost(milliseconds length) {
+        for (milliseconds passed = step; passed <= length; passed += step) {
+            this->run(step);
+            if (this->left.lost || this->right.lost) {
+                return passed;
+            }
+        }
+        return std::nullopt;
+    }
+
     void call(std::uint64_t sequence) {
         this->deliver(this->left, this->right,
                       messages::call{.sequence = sequence, .budget_us = 20'000'000});
@@ -117,6 +130,43 @@
     BOOST_TEST(*found <= milliseconds(2'100));
 }
 
+// Guards against results that are lost, and calls whose outcome stays unknown, because a peer that
+// was slow for some seconds finds its connection closed; and against lost connections that stay.
+BOOST_AUTO_TEST_CASE(a_silent_connection_is_lost_only_after_ten_seconds) {
+    for (bool with_call : {true, false}) {
+        for (bool caller_frozen : {true, false}) {
+            pair_of_sides sides;
+            sides.run(milliseconds(10'000));
+            if (with_call) {
+                sides.call(1);
+            }
+            (caller_frozen ? sides.left : sides.right).frozen = true;
+            auto lost = sides.run_until_lost(milliseconds(30'000));
+            BOOST_REQUIRE(lost.has_value());
+            BOOST_TEST((sides.left.silent || sides.right.silent));
+            BOOST_TEST(*lost >= milliseconds(8'000));  // Some of it may have passed before.
+            BOOST_TEST(*lost <= milliseconds(10'100));
+        }
+    }
+}
+
+// Guards against a peer that restarted or is slow and is never asked, so that neither its reset nor
+// its answer comes.
+BOOST_AUTO_TEST_CASE(a_silent_connection_with_a_call_is_asked_for_an_answer) {
+    pair_of_sides sides;
+    sides.run(milliseconds(10'000));
+    sides.right.frozen = true;
+    sides.call(1);
+    BOOST_REQUIRE(sides.run(milliseconds(5'000)).has_value());
+    int before = sides.left.frames;
+    sides.run_until_lost(milliseconds(3'000));
+    BOOST_TEST(sides.left.frames - before >= 5);
+    sides.right.frozen = false;
+    sides.run_until_lost(milliseconds(1'000));
+    BOOST_TEST((sides.now - sides.left.life.last_received() <= milliseconds(600)));
+    BOOST_TEST(!sides.run_until_lost(milliseconds(20'000)).has_value());
+}
+
 // Guards against an idle connection that stays in the table long after its path lost its state.
 BOOST_AUTO_TEST_CASE(silence_of_an_idle_connection_is_found_soon_after_a_missed_ping) {
     pair_of_sides sides;
--- a/packages/transport/testing/endless_frames_test.cc
+++ b/packages/transport/testing/endless_frames_test.cc
@@ -30,6 +30,8 @@
     void on_open(connection_id, const messages::hello&, bool) override {}
     void on_message(connection_id, const messages::hello&, messages::peer_message,
                     mono_time) override {}
+    void on_silent(connection_id, const messages::hello&) override {}
+    void on_heard(connection_id, const messages::hello&) override {}
     void on_close(connection_id, const messages::hello*, bool) override {}
 };
 
