Play planned stops on machines that stand still for seconds

rolling_stop gives a stopping daemon a twentieth of a core in pauses of 380 ms.

slow_stop stops two daemons in turn that run 100 ms and stand still for 2.4 s, with the same callers and check (graceful_stop).

--- a/testing/scenario/scenario.cc
+++ b/testing/scenario/scenario.cc
@@ -120,26 +120,33 @@
     }
 }
 
-// Gives the daemon a twentieth of a core until it has ended, in periods long enough that what
-// arrives in a pause is no close by chance.
-void wait_stopped_throttled(fleet& run, member& item) {
-    constexpr std::int64_t run_ms = 20;
-    constexpr std::int64_t pause_length_ms = 380;
+struct throttle {
+    std::int64_t run_ms;
+    std::int64_t pause_length_ms;
+};
+
+// A twentieth of a core, in periods long enough that what arrives in a pause is no close by chance.
+constexpr throttle short_pauses{.run_ms = 20, .pause_length_ms = 380};
+// Longer than the 2 s after which a peer with calls counts as silent.
+constexpr throttle long_pauses{.run_ms = 100, .pause_length_ms = 2400};
+
+// Gives the daemon a part of a core until it has ended.
+void wait_stopped_throttled(fleet& run, member& item, const throttle& part) {
     constexpr int most_periods = 100;
     for (int i = 0; i < most_periods; ++i) {
-        pause_ms(run_ms);
+        pause_ms(part.run_ms);
         if (item.daemon->wait(std::chrono::milliseconds(0)).has_value()) {
             break;
         }
         item.daemon->signal(SIGSTOP);
-        pause_ms(pause_length_ms);
+        pause_ms(part.pause_length_ms);
         item.daemon->signal(SIGCONT);
     }
     run.wait_stopped(item);
 }
 
 // Callers keep their connections to the daemon that stops and use them until they are closed.
-void rolling_stop(fleet& run, seeded_random& random) {
+void load_with_kept_connections(fleet& run, seeded_random& random) {
     for (const char* method : {"GET", "POST"}) {
         run.load(
             std::string("kept-") + method,
@@ -147,13 +154,17 @@
              "3000", "--callers", "60", "--seed", std::to_string(random.below(1'000'000))},
             14);
     }
+}
+
+void rolling_stop(fleet& run, seeded_random& random) {
+    load_with_kept_connections(run, random);
     pause_up_to_ms(random, 1000);
     for (int i = 0; i < 3; ++i) {
         member& item = any_member(run, random);
         bool throttled = random.below(2) == 0;
         run.begin_stop(item);
         if (throttled) {
-            wait_stopped_throttled(run, item);
+            wait_stopped_throttled(run, item, short_pauses);
         } else {
             run.wait_stopped(item);
         }
@@ -162,6 +173,19 @@
     }
 }
 
+// A daemon that stops while its machine stands still for seconds is slow, not lost.
+void slow_stop(fleet& run, seeded_random& random) {
+    load_with_kept_connections(run, random);
+    for (int i = 0; i < 2; ++i) {
+        pause_up_to_ms(random, 1000);
+        member& item = any_member(run, random);
+        run.begin_stop(item);
+        wait_stopped_throttled(run, item, long_pauses);
+        run.start_daemon(item);
+        run.wait_ready(item);
+    }
+}
+
 // The extra load keeps more requests running than a cold upstream can handle.
 void cold_upstream(fleet& run, seeded_random& random) {
     run.load("heavy", {"--path", "/station/a", "--rate", "300", "--callers", "40"}, 8);
@@ -198,6 +222,7 @@
     {"bad_version", 10, "bad_version_refused", bad_version},
     {"restart_all", 10, "version_never_back", restart_all},
     {"rolling_stop", 14, "graceful_stop", rolling_stop, 100},
+    {"slow_stop", 14, "graceful_stop", slow_stop, 100},
     {"cold_upstream", 10, "cold_start_load", cold_upstream, 40},
     {"noisy_workspace", 8, "rate_and_burst", noisy_workspace},
     {"nested", 8, "workspace_of_key", nested}};
