Let a new lender take over the tokens of the one before

Cause: a lender begins without tokens, because the one before may have spent everything. That one is still there in a planned stop, when a replaced daemon comes back to its workspaces, and when views differ; its tokens stay unused.

Change: a daemon that begins to lend asks the lender before, or the one that would lend without it, for its tokens. That one gives all, or half while it takes itself for the lender as well. Tokens move, they are not made: an answer counts once, at a bucket in use, within a second, and up to the bucket's depth. A lender that would not be asked any more keeps its bucket for a second at least; without that an idle one has none when it is asked (found by the daemon's test).

Ruled out: that the level of the fleet's bucket, which a new lender takes as full, is the cause.

--- a/packages/admission/demand_limiter.cc
+++ b/packages/admission/demand_limiter.cc
@@ -160,8 +160,10 @@
     return names;
 }
 
-void demand_limiter::stand_by(const std::vector<std::string>& workspaces, mono_time now) {
+std::vector<token_room> demand_limiter::stand_by(const std::vector<std::string>& workspaces,
+                                                 mono_time now) {
     absl::MutexLock lock(&this->mutex);
+    std::vector<token_room> begun;
     absl::flat_hash_set<std::string> named;
     // A daemon that hears few others may take itself for the lender of every workspace.
     if (this->most_heard(now)) {
@@ -172,8 +174,62 @@
         if (stands_by) {
             this->begin_lending(each, now);
         }
+        if (stands_by && !each.standing_by) {
+            begun.push_back(this->room_of(name, each, now));
+        }
+        if (each.standing_by && !stands_by) {
+            each.lender_until = std::max(each.lender_until, now + this->options.take_over_time);
+        }
         each.standing_by = stands_by;
     }
+    return begun;
+}
+
+token_room demand_limiter::room_of(const std::string& workspace, bucket& each, mono_time now) {
+    this->refill(each, now);
+    double room = this->bucket_capacity(each, now) - each.tokens;
+    return {.workspace = workspace, .tokens = std::max(0.0, room)};
+}
+
+std::optional<token_room> demand_limiter::begin(const std::string& workspace, mono_time now) {
+    absl::MutexLock lock(&this->mutex);
+    auto found = this->buckets.find(workspace);
+    if (found == this->buckets.end() || this->reports(found->second, now) ||
+        !this->most_heard(now)) {
+        return std::nullopt;
+    }
+    bucket& target = found->second;
+    this->begin_lending(target, now);
+    target.lender_until = now + this->options.lender_life;
+    return this->room_of(workspace, target, now);
+}
+
+double demand_limiter::hand_over(const std::string& workspace, double wanted, mono_time now) {
+    absl::MutexLock lock(&this->mutex);
+    auto found = this->buckets.find(workspace);
+    if (found == this->buckets.end() || !found->second.division.lent() ||
+        !this->reports(found->second, now)) {
+        return 0;
+    }
+    bucket& from = found->second;
+    this->refill(from, now);
+    double most = from.standing_by ? from.tokens / 2 : from.tokens;
+    double given = std::clamp(most, 0.0, std::max(0.0, wanted));
+    from.tokens -= given;
+    return given;
+}
+
+void demand_limiter::receive(const std::string& workspace, double tokens, mono_time now) {
+    absl::MutexLock lock(&this->mutex);
+    auto found = this->buckets.find(workspace);
+    if (found == this->buckets.end() || !found->second.division.lent() ||
+        !this->reports(found->second, now) || !std::isfinite(tokens)) {
+        return;
+    }
+    bucket& target = found->second;
+    this->refill(target, now);
+    target.tokens += std::max(0.0, tokens);
+    this->refill(target, now);  // Cuts what is above the capacity.
 }
 
 demand_decision demand_limiter::lend(const std::string& workspace, mono_time now) {
--- a/packages/admission/demand_limiter.h
+++ b/packages/admission/demand_limiter.h
@@ -71,6 +71,14 @@
 
 using demand_decision = std::variant<request_admitted, request_over_limit, request_needs_lender>;
 
+// Tokens that a lender's bucket has room for.
+struct token_room {
+    std::string workspace;
+    double tokens = 0;
+
+    friend bool operator==(const token_room&, const token_room&) = default;
+};
+
 // What an operator may want to know of one workspace.
 struct demand_state {
     double demand = 0;  // Of this daemon, requests per second.
@@ -99,8 +107,20 @@
     std::vector<std::string> lent_workspaces();
 
     // Names the workspaces for which this daemon would be asked as the lender. Their buckets fill
-    // without a request. To be called before each report.
-    void stand_by(const std::vector<std::string>& workspaces, mono_time now);
+    // without a request. To be called before each report. Returns those that it lends from now on,
+    // with the tokens that it has room for and may ask the lender before for.
+    std::vector<token_room> stand_by(const std::vector<std::string>& workspaces, mono_time now);
+
+    // Begins to lend because of a request. Returns the room for tokens when the bucket was not in
+    // use.
+    std::optional<token_room> begin(const std::string& workspace, mono_time now);
+
+    // Gives up to `wanted` tokens to a daemon that lends now: all, or half of them while this
+    // daemon finds itself to be the lender as well.
+    double hand_over(const std::string& workspace, double wanted, mono_time now);
+
+    // Adds tokens that the lender before has given up.
+    void receive(const std::string& workspace, double tokens, mono_time now);
 
     // Decides as the lender of the failure domain.
     demand_decision lend(const std::string& workspace, mono_time now);
@@ -151,6 +171,8 @@
     double heard_parts(const bucket& each) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     bool reports(const bucket& each, mono_time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     double lender_depth(const bucket& each) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    token_room room_of(const std::string& workspace, bucket& each, mono_time now)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void begin_lending(bucket& target, mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     demand_decision take(bucket& from, mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void refill(bucket& each, mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
--- a/packages/admission/demand_options.h
+++ b/packages/admission/demand_options.h
@@ -62,6 +62,9 @@
     // How long a lender that nobody asks keeps its bucket. Callers of a workspace of 2/s leave a
     // failure domain alone for several seconds now and then.
     std::chrono::milliseconds lender_life{10000};
+    // How long a lender that would not be asked any more keeps its bucket at least, for the next
+    // one to take its tokens over. Views of who lives differ by about a second.
+    std::chrono::milliseconds take_over_time{1000};
     // Least part of the rate that the fleet uses while its bucket is over its capacity.
     double least_rate = 0.5;
     // Age at which totals say nothing any more. Twice the longest gap of an exchange with one loss.
--- a/packages/admission/testing/demand_fleet.h
+++ b/packages/admission/testing/demand_fleet.h
@@ -17,6 +17,7 @@
 
 #include "admission/demand_collector.h"
 #include "admission/demand_limiter.h"
+#include "admission/take_overs.h"
 #include "admission/token_asker.h"
 #include "base/random.h"
 #include "messages/codec.h"
@@ -96,6 +97,7 @@
         target.limiter->set_limits(this->limits, this->now);
         target.collector = std::make_unique<demand_collector>(target.domain);
         target.asker = std::make_unique<token_asker>(name(index), this->random.next());
+        target.open = std::make_unique<take_overs>();
         target.decided.clear();
         target.next_report = this->now + std::chrono::milliseconds(this->random.below(250));
         this->follow(index);
@@ -111,6 +113,12 @@
         this->later(this->options.detection, [this] { this->follow(); });
     }
 
+    // The daemon and the others of its failure domain know at once that it leaves.
+    void set_leaving(int index, bool leaving) {
+        this->nodes[index].leaving = leaving;
+        this->follow();
+    }
+
     // Every second daemon of its failure domain takes the daemon for dead, although messages
     // between them pass.
     void set_doubted(int index, bool doubted) {
@@ -164,6 +172,11 @@
             if (each.alive && !each.decided.empty()) {
                 this->expire(i);
             }
+            if (each.alive) {
+                for (const held_request& late : each.open->expire(this->now)) {
+                    this->lend(i, late, false);
+                }
+            }
         }
     }
 
@@ -256,12 +269,14 @@
         std::unique_ptr<demand_limiter> limiter{};
         std::unique_ptr<demand_collector> collector{};
         std::unique_ptr<token_asker> asker{};
+        std::unique_ptr<take_overs> open{};
         std::map<std::uint64_t, std::function<void(bool)>> decided{};  // Waiting calls.
         mono_time next_report{};
         int incarnation = 0;
         int group = 0;
         bool alive = true;
         bool doubted = false;
+        bool leaving = false;
     };
     struct delivery {
         mono_time at;
@@ -322,7 +337,8 @@
             const node& other = this->nodes[this->indices[each]];
             bool doubts = other.doubted && index / this->options.domains % 2 == 1 &&
                           index != this->indices[each];
-            if (other.alive && other.group == self.group && !doubts) {
+            bool seen = other.alive && other.group == self.group && !doubts;
+            if (seen && !other.leaving) {
                 live.push_back(each);
             }
         }
@@ -353,23 +369,63 @@
     void ask(int index, std::uint64_t call, const std::string& workspace, const token_ask& made) {
         int lender = this->indices[made.lender];
         if (lender == index) {
-            auto decision = this->nodes[index].limiter->lend(workspace, this->now);
-            this->count(workspace, decision);
-            this->decide(index, call, std::holds_alternative<request_admitted>(decision));
+            this->lend(index, {.workspace = workspace, .from = "", .round = call}, true);
             return;
         }
         messages::token_request request{
             .round = made.round, .workspace = workspace, .wanted_now = 1};
-        this->send(index, lender, request, [this, index, lender, request] {
-            auto decision = this->nodes[lender].limiter->lend(request.workspace, this->now);
-            this->count(request.workspace, decision);
-            bool admitted = std::holds_alternative<request_admitted>(decision);
+        held_request asked{.workspace = workspace, .from = name(index), .round = made.round};
+        this->send(index, lender, request,
+                   [this, lender, asked] { this->lend(lender, asked, true); });
+    }
+
+    // Decides as the lender, later while the lender before may give tokens.
+    void lend(int index, const held_request& request, bool may_hold) {
+        node& self = this->nodes[index];
+        if (auto room = self.limiter->begin(request.workspace, this->now)) {
+            this->take_over(index, *room);
+        }
+        auto decision = self.limiter->lend(request.workspace, this->now);
+        this->count(request.workspace, decision);
+        bool admitted = std::holds_alternative<request_admitted>(decision);
+        if (!admitted && may_hold && self.open->hold(request, this->now)) {
+            return;
+        }
+        if (request.from.empty()) {
+            this->decide(index, request.round, admitted);
+            return;
+        }
+        int to = this->indices[request.from];
+        messages::token_grant grant{
+            .round = request.round, .workspace = request.workspace, .tokens = admitted ? 1.0 : 0.0};
+        this->send(index, to, grant, [this, to, round = grant.round, admitted] {
+            if (auto decided = this->nodes[to].asker->on_answer(round)) {
+                this->decide(to, *decided, admitted);
+            }
+        });
+    }
+
+    void take_over(int index, const token_room& room) {
+        auto made = this->nodes[index].asker->take_over(room.workspace);
+        if (!made.has_value()) {
+            return;
+        }
+        this->nodes[index].open->start(made->round, room.workspace, this->now);
+        int before = this->indices[made->lender];
+        messages::token_request request{
+            .round = made->round, .workspace = room.workspace, .wanted_ahead = room.tokens};
+        this->send(index, before, request, [this, index, before, request] {
             messages::token_grant grant{.round = request.round,
                                         .workspace = request.workspace,
-                                        .tokens = admitted ? 1.0 : 0.0};
-            this->send(lender, index, grant, [this, index, round = grant.round, admitted] {
-                if (auto decided = this->nodes[index].asker->on_answer(round)) {
-                    this->decide(index, *decided, admitted);
+                                        .tokens = this->nodes[before].limiter->hand_over(
+                                            request.workspace, request.wanted_ahead, this->now)};
+            this->send(before, index, grant, [this, index, grant] {
+                node& receiver = this->nodes[index];
+                if (auto answered = receiver.open->on_tokens(grant.round, this->now)) {
+                    receiver.limiter->receive(answered->workspace, grant.tokens, this->now);
+                    for (const held_request& each : answered->held) {
+                        this->lend(index, each, false);
+                    }
                 }
             });
         });
@@ -396,7 +452,9 @@
                 lends.push_back(each);
             }
         }
-        self.limiter->stand_by(lends, this->now);
+        for (const token_room& room : self.limiter->stand_by(lends, this->now)) {
+            this->take_over(index, room);
+        }
         auto report = self.limiter->report(this->now);
         int target = this->collector_of(self.domain, self.group);
         this->send(index, target, report, [this, index, target, report] {
--- a/packages/admission/testing/large_fleet_test.cc
+++ b/packages/admission/testing/large_fleet_test.cc
@@ -231,6 +231,55 @@
     }
 }
 
+// Guards against refusals of callers within their rates because a new lender begins without tokens,
+// although the one before has some and can be asked. The patterns: planned stops of a tenth of the
+// daemons, which are replaced at once, and views that take a third of the daemons for dead.
+BOOST_AUTO_TEST_CASE(callers_find_tokens_at_new_lenders_while_the_former_ones_live) {
+    constexpr int stops = 0;
+    constexpr int doubts = 1;
+    for (int pattern : {stops, doubts}) {
+        for (std::uint64_t seed : {1, 2, 3}) {
+            demand_fleet_options setup = large_fleet(seed);
+            for (int rank = 0; rank < workspaces; ++rank) {
+                setup.limits[rank].rate = demand_of(rank) * 1.6;
+                setup.limits[rank].burst = setup.limits[rank].rate;
+            }
+            demand_fleet fleet(setup);
+            fleet.load(usual_traffic(), fleet.all(), seconds(8));
+            std::vector<int> staying;
+            std::vector<int> changed;
+            for (int i = 0; i < setup.daemons; ++i) {
+                bool changes = pattern == stops ? i % 10 == 0 : i / setup.domains % 3 == 0;
+                (changes ? changed : staying).push_back(i);
+            }
+            for (int each : changed) {
+                pattern == stops ? fleet.set_leaving(each, true) : fleet.set_doubted(each, true);
+            }
+            int refused = 0;
+            int calls = 0;
+            auto play = [&](const std::vector<int>& targets) {
+                for (const auto& [name, each] : fleet.load(usual_traffic(), targets, seconds(2))) {
+                    refused += each.refused;
+                    calls += each.calls;
+                }
+            };
+            play(pattern == stops ? staying : fleet.all());
+            for (int each : changed) {
+                if (pattern == stops) {
+                    fleet.restart(each);
+                    fleet.set_leaving(each, false);
+                } else {
+                    fleet.set_doubted(each, false);
+                }
+            }
+            play(fleet.all());
+            BOOST_TEST_MESSAGE("refused " << refused << " of " << calls);
+            BOOST_TEST(refused * 100 <= calls);
+            check_bound(fleet, setup.limits);
+        }
+    }
+}
+
 // Guards against tokens of a lender that stands by, beside those that its predecessor spent just
 // before it was killed. The pattern: quiet, then a sudden rise, then a third of the daemons die.
 BOOST_AUTO_TEST_CASE(lenders_killed_after_they_spent_everything_stay_within_the_bound) {
--- a/packages/admission/token_asker.cc
+++ b/packages/admission/token_asker.cc
@@ -11,14 +11,23 @@
 void token_asker::set_instances(std::vector<std::string> live) {
     if (live != this->instances) {
         this->instances = std::move(live);
-        this->lenders.clear();
+        this->forget_lenders();
     }
 }
 
+void token_asker::forget_lenders() {
+    for (const auto& [workspace, lender] : this->lenders) {
+        if (lender != this->self) {
+            this->former[workspace] = lender;
+        }
+    }
+    this->lenders.clear();
+}
+
 const std::string& token_asker::lender_of(const std::string& workspace, mono_time now) {
     auto expired = [&](const auto& entry) { return entry.second <= now; };
     if (std::erase_if(this->avoided, expired) > 0) {
-        this->lenders.clear();
+        this->forget_lenders();
     }
     auto known = this->lenders.find(workspace);
     if (known != this->lenders.end()) {
@@ -53,6 +62,21 @@
     return this->lender_of(workspace, now) == this->self;
 }
 
+std::optional<token_ask> token_asker::take_over(const std::string& workspace) {
+    std::optional<std::string> before;
+    if (auto known = this->former.find(workspace); known != this->former.end()) {
+        before = known->second;
+    } else {
+        std::vector<std::string> others = this->instances;
+        std::erase(others, this->self);
+        before = rendezvous_highest("lend/" + workspace, others);
+    }
+    if (!before.has_value()) {
+        return std::nullopt;
+    }
+    return token_ask{.round = this->rounds.next(), .lender = *before};
+}
+
 std::optional<std::uint64_t> token_asker::on_answer(std::uint64_t round) {
     auto found = this->waiting.find(round);
     if (found == this->waiting.end()) {
@@ -81,7 +105,7 @@
         if (counts && ++this->unanswered[late.lender] >= this->options.unanswered_limit) {
             this->unanswered.erase(late.lender);
             this->avoided[late.lender] = now + this->options.avoid_lender;
-            this->lenders.clear();
+            this->forget_lenders();
         }
         overdue_ask each{.call = late.call, .workspace = late.workspace, .next = std::nullopt};
         if (!late.repeated) {
--- a/packages/admission/token_asker.h
+++ b/packages/admission/token_asker.h
@@ -70,6 +70,10 @@
     // Whether a request of this daemon would find the daemon itself to be the lender.
     bool lends(const std::string& workspace, mono_time now);
 
+    // Whom to ask for tokens of a workspace that this daemon lends from now on: the lender before,
+    // or the one that would lend without this daemon. Nothing where there is no other.
+    std::optional<token_ask> take_over(const std::string& workspace);
+
     // The call that the answer decides; nothing when it is too late.
     std::optional<std::uint64_t> on_answer(std::uint64_t round);
 
@@ -85,6 +89,7 @@
         bool repeated = false;
     };
 
+    void forget_lenders();
     const std::string& lender_of(const std::string& workspace, mono_time now);
     token_ask ask(waiting_call waiting, mono_time now);
 
@@ -95,6 +100,7 @@
     std::map<std::string, unsigned> unanswered;                 // In a row, by lender.
     std::map<std::string, mono_time> avoided;                   // Until when, by instance.
     absl::flat_hash_map<std::string, std::string> lenders;      // By workspace, as chosen last.
+    absl::flat_hash_map<std::string, std::string> former;       // Likewise, the last other daemon.
     absl::flat_hash_map<std::uint64_t, waiting_call> waiting;   // By round.
     std::deque<std::pair<mono_time, std::uint64_t>> deadlines;  // With rounds, in order of time.
 };
--- a/packages/daemon/demand_exchange.cc
+++ b/packages/daemon/demand_exchange.cc
@@ -131,7 +131,7 @@
 void demand_exchange::ask(const std::string& workspace, std::uint64_t call,
                           const admission::token_ask& made, mono_time now) {
     if (made.lender == this->options.instance) {
-        this->decide(call, this->limiter.lend(workspace, now));
+        this->lend({.workspace = workspace, .from = "", .round = call}, true, now);
         return;
     }
     std::string address;
@@ -149,12 +149,18 @@
     }
 }
 
-// Asks again what was not answered in time, and decides what was not answered twice.
+// Asks again what was not answered in time, and decides what was not answered twice or has waited
+// for tokens of the lender before.
 void demand_exchange::ask_again(mono_time now) {
     std::vector<admission::overdue_ask> overdue;
+    std::vector<admission::held_request> held;
     {
         absl::MutexLock lock(&this->mutex);
         overdue = this->asker.expire(now);
+        held = this->taking_over.expire(now);
+    }
+    for (const admission::held_request& each : held) {
+        this->lend(each, false, now);
     }
     for (const admission::overdue_ask& each : overdue) {
         if (each.next.has_value()) {
@@ -171,23 +177,77 @@
     }
 }
 
-void demand_exchange::on_token_request(const std::string& from,
-                                       const messages::token_request& request, mono_time now) {
+void demand_exchange::lend(const admission::held_request& request, bool may_hold, mono_time now) {
+    if (auto room = this->limiter.begin(request.workspace, now)) {
+        this->take_over(*room, now);
+    }
     admission::demand_decision decision = this->limiter.lend(request.workspace, now);
+    const auto* over = std::get_if<admission::request_over_limit>(&decision);
+    if (over != nullptr && may_hold) {
+        absl::MutexLock lock(&this->mutex);
+        if (this->taking_over.hold(request, now)) {
+            return;
+        }
+    }
+    if (request.from.empty()) {
+        this->decide(request.round, decision);
+        return;
+    }
     messages::token_grant grant{.round = request.round, .workspace = request.workspace};
-    if (const auto* over = std::get_if<admission::request_over_limit>(&decision)) {
+    if (over != nullptr) {
         grant.life_ms = over->retry_after.count();
     } else {
         grant.tokens = 1;
     }
-    this->links->send_if_open(from, grant);
+    this->links->send_if_open(request.from, grant);
+}
+
+void demand_exchange::take_over(const admission::token_room& room, mono_time now) {
+    std::optional<admission::token_ask> made;
+    {
+        absl::MutexLock lock(&this->mutex);
+        made = this->asker.take_over(room.workspace);
+        if (made.has_value()) {
+            // Before it is sent, because the answer may come on another thread.
+            this->taking_over.start(made->round, room.workspace, now);
+        }
+    }
+    if (!made.has_value()) {
+        return;
+    }
+    messages::token_request request{
+        .round = made->round, .workspace = room.workspace, .wanted_ahead = room.tokens};
+    if (!this->links->send_if_open(made->lender, request)) {
+        // It is gone, so no request waits for it.
+        absl::MutexLock lock(&this->mutex);
+        this->taking_over.cancel(made->round, now);
+    }
+}
+
+void demand_exchange::on_token_request(const std::string& from,
+                                       const messages::token_request& request, mono_time now) {
+    if (request.wanted_ahead > 0) {
+        messages::token_grant given{.round = request.round, .workspace = request.workspace};
+        given.tokens = this->limiter.hand_over(request.workspace, request.wanted_ahead, now);
+        this->links->send_if_open(from, given);
+        return;
+    }
+    this->lend({.workspace = request.workspace, .from = from, .round = request.round}, true, now);
 }
 
 void demand_exchange::on_token_grant(const messages::token_grant& grant, mono_time now) {
     std::optional<std::uint64_t> call;
+    std::optional<admission::taken_over> taken_over;
     {
         absl::MutexLock lock(&this->mutex);
         call = this->asker.on_answer(grant.round);
+        taken_over = this->taking_over.on_tokens(grant.round, now);
+    }
+    if (taken_over.has_value()) {
+        this->limiter.receive(taken_over->workspace, grant.tokens, now);
+        for (const admission::held_request& each : taken_over->held) {
+            this->lend(each, false, now);
+        }
     }
     if (!call.has_value()) {
         return;
@@ -211,7 +271,9 @@
         std::erase_if(lends,
                       [&](const std::string& each) { return !this->asker.lends(each, now); });
     }
-    this->limiter.stand_by(lends, now);
+    for (const admission::token_room& room : this->limiter.stand_by(lends, now)) {
+        this->take_over(room, now);
+    }
 }
 
 void demand_exchange::report(mono_time now) {
--- a/packages/daemon/demand_exchange.h
+++ b/packages/daemon/demand_exchange.h
@@ -23,6 +23,7 @@
 #include "absl/synchronization/mutex.h"
 #include "admission/demand_collector.h"
 #include "admission/demand_limiter.h"
+#include "admission/take_overs.h"
 #include "admission/token_asker.h"
 #include "base/sharded_map.h"
 #include "base/time.h"
@@ -93,6 +94,10 @@
     void ask(const std::string& workspace, std::uint64_t call, const admission::token_ask& made,
              mono_time now);
     void ask_again(mono_time now);
+    // Decides as the lender; a request that finds no token may wait for those of the lender before.
+    void lend(const admission::held_request& request, bool may_hold, mono_time now);
+    // Asks the lender before for its tokens.
+    void take_over(const admission::token_room& room, mono_time now);
     void decide(std::uint64_t call, const admission::demand_decision& decision);
     void stand_by(mono_time now);
     void report(mono_time now);
@@ -109,6 +114,7 @@
     admission::demand_collector sums;
     admission::fleet_domains fleet;
     admission::token_asker asker;
+    admission::take_overs taking_over;
     std::map<std::string, std::string> neighbours;  // Addresses of the own failure domain.
     std::map<std::string, collector> collectors;    // By failure domain.
     mono_time next_report = mono_time::min();
--- a/packages/messages/messages.h
+++ b/packages/messages/messages.h
@@ -213,8 +213,10 @@
 struct token_request {
     std::uint64_t round = 0;
     std::string workspace;
-    double wanted_now = 0;    // For calls that wait.
-    double wanted_ahead = 0;  // Ahead of demand; granted only from what others do not need.
+    double wanted_now = 0;  // For calls that wait.
+    // Ahead of demand; granted only from what others do not need. Of a new lender, what it has room
+    // for of the tokens of the lender before.
+    double wanted_ahead = 0;
     // Report on an earlier batch. Both amounts count from the grant, so that a report that arrives
     // twice or after a newer one changes nothing.
     struct settlement {
