--- a/packages/daemon/testing/demand_exchange_test.cc
+++ b/packages/daemon/testing/demand_exchange_test.cc
@@ -106,6 +106,7 @@
 
 std::vector<std::string> names() {
     std::vector<std::string> list;
+    list.reserve(listed_count);
     for (int i = 0; i < listed_count; ++i) {
         list.push_back("station-" + std::to_string(i));
     }
