--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -146,8 +146,7 @@
         return;
     }
     // The upstream beside the daemon may be of another service than the ingress believes.
-    if (!this->availability_known ||
-        held->call.service != this->board.settings.read()->service) {
+    if (!this->availability_known || held->call.service != this->board.settings.read()->service) {
         this->refuse(id, {.reason = gate::refusal_reason::no_upstream,
                           .outcome = messages::call_outcome::not_run});
         return;
