--- a/packages/base/testing/json_pieces_test.cc
+++ b/packages/base/testing/json_pieces_test.cc
@@ -38,12 +38,12 @@
 // Guards against text that is taken for valid JSON although a parser accepts each of its pieces.
 BOOST_AUTO_TEST_CASE(malformed_text_is_not_split) {
     using namespace std::string_literals;
-    for (const std::string& text : {""s, "7"s, "[]"s, "{"s, "{\"a\"}"s, "{\"a\":}"s, "{\"a\":1,}"s,
-                                    "{,}"s,  "{\"a\":1}}"s, "{\"a\":1} 2"s,
-                                    "{a:1}"s, "{\"a\":\"1}"s, "{\"a\":\"1\\\"}"s, "{\"a\":1"s,
-                                    "{\"a\":\xef\xbb\xbf"
-                                    "1}"s,
-                                    "\xef\xbb\xbf{}"s, "{\"a\":1\0}"s, "{\"a\":1}\0"s}) {
+    for (const std::string& text :
+         {""s, "7"s, "[]"s, "{"s, "{\"a\"}"s, "{\"a\":}"s, "{\"a\":1,}"s, "{,}"s, "{\"a\":1}}"s,
+          "{\"a\":1} 2"s, "{a:1}"s, "{\"a\":\"1}"s, "{\"a\":\"1\\\"}"s, "{\"a\":1"s,
+          "{\"a\":\xef\xbb\xbf"
+          "1}"s,
+          "\xef\xbb\xbf{}"s, "{\"a\":1\0}"s, "{\"a\":1}\0"s}) {
         BOOST_TEST(object(text) == "nothing", text);
     }
     BOOST_TEST(object(R"({"a":1 "b":2})") == R"([a=1 "b":2])");  // No parser accepts the text.
--- a/packages/config/testing/snapshot_builder_test.cc
+++ b/packages/config/testing/snapshot_builder_test.cc
@@ -29,7 +29,10 @@
     std::string text() const {
         std::string members;
         for (const auto& [name, value] : this->routes) {
-            members += (members.empty() ? "\"" : ",\"") + name + "\":" + value;
+            members += members.empty() ? "\"" : ",\"";
+            members += name;
+            members += "\":";
+            members += value;
         }
         return R"({"failure_domains":{"d1":{}},"fleet":{"max_instances":4},"routes":{)" + members +
                R"(},"services":)" + this->services + "}";
