--- a/packages/daemon/demand_exchange.cc
+++ b/packages/daemon/demand_exchange.cc
@@ -203,6 +203,10 @@
 }
 
 void demand_exchange::take_over(const admission::token_room& room, mono_time now) {
+    // An amount of 0 is a request for one token.
+    if (room.tokens <= 0) {
+        return;
+    }
     std::optional<admission::token_ask> made;
     {
         absl::MutexLock lock(&this->mutex);
--- a/packages/daemon/testing/demand_exchange_test.cc
+++ b/packages/daemon/testing/demand_exchange_test.cc
@@ -84,6 +84,7 @@
     }
 
     void on_link_open(const messages::hello&, bool) override {}
+    void on_link_silent(transport::connection_id, const messages::hello&, bool) override {}
     void on_link_closed(transport::connection_id, const messages::hello&, link_end) override {}
     void on_dial_failed(const std::string&) override {}
     void on_call(const message_origin&, messages::call, mono_time) override {}
