--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -237,7 +237,10 @@
     } else if (view != nullptr && listed_as_leaving(*view, this->options.instance)) {
         availability = gate::upstream_availability::leaving;
     }
-    this->local_egress.set_availability(availability);
+    // Without a list it is not known whether the upstream leaves, nor which start of it runs.
+    if (view != nullptr && view->list_revision() > 0) {
+        this->local_egress.set_availability(availability);
+    }
     this->note_upstream(availability, view.get());
 }
 
