Let frames that were read with a call go before its start

The call is offered on the loop after the frames of the same buffer, and a cancelled one is refused.

--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -337,10 +337,15 @@
                      .sequence = call.sequence};
     mono_time deadline = sent + std::chrono::microseconds(call.budget_us);
     transport::connection_id connection = origin.connection;
-    this->local_egress.offer(id, std::move(call), deadline, connection,
-                             [this, connection](messages::call_result result) {
-                                 this->links.send_on(connection, std::move(result));
-                             });
+    auto offered = std::make_shared<messages::call>(std::move(call));
+    // A machine that reads late finds a call and its cancellation in one buffer. What was read with
+    // the call goes first, so that a call whose caller has left is not started.
+    this->loop.post([this, id, deadline, connection, offered] {
+        this->local_egress.offer(id, std::move(*offered), deadline, connection,
+                                 [this, connection](messages::call_result result) {
+                                     this->links.send_on(connection, std::move(result));
+                                 });
+    });
 }
 
 void daemon::on_message(const message_origin& origin, messages::peer_message message) {
