Count contact from what was last heard

Found in review: an open connection counted as contact now, although a daemon that reads late does not find it silent, so that a lost instance could count as alive everywhere. The time of the last frame counts instead. A peer that is heard again on a silent connection counted as unreachable when an attempt to open another had failed meanwhile, so that views of who lends differed. an_instance_that_stands_still_is_suspected_by_all guards the first.

--- a/packages/base/sharded_map.h
+++ b/packages/base/sharded_map.h
@@ -68,6 +68,16 @@
         }
     }
 
+    template <class Visit>
+    void for_each(Visit visit) const {
+        for (const shard& each : this->shards) {
+            std::lock_guard lock(each.mutex);
+            for (const auto& [key, value] : each.values) {
+                visit(key, value);
+            }
+        }
+    }
+
     // Removes the entries for which `condition(key, value)` holds.
     template <class Condition>
     void erase_if(Condition condition) {
--- a/packages/daemon/control_loop.cc
+++ b/packages/daemon/control_loop.cc
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds tick_interval{50};
+// Between looks at when peers were heard. Ages are told in units of 100 ms and count for 10 s.
+constexpr std::chrono::milliseconds contact_interval{500};
 // The three documents can be watched at once, and one thread is left for a read between watches.
 constexpr int platform_threads = 4;
 
@@ -149,6 +151,7 @@
     while (!this->stopping) {
         this->feed([this](mono_time now) {
             this->tracker.contact(now, this->own_record, this->incarnation);
+            this->note_contacts(now);
             this->core.tick(now);
         });
         this->links->tick();
@@ -156,6 +159,17 @@
     }
 }
 
+// Calls and heartbeats show that a peer is alive as well as gossip does.
+void control_loop::note_contacts(mono_time now) {
+    if (now < this->next_contacts) {
+        return;
+    }
+    this->next_contacts = now + contact_interval;
+    for (const auto& [instance, heard] : this->links->last_heard()) {
+        this->core.contact(instance, heard);
+    }
+}
+
 void control_loop::on_link_open(const messages::hello& peer, bool first) {
     this->feed([&](mono_time now) {
         membership::instance_record record = record_of(peer);
--- a/packages/daemon/control_loop.h
+++ b/packages/daemon/control_loop.h
@@ -65,6 +65,7 @@
     template <class Input>
     void feed(Input input);
     void open_peer(const std::string& address);
+    void note_contacts(mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void publish(mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void publish_candidates() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void publish_control_state() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
@@ -85,6 +86,7 @@
     configuration_store store;
     membership::tracker tracker;
     dissemination::core core;
+    mono_time next_contacts = mono_time::min();
     std::shared_ptr<const membership::view> published_view;
     std::shared_ptr<const config::snapshot> published_snapshot;
     bool leaving = false;
--- a/packages/daemon/peer_links.cc
+++ b/packages/daemon/peer_links.cc
@@ -124,15 +124,34 @@
 
 std::set<std::string> peer_links::unreachable_addresses() const {
     std::set<std::string> failing;
-    absl::MutexLock lock(&this->dial_mutex);
-    for (const auto& [address, state] : this->dials) {
-        if (state.failures > 0) {
-            failing.insert(address);
+    {
+        absl::MutexLock lock(&this->dial_mutex);
+        for (const auto& [address, state] : this->dials) {
+            if (state.failures > 0) {
+                failing.insert(address);
+            }
         }
     }
+    // An attempt can fail while the peer is heard again on a connection that was silent.
+    this->by_connection.for_each([&](transport::connection_id, const auto& each) {
+        if (!each->silent) {
+            failing.erase(each->peer.address);
+        }
+    });
     return failing;
 }
 
+std::vector<std::pair<std::string, mono_time>> peer_links::last_heard() const {
+    std::vector<std::pair<std::string, mono_time>> result;
+    this->by_connection.for_each([&](transport::connection_id id, const auto& each) {
+        auto heard = this->endpoint.last_received(id);
+        if (heard.has_value() && !each->silent) {
+            result.emplace_back(each->peer.instance, *heard);
+        }
+    });
+    return result;
+}
+
 std::optional<transport::connection_id> peer_links::open_connection(
     const std::string& instance) const {
     auto state = this->by_instance.find(instance);
--- a/packages/daemon/peer_links.h
+++ b/packages/daemon/peer_links.h
@@ -97,8 +97,8 @@
     // Opens a connection unless one is being opened or the back-off of the address forbids it.
     void dial(const std::string& address);
 
-    // Addresses at which the last attempt to open a connection failed and that have not connected
-    // here since.
+    // Addresses at which the last attempt to open a connection failed, that have not connected here
+    // since, and to which no connection is in use.
     std::set<std::string> unreachable_addresses() const;
 
     bool is_open(const std::string& instance) const;
@@ -115,6 +115,9 @@
     // Sends a response over the connection on which its request came.
     bool send_on(transport::connection_id connection, const messages::peer_message& message);
 
+    // When each instance with a connection in use was last heard.
+    std::vector<std::pair<std::string, mono_time>> last_heard() const;
+
     // When the last frame arrived on an open connection.
     std::optional<mono_time> last_received(transport::connection_id connection) const {
         return this->endpoint.last_received(connection);
--- a/packages/dissemination/core.cc
+++ b/packages/dissemination/core.cc
@@ -49,7 +49,6 @@
 
 void core::tick(mono_time now) {
     this->held.refresh();
-    this->note_connections(now);
     this->update_following(now);
     this->read_platform(now);
     if (this->options.gossip) {
@@ -165,6 +164,10 @@
     this->peers.failed(now, address);
 }
 
+void core::contact(const std::string& peer, mono_time at) {
+    this->confirmations.alive(peer, at, {});
+}
+
 void core::set_view(std::shared_ptr<const membership::view> next) {
     this->view = std::move(next);
     this->confirmations.set_list(this->view->list());
--- a/packages/dissemination/core.h
+++ b/packages/dissemination/core.h
@@ -74,6 +74,8 @@
                            const std::string& opened_address);
     void connection_closed(const std::string& peer);
     void connection_failed(mono_time now, const std::string& address);
+    // Something arrived from a connected peer at `at`. To be called about twice a second for each.
+    void contact(const std::string& peer, mono_time at);
 
     void set_view(std::shared_ptr<const membership::view> next);
 
@@ -126,7 +128,6 @@
     void refresh_hanging_watch(mono_time now);
     messages::digest make_digest() const;
     void ask(mono_time now, const gossip_rounds::question& question);
-    void note_connections(mono_time now);
     void use_question(mono_time now, const std::string& peer, const messages::digest& question);
     void send(const std::string& peer, messages::peer_message message);
     void send_rounds(mono_time now);
@@ -154,7 +155,6 @@
     mono_time vouched_at = unknown_time;
     mono_time refreshed_at = unknown_time;  // When the platform was last asked to look again.
     mono_time announced_at = unknown_time;
-    mono_time connections_noted_at = unknown_time;
     bool announce_pending = false;  // A new revision is held that peers have not been told of.
     core_counts totals;
     std::vector<action> actions;
--- a/packages/dissemination/core_gossip.cc
+++ b/packages/dissemination/core_gossip.cc
@@ -83,18 +83,6 @@
     }
 }
 
-// A connection without a sign of life is closed by its owner, so an open one counts as contact.
-void core::note_connections(mono_time now) {
-    constexpr milliseconds interval{500};
-    if (this->connections_noted_at != unknown_time && now - this->connections_noted_at < interval) {
-        return;
-    }
-    this->connections_noted_at = now;
-    for (const auto& [id, connection] : this->peers.connections()) {
-        this->confirmations.alive(id, now, {});
-    }
-}
-
 void core::use_reply(mono_time now, const std::string& peer, const messages::digest& message,
                      const comparison& result) {
     auto asked = this->rounds.take(peer, message.round);
--- a/packages/dissemination/testing/contact_reports_test.cc
+++ b/packages/dissemination/testing/contact_reports_test.cc
@@ -64,4 +64,15 @@
     BOOST_TEST(subject.run_until_all(suspects, milliseconds(20000)).count() < limit.count());
 }
 
+// Guards against an instance that counts as alive because a connection to it is still open.
+BOOST_AUTO_TEST_CASE(an_instance_that_stands_still_is_suspected_by_all) {
+    constexpr std::size_t frozen = 7;
+    constexpr milliseconds limit{11000};  // Reports count for 10 s.
+    idle_fleet subject;
+    subject.run(milliseconds(15000));
+    subject.pause(frozen);
+    auto suspects = [&](std::size_t i) { return i == frozen || subject.suspected(i) == 1; };
+    BOOST_TEST(subject.run_until_all(suspects, milliseconds(20000)).count() < limit.count());
+}
+
 }  // namespace trefoil::dissemination
--- a/packages/dissemination/testing/fleet.cc
+++ b/packages/dissemination/testing/fleet.cc
@@ -189,6 +189,7 @@
         const node& other = *this->nodes[peer];
         if (!other.paused && this->reachable(index, peer)) {
             target.tracker->contact(this->time, other.record, other.incarnation);
+            target.decision->contact(other.record.id, this->time);
         }
     }
     const confirmation& state = target.decision->confirmation_state();
