--- a/packages/config/build_snapshot.cc
+++ b/packages/config/build_snapshot.cc
@@ -10,7 +10,6 @@
 #include <utility>
 
 #include "config/sections.h"
-#include "config/yaml_node.h"
 
 namespace trefoil::config {
 
@@ -25,7 +24,7 @@
 
 void require_map(const yaml_node& root, validation_failures& failures) {
     if (root.kind != yaml_kind::map) {
-        location where{root.document, root.line, ""};
+        location where{*root.document, root.line, ""};
         failures.emplace_back(
             wrong_type{std::move(where), "a map of sections", "a value of another type"});
     }
@@ -35,7 +34,7 @@
     for (std::string_view name : fleet_wide_sections) {
         if (const yaml_node* section = overlay.find(name)) {
             failures.emplace_back(
-                fleet_wide_section{location{section->document, section->line, std::string(name)}});
+                fleet_wide_section{location{*section->document, section->line, std::string(name)}});
         }
     }
 }
@@ -53,7 +52,7 @@
         bool removal = entry.value.kind == yaml_kind::remove;
         if (!known && !removal) {
             failures.emplace_back(unresolved_reference{
-                location{entry.value.document, entry.value.line,
+                location{*entry.value.document, entry.value.line,
                          child_path("failure_domains", entry.key)},
                 "the name of a failure domain that the base document lists", ""});
         }
@@ -82,32 +81,33 @@
 }
 
 // Moves the failures of a reading into `failures`; returns the tree, or null after a failure.
-const yaml_node* take_tree(result<yaml_node, validation_failures>& outcome,
-                           validation_failures& failures) {
+yaml_node* take_tree(result<yaml_node, validation_failures>& outcome,
+                     validation_failures& failures) {
     if (auto* found = std::get_if<validation_failures>(&outcome)) {
         failures.insert(failures.end(), found->begin(), found->end());
         return nullptr;
     }
-    const yaml_node* root = std::get_if<yaml_node>(&outcome);
+    auto* root = std::get_if<yaml_node>(&outcome);
     require_map(*root, failures);
     return root;
 }
 
 }  // namespace
 
-result<snapshot, validation_failures> build_snapshot(const document& base,
-                                                     const document& overlay) {
+result<snapshot, validation_failures> detail::build_from_trees(
+    const document& base, const document& overlay,
+    result<yaml_node, validation_failures> base_outcome,
+    result<yaml_node, validation_failures> overlay_outcome, std::vector<route> kept) {
     validation_failures failures;
-    auto base_outcome = read_yaml(base, {.allow_remove = false});
-    auto overlay_outcome = read_yaml(overlay, {.allow_remove = true});
-    const yaml_node* base_tree = take_tree(base_outcome, failures);
-    const yaml_node* overlay_tree = take_tree(overlay_outcome, failures);
+    yaml_node* base_tree = take_tree(base_outcome, failures);
+    yaml_node* overlay_tree = take_tree(overlay_outcome, failures);
     if (!failures.empty()) {
         return report(std::move(failures), base.name);
     }
     check_fleet_wide_sections(*overlay_tree, failures);
     check_failure_domains(*base_tree, *overlay_tree, failures);
-    snapshot_contents contents = detail::read_sections(merge(*base_tree, *overlay_tree), failures);
+    yaml_node merged = merge(std::move(*base_tree), std::move(*overlay_tree));
+    snapshot_contents contents = detail::read_sections(merged, std::move(kept), failures);
     if (!failures.empty()) {
         return report(std::move(failures), base.name);
     }
@@ -116,4 +116,10 @@
     return snapshot(std::move(contents));
 }
 
+result<snapshot, validation_failures> build_snapshot(const document& base,
+                                                     const document& overlay) {
+    return detail::build_from_trees(base, overlay, read_yaml(base, {.allow_remove = false}),
+                                    read_yaml(overlay, {.allow_remove = true}), {});
+}
+
 }  // namespace trefoil::config
--- a/packages/config/json_reader.cc
+++ b/packages/config/json_reader.cc
@@ -3,6 +3,7 @@
 
 #include "config/json_reader.h"
 
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <unordered_set>
 #include <utility>
@@ -16,7 +17,8 @@
 // Builds the tree from the events of nlohmann::json's SAX parser, which fixes the signatures.
 class tree_events final : public nlohmann::json_sax<json> {
 public:
-    explicit tree_events(const document& given) : source(given) {}
+    explicit tree_events(const document& source)
+        : name_of_document(std::make_shared<const std::string>(source.name)) {}
 
     bool null() override { return this->add(this->make(yaml_kind::null)); }
     bool boolean(bool value) override { return this->add_scalar(value ? "true" : "false", false); }
@@ -36,9 +38,9 @@
     bool key(string_t& name) override {
         frame& parent = this->open.back();
         parent.key = std::move(name);
-        if (!parent.keys.insert(parent.key).second) {
-            this->failures.emplace_back(
-                duplicate_key{{this->source.name, 1, child_path(this->parent_path(), parent.key)}});
+        if (is_duplicate(parent)) {
+            this->failures.emplace_back(duplicate_key{
+                {*this->name_of_document, 1, child_path(this->parent_path(), parent.key)}});
         }
         return true;
     }
@@ -55,14 +57,28 @@
 private:
     struct frame {
         yaml_node node;
-        std::string key;  // In a map: of the value that comes next.
-        std::unordered_set<std::string> keys;
+        std::string key{};                       // In a map: of the value that comes next.
+        std::unordered_set<std::string> keys{};  // Seen so far; empty while they ascend.
     };
 
+    // Programs write the keys of a map in order. Then a key is new when it follows the last one.
+    static bool is_duplicate(frame& map) {
+        const std::vector<yaml_entry>& earlier = map.node.entries;
+        if (map.keys.empty()) {
+            if (earlier.empty() || earlier.back().key < map.key) {
+                return false;
+            }
+            for (const yaml_entry& each : earlier) {
+                map.keys.insert(each.key);
+            }
+        }
+        return !map.keys.insert(map.key).second;
+    }
+
     yaml_node make(yaml_kind kind) const {
         yaml_node made;
         made.kind = kind;
-        made.document = this->source.name;
+        made.document = this->name_of_document;
         return made;
     }
 
@@ -74,7 +90,7 @@
     }
 
     bool open_node(yaml_kind kind) {
-        this->open.push_back({.node = this->make(kind), .key = {}, .keys = {}});
+        this->open.push_back({.node = this->make(kind)});
         return true;
     }
 
@@ -93,7 +109,7 @@
         if (parent.node.kind == yaml_kind::sequence) {
             parent.node.items.push_back(std::move(value));
         } else {
-            parent.node.entries.push_back({parent.key, std::move(value)});
+            parent.node.entries.push_back({std::move(parent.key), std::move(value)});
         }
         return true;
     }
@@ -110,7 +126,7 @@
         return path;
     }
 
-    const document& source;
+    std::shared_ptr<const std::string> name_of_document;
     std::vector<frame> open;  // From the root inwards.
 };
 
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -237,7 +237,10 @@
     } else if (view != nullptr && listed_as_leaving(*view, this->options.instance)) {
         availability = gate::upstream_availability::leaving;
     }
-    this->local_egress.set_availability(availability);
+    // Without a list it is not known whether the upstream leaves, nor which start of it runs.
+    if (view != nullptr && view->list_revision() > 0) {
+        this->local_egress.set_availability(availability);
+    }
     this->note_upstream(availability, view.get());
 }
 
@@ -301,6 +304,16 @@
     this->control.on_link_open(peer, first);
 }
 
+void daemon::on_link_silent(transport::connection_id connection, const messages::hello& peer,
+                            bool last) {
+    this->local_ingress.on_connection_silent(connection, peer.instance);
+    if (last) {
+        log(log_level::info, "peer_lost", {{"instance", peer.instance}, {"address", peer.address}});
+        this->local_ingress.on_disconnected(peer.instance);
+    }
+    this->control.on_link_closed(peer, last);
+}
+
 void daemon::on_link_closed(transport::connection_id connection, const messages::hello& peer,
                             link_end end) {
     if (end.last) {
@@ -324,10 +337,15 @@
                      .sequence = call.sequence};
     mono_time deadline = sent + std::chrono::microseconds(call.budget_us);
     transport::connection_id connection = origin.connection;
-    this->local_egress.offer(id, std::move(call), deadline, connection,
-                             [this, connection](messages::call_result result) {
-                                 this->links.send_on(connection, std::move(result));
-                             });
+    auto offered = std::make_shared<messages::call>(std::move(call));
+    // A machine that reads late finds a call and its cancellation in one buffer. What was read with
+    // the call goes first, so that a call whose caller has left is not started.
+    this->loop.post([this, id, deadline, connection, offered] {
+        this->local_egress.offer(id, std::move(*offered), deadline, connection,
+                                 [this, connection](messages::call_result result) {
+                                     this->links.send_on(connection, std::move(result));
+                                 });
+    });
 }
 
 void daemon::on_message(const message_origin& origin, messages::peer_message message) {
--- a/packages/daemon/peer_links.h
+++ b/packages/daemon/peer_links.h
@@ -38,7 +38,8 @@
 
 // How a connection ended.
 struct link_end {
-    bool last = false;  // No other one to this peer is open.
+    // No other one to this peer is in use, and this was not told before.
+    bool last = false;
     // The peer has sent all results that it had, and runs no call without one.
     bool finished_by_peer = false;
 };
@@ -48,6 +49,11 @@
 public:
     virtual ~link_receiver() = default;
     virtual void on_link_open(const messages::hello& peer, bool first) = 0;
+    // The connection brings nothing and is left out of use, but stays open for what the peer sends
+    // late. `last`: no other one to this peer is in use. on_link_open tells when the peer is heard
+    // again, on_link_closed when the connection ends.
+    virtual void on_link_silent(transport::connection_id connection, const messages::hello& peer,
+                                bool last) = 0;
     virtual void on_link_closed(transport::connection_id connection, const messages::hello& peer,
                                 link_end end) = 0;
     virtual void on_dial_failed(const std::string& address) = 0;
@@ -91,8 +97,8 @@
     // Opens a connection unless one is being opened or the back-off of the address forbids it.
     void dial(const std::string& address);
 
-    // Addresses at which the last attempt to open a connection failed and that have not connected
-    // here since.
+    // Addresses at which the last attempt to open a connection failed, that have not connected here
+    // since, and to which no connection is in use.
     std::set<std::string> unreachable_addresses() const;
 
     bool is_open(const std::string& instance) const;
@@ -109,6 +115,9 @@
     // Sends a response over the connection on which its request came.
     bool send_on(transport::connection_id connection, const messages::peer_message& message);
 
+    // When each instance with a connection in use was last heard.
+    std::vector<std::pair<std::string, mono_time>> last_heard() const;
+
     // When the last frame arrived on an open connection.
     std::optional<mono_time> last_received(transport::connection_id connection) const {
         return this->endpoint.last_received(connection);
@@ -138,7 +147,7 @@
     };
     // Links and waiting messages of one instance.
     struct peer_state {
-        std::vector<std::shared_ptr<link>> links;  // Open; the one used is the last.
+        std::vector<std::shared_ptr<link>> links;  // Open and not silent; the last one is used.
         std::deque<queued_message> waiting;        // Empty while a link is open.
         std::string address;                       // To dial for them.
     };
@@ -151,9 +160,12 @@
     void on_open(transport::connection_id id, const messages::hello& peer, bool outgoing) override;
     void on_message(transport::connection_id id, const messages::hello& peer,
                     messages::peer_message message, mono_time received) override;
+    void on_silent(transport::connection_id id, const messages::hello& peer) override;
+    void on_heard(transport::connection_id id, const messages::hello& peer) override;
     void on_close(transport::connection_id id, const messages::hello* peer,
                   bool finished_by_peer) override;
 
+    void put_to_use(const std::shared_ptr<link>& usable, bool preferred);
     void on_pong(link& from, const messages::pong& pong, mono_time received);
     void on_call_message(link& from, messages::call call, mono_time received);
     std::optional<transport::connection_id> open_connection(const std::string& instance) const;
--- a/packages/dissemination/core.cc
+++ b/packages/dissemination/core.cc
@@ -64,6 +64,7 @@
     comparison result = this->compare(now, peer, message);
     if (message.wants_reply) {
         this->peers.used_by_peer(now, peer);
+        this->use_question(now, peer, message);
         this->reply(now, peer, message);
     } else {
         this->use_reply(now, peer, message, result);
@@ -147,7 +148,7 @@
     this->peers.connected(now, peer, opened_address);
     if (this->options.gossip && !this->start.ready()) {
         // A daemon that starts asks each peer at once.
-        this->ask(this->rounds.ask(now, peer.id));
+        this->ask(now, this->rounds.ask(now, peer.id));
     } else if (this->options.gossip && this->leaving) {
         this->send(peer.id, this->make_digest());
     }
@@ -163,6 +164,10 @@
     this->peers.failed(now, address);
 }
 
+void core::contact(const std::string& peer, mono_time at) {
+    this->confirmations.alive(peer, at, {});
+}
+
 void core::set_view(std::shared_ptr<const membership::view> next) {
     this->view = std::move(next);
     this->confirmations.set_list(this->view->list());
--- a/packages/dissemination/core.h
+++ b/packages/dissemination/core.h
@@ -74,6 +74,8 @@
                            const std::string& opened_address);
     void connection_closed(const std::string& peer);
     void connection_failed(mono_time now, const std::string& address);
+    // Something arrived from a connected peer at `at`. To be called about twice a second for each.
+    void contact(const std::string& peer, mono_time at);
 
     void set_view(std::shared_ptr<const membership::view> next);
 
@@ -125,7 +127,8 @@
     void update_following(mono_time now);
     void refresh_hanging_watch(mono_time now);
     messages::digest make_digest() const;
-    void ask(const gossip_rounds::question& question);
+    void ask(mono_time now, const gossip_rounds::question& question);
+    void use_question(mono_time now, const std::string& peer, const messages::digest& question);
     void send(const std::string& peer, messages::peer_message message);
     void send_rounds(mono_time now);
     void read_platform(mono_time now);
--- a/packages/messages/codec.cc
+++ b/packages/messages/codec.cc
@@ -41,8 +41,12 @@
         documents.push_back(
             json::array({each.name, each.revision, each.checksum, each.revision_in_force}));
     }
-    return json::array({m.wants_reply, m.round, m.leaving, std::move(documents), m.platform_age_ms,
-                        m.list_revision, json::binary(m.ages)});
+    json list = json::array({m.wants_reply, m.round, m.leaving, std::move(documents),
+                             m.platform_age_ms, m.list_revision, json::binary(m.ages)});
+    if (!m.contact_ages.empty()) {
+        list.push_back(json::binary(m.contact_ages));
+    }
+    return list;
 }
 
 json fields(const document_request& m) {
@@ -113,8 +117,13 @@
 json demand_list(const std::vector<workspace_demand>& demands) {
     json list = json::array();
     for (const workspace_demand& each : demands) {
-        list.push_back(json::array(
-            {each.workspace, static_cast<float>(each.rate), static_cast<float>(each.admitted)}));
+        json entry = json::array(
+            {each.workspace, static_cast<float>(each.rate), static_cast<float>(each.admitted)});
+        // Left out where it says nothing, as in each daemon's own report.
+        if (each.holders != 1) {
+            entry.push_back(each.holders);
+        }
+        list.push_back(std::move(entry));
     }
     return list;
 }
@@ -189,6 +198,9 @@
     }
     read_all(in, m.platform_age_ms, m.list_revision);
     m.ages = in.next().get_binary();
+    if (in.has_more()) {
+        m.contact_ages = in.next().get_binary();
+    }
 }
 
 void read_fields(field_reader& in, document_request& m) {
@@ -267,6 +279,9 @@
         field_reader entry(each);
         workspace_demand item;
         read_all(entry, item.workspace, item.rate, item.admitted);
+        if (entry.has_more()) {
+            entry.read(item.holders);
+        }
         demands.push_back(std::move(item));
     }
     return demands;
--- a/packages/messages/messages.h
+++ b/packages/messages/messages.h
@@ -78,7 +78,10 @@
     std::vector<document_state> documents;
     std::int64_t platform_age_ms = age_unknown_ms;
     std::uint64_t list_revision = 0;  // Revision of the instance list that `ages` refers to.
-    std::vector<std::uint8_t> ages;   // Per list entry, unit 100 ms, 255 = unknown.
+    // Per list entry, unit 100 ms, 255 = unknown: when it was known to hold nothing newer.
+    std::vector<std::uint8_t> ages;
+    // The same: when it was known to be alive. Absent from an earlier version.
+    std::vector<std::uint8_t> contact_ages;
 
     friend bool operator==(const digest&, const digest&) = default;
 };
@@ -210,8 +213,10 @@
 struct token_request {
     std::uint64_t round = 0;
     std::string workspace;
-    double wanted_now = 0;    // For calls that wait.
-    double wanted_ahead = 0;  // Ahead of demand; granted only from what others do not need.
+    double wanted_now = 0;  // For calls that wait.
+    // Ahead of demand; granted only from what others do not need. Of a new lender, what it has room
+    // for of the tokens of the lender before.
+    double wanted_ahead = 0;
     // Report on an earlier batch. Both amounts count from the grant, so that a report that arrives
     // twice or after a newer one changes nothing.
     struct settlement {
@@ -244,8 +249,9 @@
 // What one workspace asks for and gets, in requests per second.
 struct workspace_demand {
     std::string workspace;
-    double rate = 0;      // Asked for, smoothed.
-    double admitted = 0;  // Admitted since the report before.
+    double rate = 0;            // Asked for, smoothed.
+    double admitted = 0;        // Admitted since the report before.
+    std::uint32_t holders = 1;  // Daemons whose reports are in the sums.
 
     friend bool operator==(const workspace_demand&, const workspace_demand&) = default;
 };
--- a/packages/messages/testing/codec_test.cc
+++ b/packages/messages/testing/codec_test.cc
@@ -27,6 +27,7 @@
     BOOST_TEST(round_trips(ping{-3, 4, 5, 4000}));
     BOOST_TEST(round_trips(pong{1, 2}));
     BOOST_TEST(round_trips(digest{true, 9, true, {{"base", 3, 4, 2}}, 100, 8, {0, 255}}));
+    BOOST_TEST(round_trips(digest{true, 9, true, {{"base", 3, 4, 2}}, 100, 8, {}, {7, 255}}));
     BOOST_TEST(round_trips(document_request{"base", 4}));
     BOOST_TEST(round_trips(document{"base", 4, 99, std::string("a\0\xff", 3)}));
     BOOST_TEST(round_trips(call{.sequence = 1,
@@ -64,6 +65,7 @@
     BOOST_TEST(round_trips(token_grant{3, "a", 7, 2, 500, false, true}));
     BOOST_TEST(round_trips(demand_report{5, {{"a", 1.5, 0.5}, {"b", 0.25, 0}}}));
     BOOST_TEST(round_trips(demand_totals{5, 9, 1, {{"a", 1024, 512}}}));
+    BOOST_TEST(round_trips(demand_totals{5, 9, 1, {{"a", 1024, 512, 4}, {"b", 1, 1, 0}}}));
     BOOST_TEST(round_trips(domain_demand{"d1", 3, 2, {{"a", 0.5, 0.25}}}));
 }
 
