--- a/packages/source/http_reader.cc
+++ b/packages/source/http_reader.cc
@@ -36,6 +36,7 @@
 struct arriving_answer {
     std::size_t max_body_bytes = 0;
     std::size_t head_bytes = 0;
+    bool body_too_large = false;
     http_answer answer;
 };
 
@@ -43,6 +44,7 @@
     auto& state = *static_cast<arriving_answer*>(target);
     std::size_t bytes = size * count;
     if (state.answer.body.size() + bytes > state.max_body_bytes) {
+        state.body_too_large = true;
         return 0;
     }
     state.answer.body.append(data, bytes);
@@ -103,8 +105,10 @@
         if (this->easy == nullptr || this->multi == nullptr) {
             return no_answer{.detail = "libcurl has no memory"};
         }
-        arriving_answer state{
-            .max_body_bytes = options.max_body_bytes, .head_bytes = 0, .answer = {}};
+        arriving_answer state{.max_body_bytes = options.max_body_bytes,
+                              .head_bytes = 0,
+                              .body_too_large = false,
+                              .answer = {}};
         unsigned silence_ms = static_cast<unsigned>(options.silence_limit.count());
         this->prepare(url, timeout, options, state, silence_ms);
         this->ended.store(stopping.load());
@@ -112,7 +116,8 @@
         CURLcode outcome = this->run();
         curl_multi_remove_handle(this->multi, this->easy);
         if (outcome != CURLE_OK) {
-            return no_answer{.detail = curl_easy_strerror(outcome)};
+            return no_answer{.detail = curl_easy_strerror(outcome),
+                             .body_too_large = state.body_too_large};
         }
         curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &state.answer.status);
         return std::move(state.answer);
--- a/packages/source/http_reader.h
+++ b/packages/source/http_reader.h
@@ -39,6 +39,7 @@
 // No whole answer came, or it was larger than allowed.
 struct no_answer {
     std::string detail;
+    bool body_too_large = false;
 
     friend bool operator==(const no_answer&, const no_answer&) = default;
 };
