Split routes: exact shares over the fleet, and an explanation that shows them

Cause: each daemon began a split with the same service, so in a large fleet with few requests per daemon (or frequent changes of the weights) the heaviest service got nearly everything: with one request at each of 195 daemons a share of 0.40 got nothing. trefoilctl explain showed no service and no upstream for a split route, and no route that is bound to a host.

--- a/packages/config/route_section.cc
+++ b/packages/config/route_section.cc
@@ -133,7 +133,7 @@
             this->read_split_entry(element, each);
         }
         if (each.split.empty()) {
-            reject_value(split, "at least one service", this->context.sink);
+            reject_value(split, "at least one service with a weight above 0", this->context.sink);
         }
     }
 
--- a/packages/ctl/explain_command.cc
+++ b/packages/ctl/explain_command.cc
@@ -32,6 +32,24 @@
     return values[name].as<std::string>();
 }
 
+// Returns the services of the route as text; those of a split with their percentages.
+std::string services_text(const json& content) {
+    std::vector<json> services = list_field(content, "services");
+    if (services.empty()) {
+        return "-";
+    }
+    if (services.size() == 1) {
+        return text_field(services.front(), "service");
+    }
+    constexpr double percent = 100;
+    std::string text;
+    for (const json& each : services) {
+        text += fmt::format("{}{} {:.4g}%", text.empty() ? "" : ", ", text_field(each, "service"),
+                            number_field(each, "share") * percent);
+    }
+    return text;
+}
+
 }  // namespace
 
 std::string explain_command::name() const {
@@ -47,13 +65,16 @@
     using boost::program_options::value;
     fleet_command::add_options(shown, hidden);
     auto add = shown.add_options();
+    add("host", value<std::string>()->default_value(""),
+        "value of the Host header; without it only routes for every host match");
     add("method", value<std::string>()->default_value("GET"), "method of the request");
     add("path", value<std::string>()->required(), "path of the request");
     add("workspace", value<std::string>()->default_value(""), "workspace by name; empty for none");
 }
 
 std::string explain_command::target(const boost::program_options::variables_map& values) const {
-    return fmt::format("/explain?method={}&path={}&workspace={}",
+    return fmt::format("/explain?host={}&method={}&path={}&workspace={}",
+                       encode_query_value(option_value(values, "host")),
                        encode_query_value(option_value(values, "method")),
                        encode_query_value(option_value(values, "path")),
                        encode_query_value(option_value(values, "workspace")));
@@ -64,17 +85,18 @@
         return true;
     }
     text_table decisions({"FAILURE DOMAIN", "INSTANCE", "DECISION", "REASON", "ROUTE", "SERVICE"});
-    text_table upstreams({"FAILURE DOMAIN", "UPSTREAM", "USABLE", "REASON", "SCORE", "SEEN BY"});
+    text_table upstreams(
+        {"FAILURE DOMAIN", "SERVICE", "UPSTREAM", "USABLE", "REASON", "SCORE", "SEEN BY"});
     for (const admin_response& response : responses) {
         const json& content = response.content;
         std::string instance = text_field(content, "instance");
         decisions.add_row({text_field(content, "failure_domain"), instance,
                            text_field(content, "decision"), text_field(content, "reason"),
-                           text_field(content, "route"), text_field(content, "service")});
+                           text_field(content, "route"), services_text(content)});
         for (const json& each : list_field(content, "candidates")) {
-            upstreams.add_row({text_field(each, "failure_domain"), text_field(each, "instance"),
-                               text_field(each, "usable"), text_field(each, "reason"),
-                               text_field(each, "score"), instance});
+            upstreams.add_row({text_field(each, "failure_domain"), text_field(each, "service"),
+                               text_field(each, "instance"), text_field(each, "usable"),
+                               text_field(each, "reason"), text_field(each, "score"), instance});
         }
     }
     decisions.sort_rows();
--- a/packages/daemon/admin.cc
+++ b/packages/daemon/admin.cc
@@ -94,6 +94,7 @@
       shared(daemon_state),
       sources(parts),
       computed_series(daemon_state, parts, time),
+      explainer(this->options.failure_domain, daemon_state, parts.local_ingress.upstreams()),
       clock(time) {}
 
 edge::http_response admin::refuse(unsigned status) {
@@ -228,77 +229,16 @@
 }
 
 edge::http_response admin::explain(const edge::http_request& request) const {
-    auto snapshot = this->shared.snapshot.read();
-    std::string method = edge::query_parameter(request.query, "method").value_or("GET");
-    std::string path = edge::query_parameter(request.query, "path").value_or("/");
-    std::string workspace = edge::query_parameter(request.query, "workspace").value_or("");
-    json body = {{"instance", this->options.instance},
-                 {"failure_domain", this->options.failure_domain},
-                 {"method", method},
-                 {"path", path}};
-    if (snapshot == nullptr) {
-        body["decision"] = "refused";
-        body["reason"] = reasons::not_ready;
-        return json_response(status_ok, body);
-    }
-    auto found = snapshot->find_route(method, path);
-    if (!std::holds_alternative<const config::route*>(found)) {
-        body["decision"] = "refused";
-        body["reason"] = std::holds_alternative<config::no_route>(found)
-                             ? reasons::no_route
-                             : reasons::method_not_allowed;
-        return json_response(status_ok, body);
-    }
-    const config::route& route = *std::get<const config::route*>(found);
-    std::string_view refusal = this->refusal_reason(route, *snapshot, workspace);
-    body["decision"] = refusal.empty() ? "routed" : "refused";
-    body["reason"] = refusal;
-    body["route"] = route.name;
-    body["service"] = route.service;
-    body["open"] = route.open;
-    body["idempotent"] = route.idempotent_for(method);
-    body["base"] = snapshot->base_revision();
-    body["candidates"] = this->candidates_json(route.service);
+    auto parameter = [&request](const char* name, const char* absent) {
+        return edge::query_parameter(request.query, name).value_or(absent);
+    };
+    json body = this->explainer.explain({.host = parameter("host", ""),
+                                         .method = parameter("method", "GET"),
+                                         .path = parameter("path", "/"),
+                                         .workspace = parameter("workspace", "")},
+                                        this->clock.now());
+    body["instance"] = this->options.instance;
     return json_response(status_ok, body);
 }
 
-std::string_view admin::refusal_reason(const config::route& route, const config::snapshot& snapshot,
-                                       const std::string& workspace) const {
-    auto control = this->shared.control.read();
-    if (control == nullptr || !control->ready) {
-        return reasons::not_ready;
-    }
-    if (!route.open && snapshot.find_workspace(workspace) == nullptr) {
-        return workspace.empty() ? reasons::key_missing : reasons::key_unknown;
-    }
-    bool refuses_unconfirmed = route.when_unconfirmed == config::unconfirmed_policy::refuse;
-    return refuses_unconfirmed && !control->confirmed(this->clock.now()) ? reasons::unconfirmed
-                                                                         : std::string_view();
-}
-
-nlohmann::json admin::candidates_json(const std::string& service) const {
-    json list = json::array();
-    auto candidates = this->shared.candidates.read();
-    if (candidates == nullptr) {
-        return list;
-    }
-    mono_time now = this->clock.now();
-    for (const routing::candidate& each : candidates->of_service(service)) {
-        routing::instance_load load =
-            this->sources.local_ingress.upstreams().loads().find(each.instance);
-        std::string_view reason = each.taken_out ? "taken out" : "";
-        if (!each.taken_out && each.state != routing::candidate_state::live) {
-            reason = each.state == routing::candidate_state::leaving ? "leaving" : "suspected";
-        }
-        list.push_back(
-            {{"instance", each.instance},
-             {"failure_domain", each.failure_domain},
-             {"local", each.failure_domain == this->options.failure_domain},
-             {"usable", each.accepts_work()},
-             {"reason", reason},
-             {"score", this->sources.local_ingress.upstreams().picker().score(load, now)}});
-    }
-    return list;
-}
-
 }  // namespace trefoil::daemon
--- a/packages/daemon/admin.h
+++ b/packages/daemon/admin.h
@@ -13,11 +13,11 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "base/time.h"
 #include "daemon/admin_sources.h"
+#include "daemon/request_explainer.h"
 #include "daemon/shared_state.h"
 #include "daemon/state_series.h"
 #include "edge/http_server.h"
@@ -48,16 +48,12 @@
     edge::http_response status() const;
     edge::http_response burn() const;
     edge::http_response explain(const edge::http_request& request) const;
-    // Returns the reason for which a request of the workspace on the route would be refused before
-    // an upstream is chosen, or an empty text if it would not be.
-    std::string_view refusal_reason(const config::route& route, const config::snapshot& snapshot,
-                                    const std::string& workspace) const;
-    nlohmann::json candidates_json(const std::string& service) const;
 
     const admin_options options;
     shared_state& shared;
     const admin_sources sources;
     const state_series computed_series;
+    const request_explainer explainer;
     const time_source& clock;
 };
 
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "base/random.h"
 #include "daemon/request_log.h"
 
 namespace trefoil::daemon {
@@ -90,6 +91,7 @@
     : options(std::move(given)),
       shared(daemon_state),
       limits(limiter),
+      splits(entropy_seed()),
       acceptance({.headers = this->options.headers}, daemon_state, handles, this->splits),
       local(own_egress),
       budgets(retry_budgets),
--- a/packages/routing/traffic_split.cc
+++ b/packages/routing/traffic_split.cc
@@ -1,27 +1,45 @@
-// Implements the smooth weighted round robin.
+// Implements the distribution by systematic sampling.
 
 #include "routing/traffic_split.h"
 
-#include <algorithm>
+#include "base/hash.h"
+#include "base/random.h"
 
 namespace trefoil::routing {
 
+void traffic_split::restart(state& changed, const config::route& route) const {
+    changed.parts = route.split;
+    ++changed.changes;
+    seeded_random random(this->seed ^
+                         checksum64(route.name + '\n' + std::to_string(changed.changes)));
+    changed.phases.assign(route.split.size() - 1, 0);
+    for (double& phase : changed.phases) {
+        phase = random.uniform();
+    }
+}
+
 std::string traffic_split::choose(const config::route& route) {
     if (route.split.empty()) {
         return route.service;
     }
-    return this->states.update(route.name, [&route](state& current) {
+    return this->states.update(route.name, [this, &route](state& current) {
         if (current.parts != route.split) {
-            current = {.parts = route.split, .credit = std::vector<double>(route.split.size(), 0)};
+            this->restart(current, route);
+        }
+        double remaining = 0;
+        for (const config::weighted_service& part : current.parts) {
+            remaining += part.weight;
         }
-        double total = 0;
-        for (std::size_t i = 0; i < current.parts.size(); ++i) {
-            current.credit[i] += current.parts[i].weight;
-            total += current.parts[i].weight;
+        for (std::size_t i = 0; i < current.phases.size(); ++i) {
+            double& phase = current.phases[i];
+            phase += current.parts[i].weight / remaining;
+            if (phase >= 1) {
+                phase -= 1;
+                return current.parts[i].service;
+            }
+            remaining -= current.parts[i].weight;
         }
-        auto richest = std::max_element(current.credit.begin(), current.credit.end());
-        *richest -= total;
-        return current.parts[static_cast<std::size_t>(richest - current.credit.begin())].service;
+        return current.parts.back().service;
     });
 }
 
