--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -56,7 +56,8 @@
         core.seeds.push_back(seed.text());
     }
     if (mirrors) {
-        dissemination::use_mirror(core, options.platform_followers);
+        dissemination::use_mirror(core, options.platform_followers,
+                                  options.platform_followers_min_domain);
     }
     return core;
 }
--- a/packages/daemon/settings.cc
+++ b/packages/daemon/settings.cc
@@ -25,6 +25,7 @@
 constexpr std::uint32_t milliseconds_max = 600'000;
 constexpr std::uint32_t retries_max = 100'000;
 constexpr std::uint32_t followers_max = 1'000;
+constexpr std::uint32_t min_domain_max = 100'000;
 constexpr double seconds_max = 600;
 constexpr double requests_max = 1e6;
 constexpr std::string_view expected_address =
@@ -69,6 +70,10 @@
             config::read_integer(this->fields.optional("platform_followers"), 0, followers_max,
                                  this->invalid)
                 .value_or(this->parsed.platform_followers);
+        this->parsed.platform_followers_min_domain =
+            config::read_integer(this->fields.optional("platform_followers_min_domain"), 0,
+                                 min_domain_max, this->invalid)
+                .value_or(this->parsed.platform_followers_min_domain);
         this->read_regions();
         this->read_stop();
         this->read_limits();
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -85,6 +85,8 @@
     // Number of daemons per failure domain that watch a mirrored platform and send its documents to
     // the others; 0: every daemon watches it.
     std::size_t platform_followers = 0;
+    // Listed instances of a failure domain below which every daemon watches it anyway.
+    std::size_t platform_followers_min_domain = 0;
     std::map<std::string, std::string> regions{};  // By failure domain; others have no region.
     stop_settings stop{};
     retry_settings retries{};
--- a/packages/daemon/testing/settings_test.cc
+++ b/packages/daemon/testing/settings_test.cc
@@ -112,7 +112,8 @@
     expect_failure("seeds:", "seed:",
                    "t.yaml:8: seed: unknown field, expected one of instance, name, "
                    "failure_domain, site, service, listen, upstream, platform, platform_protocol, "
-                   "platform_followers, regions, stop, limits, retries, seeds, fleet_secret, "
+                   "platform_followers, platform_followers_min_domain, regions, stop, limits, "
+                   "retries, seeds, fleet_secret, "
                    "fleet_secret_file, trust_network, "
                    "log_level");
     expect_failure("log_level: debug", R"(log_level: "a\nb")",
--- a/packages/dissemination/core.cc
+++ b/packages/dissemination/core.cc
@@ -5,11 +5,37 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/compression.h"
 #include "base/hash.h"
 #include "base/result.h"
 
 namespace trefoil::dissemination {
 
+namespace {
+
+// Bound of the memory that a compressed document may take at its receiver. A frame between daemons
+// has at most 4 MiB.
+constexpr std::size_t max_document_bytes = std::size_t{16} << 20U;
+
+// Returns the document with its body uncompressed, or nothing if the body is damaged.
+std::optional<messages::document> intact_document(const messages::document& message) {
+    messages::document received{
+        .name = message.name, .revision = message.revision, .checksum = message.checksum};
+    if (message.compressed) {
+        auto body = decompress(message.body, max_document_bytes);
+        if (!body.has_value()) {
+            return std::nullopt;
+        }
+        received.body = std::move(*body);
+    } else {
+        received.body = message.body;
+    }
+    return checksum64(received.body) == received.checksum ? std::optional(std::move(received))
+                                                          : std::nullopt;
+}
+
+}  // namespace
+
 core::core(core_options settings, document_store& configuration, random_source& source,
            mono_time start_time)
     : options(std::move(settings)),
@@ -20,7 +46,7 @@
       peers(this->options, source, start_time),
       rounds(this->options, source, start_time),
       readers(this->options.instance, this->options.failure_domain,
-              this->options.readers_per_domain),
+              this->options.readers_per_domain, this->options.all_read_below),
       readiness(this->options.instance, start_time, this->options.start_timeout),
       follow(this->options, source, start_time),
       view(std::make_shared<const membership::view>(
@@ -81,18 +107,14 @@
     if (!index.has_value()) {
         return;
     }
-    auto body = this->held.body(*index, message.revision);
-    if (!body.has_value()) {
+    auto transfer = this->held.transfer(*index, message.revision, message.accepts_compressed);
+    if (!transfer.has_value()) {
         // The requested revision was replaced here; the digest names the current one.
         this->send(peer, this->make_digest());
         return;
     }
     ++this->totals.documents_sent;
-    std::uint64_t checksum = checksum64(*body);
-    this->send(peer, messages::document{.name = message.name,
-                                        .revision = message.revision,
-                                        .checksum = checksum,
-                                        .body = std::move(*body)});
+    this->send(peer, std::move(*transfer));
     this->finish_input(now);
 }
 
@@ -103,7 +125,8 @@
         return;
     }
     ++this->totals.documents_received;
-    if (checksum64(message.body) != message.checksum) {
+    auto received = intact_document(message);
+    if (!received.has_value()) {
         // The document is requested from another peer when the request times out.
         ++this->totals.damaged_documents;
         return;
@@ -112,7 +135,7 @@
     bool last_good = message.revision > state.revision_in_force &&
                      this->puller.wants_last_good(*index, message.revision);
     if (message.revision > state.revision || last_good) {
-        this->offer(now, *index, message);
+        this->offer(now, *index, *received);
     }
     this->finish_input(now);
 }
@@ -332,8 +355,11 @@
     }
     this->refresh_stalled_watch(now);
     for (const pull& each : this->puller.next_pulls(now)) {
-        this->send(each.peer, messages::document_request{.name = this->held.name(each.document),
-                                                         .revision = each.revision});
+        this->send(each.peer, messages::document_request{
+                                  .name = this->held.name(each.document),
+                                  .revision = each.revision,
+
+                                  .accepts_compressed = this->options.compressed_transfers});
     }
     // Older confirmations do not count: a peer may report one from before this start, and the peers
     // may have been partitioned since.
--- a/packages/dissemination/core_gossip.cc
+++ b/packages/dissemination/core_gossip.cc
@@ -142,7 +142,7 @@
 
 std::vector<std::string> core::announcement_targets() const {
     std::vector<std::string> targets = this->peers.selected_peers();
-    if (this->options.mirrored) {
+    if (this->options.mirrored && this->readers.selects()) {
         auto add = [&](const std::string& id) {
             if (std::find(targets.begin(), targets.end(), id) == targets.end()) {
                 targets.push_back(id);
--- a/packages/dissemination/core_options.cc
+++ b/packages/dissemination/core_options.cc
@@ -4,10 +4,11 @@
 
 namespace trefoil::dissemination {
 
-void use_mirror(core_options& options, std::size_t followers) {
+void use_mirror(core_options& options, std::size_t followers, std::size_t min_domain) {
     constexpr std::size_t every_daemon = 1'000'000;
     constexpr milliseconds short_interval{200};
     options.readers_per_domain = followers == 0 ? every_daemon : followers;
+    options.all_read_below = min_domain;
     options.read_interval = short_interval;
     options.max_backoff = short_interval;
     options.first_read_jitter = short_interval;
--- a/packages/dissemination/core_options.h
+++ b/packages/dissemination/core_options.h
@@ -29,6 +29,8 @@
 
     std::size_t gossip_peer_count = 4;
     std::size_t readers_per_domain = 2;
+    // In a failure domain with fewer listed instances than this, all are readers.
+    std::size_t all_read_below = 0;
     milliseconds round_interval{1000};
     // Interval of the rounds while the daemon starts or while its confirmation is older than
     // `fast_rounds_after`.
@@ -87,6 +89,8 @@
     bool gossip = true;
     bool confirm_by_peers = true;
     bool confirm_by_majority = true;
+    // Requests documents in compressed form.
+    bool compressed_transfers = true;
     // When the newest revision is invalid here, pulls the revision that peers have in force.
     bool pull_last_good = true;
     // Dates a confirmation from the request and not from the response, which may be read late after
@@ -94,9 +98,10 @@
     bool confirm_from_request = true;
 };
 
-// Sets the intervals for a mirrored platform. `followers` daemons of each failure domain follow it
-// and pass its documents on; with 0 every daemon follows it.
-void use_mirror(core_options& options, std::size_t followers);
+// Sets the intervals for a mirrored platform. `followers` daemons of each failure domain with at
+// least `min_domain` listed instances follow it and pass its documents on; with 0 followers, and in
+// smaller failure domains, every daemon follows it.
+void use_mirror(core_options& options, std::size_t followers, std::size_t min_domain = 0);
 
 }  // namespace trefoil::dissemination
 
--- a/packages/dissemination/held_documents.cc
+++ b/packages/dissemination/held_documents.cc
@@ -4,8 +4,18 @@
 
 #include <utility>
 
+#include "base/compression.h"
+#include "base/hash.h"
+
 namespace trefoil::dissemination {
 
+namespace {
+
+// Smaller bodies are sent as they are, because the gain does not pay for the processing.
+constexpr std::size_t min_compressed_bytes = 1024;
+
+}  // namespace
+
 held_documents::held_documents(document_store& configuration, const std::string& site)
     : store(configuration), names{"base", "site/" + site, "instances"} {
     this->refresh();
@@ -39,6 +49,29 @@
     return std::nullopt;
 }
 
+std::optional<messages::document> held_documents::transfer(std::size_t index,
+                                                           std::uint64_t revision,
+                                                           bool accepts_compressed) {
+    messages::document& kept = this->compressed_transfers[index];
+    if (accepts_compressed && revision != 0 && kept.revision == revision) {
+        return kept;
+    }
+    auto body = this->body(index, revision);
+    if (!body.has_value()) {
+        return std::nullopt;
+    }
+    messages::document message{
+        .name = this->names[index], .revision = revision, .checksum = checksum64(*body)};
+    if (!accepts_compressed || body->size() < min_compressed_bytes) {
+        message.body = std::move(*body);
+        return message;
+    }
+    message.body = compress(*body);
+    message.compressed = true;
+    kept = message;
+    return message;
+}
+
 void held_documents::offer(std::size_t index, const messages::document& offered,
                            std::vector<action>& actions) {
     if (index == list_index) {
--- a/packages/dissemination/reader_selection.cc
+++ b/packages/dissemination/reader_selection.cc
@@ -10,8 +10,11 @@
 namespace trefoil::dissemination {
 
 reader_selection::reader_selection(std::string self_id, std::string self_domain,
-                                   std::size_t readers)
-    : self(std::move(self_id)), domain(std::move(self_domain)), reader_count(readers) {}
+                                   std::size_t readers, std::size_t all_below_size)
+    : self(std::move(self_id)),
+      domain(std::move(self_domain)),
+      reader_count(readers),
+      all_below(all_below_size) {}
 
 void reader_selection::rank(const membership::view& current) {
     this->ranked_list = current.list();
@@ -44,6 +47,9 @@
     if (current.listed().empty()) {
         return false;
     }
+    if (!this->selects()) {
+        return true;
+    }
     for (std::size_t index : this->higher_ranked) {
         if (current.listed()[index].state == membership::instance_state::live) {
             this->higher_readers.push_back(current.listed()[index].record);
--- a/packages/dissemination/reader_selection.h
+++ b/packages/dissemination/reader_selection.h
@@ -23,18 +23,23 @@
 
 class reader_selection {
 public:
-    reader_selection(std::string self_id, std::string self_domain, std::size_t readers);
+    // In a failure domain with fewer than `all_below` listed instances, all are readers.
+    reader_selection(std::string self_id, std::string self_domain, std::size_t readers,
+                     std::size_t all_below);
 
     // Returns whether this daemon is a reader of its failure domain; false without a list.
     bool update(const membership::view& current);
 
     // The readers of the domain that rank higher than this daemon, as of the last update. These are
-    // all of its readers when this daemon is not one itself.
+    // all of its readers when this daemon is not one itself. Empty if all daemons are readers.
     const std::vector<std::shared_ptr<const membership::instance_record>>& higher_ranked_readers()
         const {
         return this->higher_readers;
     }
 
+    // Whether only some daemons of the domain are readers, which serve the others.
+    bool selects() const { return this->domain_instances >= this->all_below; }
+
     // Number of listed instances of the domain, including this one.
     std::size_t domain_size() const { return this->domain_instances; }
 
@@ -44,6 +49,7 @@
     std::string self;
     std::string domain;
     std::size_t reader_count;
+    std::size_t all_below;
     std::shared_ptr<const membership::instance_list> ranked_list;  // The list of `higher_ranked`.
     // Positions in the list of the domain's instances with a higher score than this daemon, highest
     // score first.
--- a/packages/dissemination/testing/fleet.cc
+++ b/packages/dissemination/testing/fleet.cc
@@ -239,7 +239,9 @@
 
 void fleet::send(std::size_t from, const send_message& message) {
     std::size_t to = this->index_of(message.peer);
-    this->bytes_sent += messages::encode(message.message).size();
+    std::size_t bytes = messages::encode(message.message).size();
+    this->bytes_sent += bytes;
+    this->nodes[from]->bytes_sent += bytes;
     if (!this->nodes[from]->connections.contains(to) ||
         this->random.uniform() < this->options.loss) {
         return;
@@ -251,7 +253,9 @@
             this->nodes[from]->record.failure_domain == this->nodes[to]->record.failure_domain;
         this->bodies_between_domains += inside ? 0 : 1;
     }
-    this->schedule(this->delay(), [this, from, to, incarnation, content = message.message] {
+    mono_duration transit =
+        this->delay() + this->link_time(*this->nodes[from], *this->nodes[to], bytes);
+    this->schedule(transit, [this, from, to, incarnation, content = message.message] {
         if (!this->reachable(from, to)) {
             return;
         }
@@ -260,6 +264,27 @@
     });
 }
 
+mono_duration fleet::link_time(node& from, node& to, std::size_t bytes) const {
+    if (this->options.link_mbps <= 0) {
+        return mono_duration(0);
+    }
+    constexpr double bits = 8;
+    constexpr double mega = 1e6;
+    auto carried = std::chrono::duration_cast<mono_duration>(std::chrono::duration<double>(
+        static_cast<double>(bytes) * bits / (this->options.link_mbps * mega)));
+    from.upload_free = std::max(from.upload_free, this->time) + carried;
+    to.download_free = std::max(to.download_free, from.upload_free) + carried;
+    return to.download_free - this->time;
+}
+
+std::uint64_t fleet::take_most_bytes_sent() {
+    std::uint64_t most = 0;
+    for (auto& each : this->nodes) {
+        most = std::max(most, std::exchange(each->bytes_sent, 0));
+    }
+    return most;
+}
+
 void fleet::receive(std::size_t from, std::size_t to, const messages::peer_message& message) {
     node& target = *this->nodes[to];
     const std::string& peer = this->nodes[from]->record.id;
--- a/packages/dissemination/testing/fleet.h
+++ b/packages/dissemination/testing/fleet.h
@@ -27,8 +27,10 @@
     std::uint64_t seed = 1;
     double loss = 0;                // Probability that a message is lost.
     milliseconds longest_delay{5};  // Maximum random delay of an event, added to 0.5 ms.
-    core_options core = {};         // The identity and the seeds are filled in.
-    bool measure_cpu = false;       // Measures the CPU time of ticks and digests.
+    // Bandwidth of each node's link to the network, for messages in each direction; 0: unlimited.
+    double link_mbps = 0;
+    core_options core = {};    // The identity and the seeds are filled in.
+    bool measure_cpu = false;  // Measures the CPU time of ticks and digests.
 };
 
 class fleet {
@@ -73,6 +75,8 @@
     std::uint64_t bodies_sent = 0;  // Documents sent between nodes.
     std::uint64_t bodies_between_domains = 0;
     std::uint64_t bytes_sent = 0;  // Encoded messages sent by all nodes.
+    // The highest number of bytes that one node has sent since the last call.
+    std::uint64_t take_most_bytes_sent();
     // How often a held revision or a revision in force decreased without a restart.
     std::uint64_t regressions = 0;
     // CPU time of each tick and each received digest, in microseconds, with
@@ -94,6 +98,10 @@
         int partition = 0;
         std::set<std::size_t> connections;
         std::vector<std::function<void()>> waiting;  // Inputs that arrived during a pause.
+        std::uint64_t bytes_sent = 0;                // Since the last take_most_bytes_sent().
+        // When the link has carried everything that was passed to it so far.
+        mono_time upload_free;
+        mono_time download_free;
         std::uint64_t highest[document_count][2] = {};
         unsigned ticks = 0;
     };
@@ -118,6 +126,8 @@
     void execute(std::size_t index);
     void execute_one(std::size_t index, const action& each);
     void send(std::size_t from, const send_message& message);
+    // Returns the time until a message that is sent now has passed both links.
+    mono_duration link_time(node& from, node& to, std::size_t bytes) const;
     void receive(std::size_t from, std::size_t to, const messages::peer_message& message);
     void read(std::size_t index, const read_document& request);
     void open(std::size_t from, const std::string& address);
--- a/packages/dissemination/testing/mirrored_platform_test.cc
+++ b/packages/dissemination/testing/mirrored_platform_test.cc
@@ -5,6 +5,7 @@
 #define BOOST_TEST_MODULE dissemination_mirrored_platform
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <string>
 #include <vector>
 
 #include "dissemination/testing/fleet.h"
@@ -20,6 +21,25 @@
 // The bound that operators set for a change while some of the machines cannot reach the store.
 constexpr std::int64_t fault_limit_ms = 2500;
 
+// The bound that operators of a fleet of hundreds of machines set for a change of configuration.
+constexpr std::int64_t large_fleet_limit_ms = 3000;
+
+// A configuration as operators of a large fleet publish it: routes whose names, hosts and paths are
+// random, so that they compress no better than real ones.
+std::string large_configuration(std::size_t routes) {
+    seeded_random random(5);
+    auto word = [&random] { return std::to_string(random.below(1'000'000'000)); };
+    std::string text = "good";
+    for (std::size_t i = 0; i < routes; ++i) {
+        text += R"({"name":"route-)" + word() + R"(","host":"h)" + word() +
+                R"(.example","path_prefix":"/)" + word() +
+                R"(/","service":"station","idempotent":true,"timeout_ms":2000,)"
+                R"("latency_objective_ms":800,"priority":2,"attempts":3,)"
+                R"("when_unconfirmed":"serve"},)";
+    }
+    return text;
+}
+
 // With `every_daemon` all daemons follow the store: the baseline without reader selection.
 fleet_options mirrored_options(std::size_t count, bool every_daemon) {
     fleet_options options{.count = count, .domains = fleet_domains, .seed = 3};
@@ -32,7 +52,8 @@
 
 struct mirrored_fleet : fleet {
     explicit mirrored_fleet(std::size_t count = fleet_size, bool every_daemon = false)
-        : fleet(mirrored_options(count, every_daemon)) {
+        : mirrored_fleet(mirrored_options(count, every_daemon)) {}
+    explicit mirrored_fleet(const fleet_options& given) : fleet(given) {
         this->publish("base", 2, "good");
         this->publish("site/s0", 2, "good");
         this->publish_list(2);
@@ -93,6 +114,40 @@
     milliseconds start_time{0};
 };
 
+// Daemons whose machines have a link of 10 Mbit/s each.
+struct thin_fleet {
+    std::size_t daemons = 0;
+    std::size_t domains = 0;
+    bool compressed = true;
+};
+
+struct delivery {
+    std::int64_t time_ms = 0;  // Until all daemons hold the document.
+    std::uint64_t calls = 0;   // To the store.
+};
+
+// Publishes a configuration with 1,400 routes.
+delivery deliver_large_configuration(const thin_fleet& size) {
+    fleet_options options = mirrored_options(size.daemons, false);
+    options.domains = size.domains;
+    options.link_mbps = 10;
+    options.core.compressed_transfers = size.compressed;
+    mirrored_fleet subject(options);
+    std::string body = large_configuration(1400);
+    subject.take_most_bytes_sent();
+    std::uint64_t calls = subject.store.calls;
+    std::uint64_t version = ++subject.last_version;
+    subject.publish("base", version, body);
+    std::int64_t time = subject.time_until_held("base", version);
+    subject.run(milliseconds(3000) - milliseconds(time));
+    delivery result{.time_ms = time, .calls = subject.store.calls - calls};
+    BOOST_TEST_MESSAGE(size.daemons << " daemons" << (size.compressed ? "" : ", not compressed")
+                                    << ": " << body.size() << " bytes held after " << time
+                                    << " ms, " << result.calls << " calls in 3 s, busiest link "
+                                    << subject.take_most_bytes_sent() << " bytes");
+    return result;
+}
+
 }  // namespace
 
 // Guards against a rate of store calls that grows with the fleet.
@@ -151,6 +206,32 @@
     }
 }
 
+// Load pattern: the configuration of a large fleet grows by 1,400 routes, and each machine has a
+// link of 10 Mbit/s. Two readers have to pass it on to all other daemons of their failure domain.
+BOOST_AUTO_TEST_CASE(a_large_configuration_reaches_all_daemons_behind_thin_links) {
+    // A watch that returns the change, and watches that end.
+    constexpr std::uint64_t calls_per_reader = 4;
+    for (thin_fleet each : {thin_fleet{24, 6}, {91, 4}, {195, 6}}) {
+        delivery result = deliver_large_configuration(each);
+        BOOST_TEST(result.time_ms <= large_fleet_limit_ms);
+        BOOST_TEST(result.calls <= 2 * each.domains * calls_per_reader);
+    }
+    // Without compression the links are busy so long that daemons no longer hear from their readers
+    // and call the store themselves.
+    BOOST_TEST(deliver_large_configuration({195, 6, false}).calls > 195U);
+}
+
+// Guards against readers in a small failure domain, where they would only add a step.
+BOOST_AUTO_TEST_CASE(all_daemons_of_a_small_failure_domain_follow) {
+    fleet_options options{.count = 12, .domains = 4, .seed = 3};
+    use_mirror(options.core, 2, 4);
+    mirrored_fleet small(options);
+    BOOST_TEST(small.followers() == 12U);
+    options.count = 16;
+    mirrored_fleet larger(options);
+    BOOST_TEST(larger.followers() == 8U);
+}
+
 // Guards against a failure domain that receives no changes because its readers have lost the store.
 BOOST_AUTO_TEST_CASE(readers_refused_by_the_store_are_replaced) {
     for (int wait_ms : {0, 1000, 3000, 6000}) {
--- a/packages/messages/codec.cc
+++ b/packages/messages/codec.cc
@@ -52,11 +52,21 @@
     return list;
 }
 
+// Fields that were added later come last and are left out at their defaults, so that daemons of
+// earlier versions can read the messages.
 json encode_fields(const document_request& m) {
-    return json::array({m.name, m.revision});
+    json list = json::array({m.name, m.revision});
+    if (m.accepts_compressed) {
+        list.push_back(m.accepts_compressed);
+    }
+    return list;
 }
 json encode_fields(const document& m) {
-    return json::array({m.name, m.revision, m.checksum, to_binary(m.body)});
+    json list = json::array({m.name, m.revision, m.checksum, to_binary(m.body)});
+    if (m.compressed) {
+        list.push_back(m.compressed);
+    }
+    return list;
 }
 
 json encode_headers(const std::vector<header>& headers) {
@@ -211,10 +221,16 @@
 
 void decode_fields(field_reader& in, document_request& m) {
     read_all(in, m.name, m.revision);
+    if (in.has_more()) {
+        in.read(m.accepts_compressed);
+    }
 }
 void decode_fields(field_reader& in, document& m) {
     read_all(in, m.name, m.revision, m.checksum);
     in.read_binary(m.body);
+    if (in.has_more()) {
+        in.read(m.compressed);
+    }
 }
 
 void decode_fields(field_reader& in, call& m) {
--- a/packages/messages/messages.h
+++ b/packages/messages/messages.h
@@ -108,6 +108,7 @@
 struct document_request {
     std::string name;
     std::uint64_t revision = 0;  // Exactly this revision, not a newer one.
+    bool accepts_compressed = false;
 
     friend bool operator==(const document_request&, const document_request&) = default;
 };
@@ -116,8 +117,9 @@
 struct document {
     std::string name;
     std::uint64_t revision = 0;
-    std::uint64_t checksum = 0;
+    std::uint64_t checksum = 0;  // Of the uncompressed body.
     std::string body;
+    bool compressed = false;  // The body is a frame of base/compression.h.
 
     friend bool operator==(const document&, const document&) = default;
 };
