A rejection by the upstream states the pause of the gate as Retry-After

Cause: a request that an upstream with free slots rejected got Retry-After 0.25 s, the wait for a change of the fleet, which is longer than the objective of many requests (0.2 s at slotboard). The gate pauses only 20 ms to 0.5 s in that case. Result: a_rejection_by_the_upstream_states_the_pause_of_the_gate.

--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -48,6 +48,10 @@
                                                     : gate::call_result_kind::failed;
 }
 
+std::uint32_t milliseconds_of(mono_duration time) {
+    return static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(time).count());
+}
+
 // The refusal reason for a response that states that the upstream did not run the request.
 std::string reason_of_not_run_response(unsigned status) {
     return status == status_misdirected ? "no_upstream" : "overloaded";
@@ -286,6 +290,9 @@
     std::string_view cause = lost != nullptr ? edge::loss_name(lost->why) : std::string_view();
     messages::call_result answer = result_of(names, std::move(result));
     answer.sequence = id.sequence;
+    if (answer.outcome == messages::call_outcome::not_run) {
+        answer.retry_after_ms = milliseconds_of(this->gate.pause_left(now));
+    }
     this->fill_in_report(answer, call, now);
     if (answer.outcome == messages::call_outcome::answered) {
         ++this->answered;
@@ -305,13 +312,11 @@
         return;
     }
     ++this->refused;
-    messages::call_result answer{
-        .sequence = id.sequence,
-        .outcome = why.outcome,
-        .reason = std::string(gate::reason_name(why.reason)),
-        .reached_upstream = false,
-        .retry_after_ms = static_cast<std::uint32_t>(
-            std::chrono::ceil<std::chrono::milliseconds>(why.retry_after).count())};
+    messages::call_result answer{.sequence = id.sequence,
+                                 .outcome = why.outcome,
+                                 .reason = std::string(gate::reason_name(why.reason)),
+                                 .reached_upstream = false,
+                                 .retry_after_ms = milliseconds_of(why.retry_after)};
     mono_time now = this->clock.now();
     this->fill_in_report(answer, **held, now);
     this->record_call_end(id, **held, answer, answer.reason, now);
--- a/packages/daemon/testing/egress_test.cc
+++ b/packages/daemon/testing/egress_test.cc
@@ -37,12 +37,18 @@
         return result.get();
     }
 
+    void make_available() {
+        this->local_egress.set_upstream_id("station-1/7");
+        this->local_egress.set_availability(gate::upstream_availability::available);
+    }
+
+    std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
     std::atomic<int> connections{0};
     std::promise<std::string> head;
     raw_server upstream{[this](raw_socket socket, int) {
         ++this->connections;
         this->head.set_value(socket.read_until("\r\n\r\n"));
-        socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        socket.write(this->response);
     }};
     shared_state shared;
     machine_time_source clock;
@@ -68,11 +74,24 @@
     BOOST_TEST((early.outcome == messages::call_outcome::not_run));
     BOOST_TEST(early.reason == "no_upstream");
     BOOST_TEST(this->connections == 0);
-    this->local_egress.set_upstream_id("station-1/7");
-    this->local_egress.set_availability(gate::upstream_availability::available);
+    this->make_available();
     BOOST_TEST((this->run(2).outcome == messages::call_outcome::answered));
     BOOST_TEST(this->head.get_future().get().find("Trefoil-Upstream: station-1/7\r\n") !=
                std::string::npos);
 }
 
+// Load pattern: an upstream with free slots rejects part of its requests. The caller learns how
+// long the gate pauses, not the wait for a change of the fleet, which exceeds many objectives.
+BOOST_FIXTURE_TEST_CASE(a_rejection_by_the_upstream_states_the_pause_of_the_gate, fixture) {
+    this->response =
+        "HTTP/1.1 503 Service Unavailable\r\nTrefoil-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    this->make_available();
+    this->local_egress.set_fixed_slots(9);
+    messages::call_result rejected = this->run(1);
+    BOOST_TEST((rejected.outcome == messages::call_outcome::not_run));
+    BOOST_TEST(rejected.reached_upstream);
+    BOOST_TEST(rejected.retry_after_ms > 0U);
+    BOOST_TEST(rejected.retry_after_ms <= 20U);
+}
+
 }  // namespace trefoil::daemon
--- a/packages/daemon/upstream_selector.cc
+++ b/packages/daemon/upstream_selector.cc
@@ -192,6 +192,10 @@
     if (is_reason_to_avoid(result.reason) && !avoided_by_expected_time) {
         this->load.on_refused(instance, now);
     }
+    if (result.retry_after_ms > 0) {
+        std::chrono::milliseconds wait(result.retry_after_ms);
+        call.retry_after = std::min(call.retry_after.value_or(wait), wait);
+    }
     if (result.reached_upstream) {
         return;
     }
@@ -203,10 +207,6 @@
     if (avoided_by_expected_time && call.message.may_be_late && call.objective.count() > 0) {
         this->late_call_refusals.add(instance, call.message.route, now);
     }
-    if (result.retry_after_ms > 0) {
-        std::chrono::milliseconds wait(result.retry_after_ms);
-        call.retry_after = std::min(call.retry_after.value_or(wait), wait);
-    }
 }
 
 routing::recent_refusals& upstream_selector::refusals_for(const detail::ingress_call& call) {
--- a/packages/gate/upstream_gate.cc
+++ b/packages/gate/upstream_gate.cc
@@ -236,6 +236,11 @@
     return std::min(*expiry, this->limit->paused_until());
 }
 
+mono_duration upstream_gate::pause_left(mono_time now) const {
+    absl::MutexLock lock(&this->mutex);
+    return std::max(this->limit->paused_until(), now) - now;
+}
+
 void upstream_gate::drain() {
     absl::MutexLock lock(&this->mutex);
     this->draining = true;
--- a/packages/gate/upstream_gate.h
+++ b/packages/gate/upstream_gate.h
@@ -107,6 +107,9 @@
     // When expire() has to be called next if no other event comes first; nothing if never.
     std::optional<mono_time> next_wakeup() const;
 
+    // Time until the end of the pause that the upstream's refusals caused; 0 without a pause.
+    mono_duration pause_left(mono_time now) const;
+
     // Refuses all further calls as `stopping`. Cannot be undone.
     void drain();
 
