An upstream takes calls while its daemon stops, when no other can serve them in time

Change: an instance that leaves only by its own announcement is a candidate of last resort (a penalty of one objective); the gate refuses calls only when the listener closes. An instance that the platform lists as leaving gets no calls, as before.

--- a/packages/daemon/control_loop.cc
+++ b/packages/daemon/control_loop.cc
@@ -62,32 +62,39 @@
     return base_in_force && overlay_without_revision;
 }
 
-routing::candidate_state state_of(membership::instance_state state) {
-    switch (state) {
+// An instance that is leaving only by its own announcement is stopping: its daemon shuts down,
+// while the platform still lists its upstream as live.
+routing::candidate_state state_of(const membership::member& each) {
+    switch (each.state) {
         case membership::instance_state::live:
             return routing::candidate_state::live;
         case membership::instance_state::leaving:
-            return routing::candidate_state::leaving;
+            return each.record->state == membership::listed_state::leaving
+                       ? routing::candidate_state::leaving
+                       : routing::candidate_state::stopping;
         default:
             return routing::candidate_state::suspected;
     }
 }
 
 // Only listed instances are candidates: an instance that operators removed must get no calls, even
-// while it is still in contact. `leaving_self` is the id of this instance while it drains, and
+// while it is still in contact. `stopping_self` is the id of this instance while it drains, and
 // empty otherwise.
 std::shared_ptr<const routing::candidate_list> make_candidates(const membership::view& view,
                                                                const config::snapshot& snapshot,
-                                                               std::string_view leaving_self) {
+                                                               std::string_view stopping_self) {
     routing::candidate_list::services by_service;
     for (const membership::member& each : view.listed()) {
         const membership::instance_record& record = *each.record;
+        routing::candidate_state state = state_of(each);
+        if (record.id == stopping_self && state == routing::candidate_state::live) {
+            state = routing::candidate_state::stopping;
+        }
         by_service[record.service].push_back(
             {.instance = record.id,
              .address = record.address,
              .failure_domain = record.failure_domain,
-             .state = record.id == leaving_self ? routing::candidate_state::leaving
-                                                : state_of(each.state),
+             .state = state,
              .taken_out = snapshot.is_taken_out(record.id, record.failure_domain)});
     }
     return std::make_shared<const routing::candidate_list>(std::move(by_service));
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -167,8 +167,9 @@
 }
 
 // The order lets callers move to other daemons without a failed request: first callers on
-// persistent connections are told to disconnect while their requests are still forwarded to other
-// upstreams, then the listener closes, then the calls in progress complete.
+// persistent connections are told to disconnect while their requests are still forwarded, then the
+// listener closes, then the calls in progress complete. Until the listener closes, the upstream
+// takes calls too: it may be the only one of its service, and its peers prefer others already.
 void daemon::drain_and_stop() {
     if (!this->running) {
         return;
@@ -177,11 +178,11 @@
     mono_time stop_began = this->clock.now();
     log(log_level::info, "drain_started");
     this->shared.phase = lifecycle::draining;
-    this->local_egress.drain();
     this->control.begin_leaving();
     this->callers_server.disable_keep_alive();
     std::this_thread::sleep_for(this->options.stop.announce);
     this->callers_server.stop_accepting();
+    this->local_egress.drain();
     bool settled = this->wait_until_idle(this->options.stop.drain_limit());
     this->callers_server.stop();
     this->admin_server.stop();
--- a/packages/daemon/shared_state.h
+++ b/packages/daemon/shared_state.h
@@ -56,7 +56,7 @@
 
 enum class lifecycle : std::uint8_t {
     running,
-    draining,  // After SIGTERM: the upstream gets no new calls, callers are told to disconnect.
+    draining,  // After SIGTERM: callers are told to disconnect, peers prefer other upstreams.
 };
 
 struct shared_state {
--- a/packages/routing/candidate_list.h
+++ b/packages/routing/candidate_list.h
@@ -18,7 +18,12 @@
 
 namespace trefoil::routing {
 
-enum class candidate_state : std::uint8_t { live, leaving, suspected };
+enum class candidate_state : std::uint8_t {
+    live,
+    leaving,  // Listed as leaving: its upstream must get no new work.
+    suspected,
+    stopping,  // Its daemon shuts down, but takes calls until its announcement ends.
+};
 
 // One instance with the daemon and the upstream on it.
 struct candidate {
@@ -29,7 +34,11 @@
     bool taken_out = false;  // The instance or its failure domain was taken out by operators.
 
     // Whether new calls may be sent to it.
-    bool accepts_work() const { return this->state == candidate_state::live && !this->taken_out; }
+    bool accepts_work() const {
+        bool takes_calls =
+            this->state == candidate_state::live || this->state == candidate_state::stopping;
+        return takes_calls && !this->taken_out;
+    }
 
     friend bool operator==(const candidate&, const candidate&) = default;
 };
--- a/packages/routing/testing/upstream_picker_test.cc
+++ b/packages/routing/testing/upstream_picker_test.cc
@@ -71,6 +71,50 @@
     }
 }
 
+// Load pattern: the daemons of a service with one instance are restarted one after the other.
+BOOST_AUTO_TEST_CASE(the_only_instance_of_a_service_gets_calls_while_it_stops) {
+    seeded_random random(3);
+    upstream_picker picker({.failure_domain = "d1"});
+    load_table loads;
+    candidate stopping = live("a", "d2");
+    stopping.state = candidate_state::stopping;
+    candidate leaving = live("b", "d1");
+    leaving.state = candidate_state::leaving;
+    const pick_context context{.route = "r", .objective = milliseconds(200)};
+    auto plain = picker.pick({leaving, stopping}, {}, loads, start, random);
+    auto timed = picker.pick({leaving, stopping}, {}, loads, context, start, random);
+    BOOST_TEST(std::get<picked_upstream>(plain).chosen.instance == "a");
+    BOOST_TEST(std::get<picked_upstream>(timed).chosen.instance == "a");
+    std::vector<candidate> many(20, leaving);
+    many.push_back(stopping);
+    auto sampled = picker.pick(many, {}, loads, context, start, random);
+    BOOST_TEST(std::get<picked_upstream>(sampled).chosen.instance == "a");
+}
+
+// Load pattern: one of two instances stops, and the other gets more calls than it has slots for.
+BOOST_AUTO_TEST_CASE(a_stopping_instance_gets_only_calls_that_others_cannot_serve_in_time) {
+    seeded_random random(3);
+    upstream_picker picker({.failure_domain = "d1"});
+    load_table loads;
+    candidate stopping = live("a", "d1");
+    stopping.state = candidate_state::stopping;
+    std::vector<candidate> candidates = {stopping, live("b", "d1")};
+    const pick_context context{.route = "r", .objective = milliseconds(1000)};
+    for (const char* instance : {"a", "b"}) {
+        loads.on_report(instance, {.limit = 2, .mean_service_us = 300'000}, start);
+        loads.set_connected(instance, true);
+    }
+    auto pick = [&] {
+        auto result = picker.pick(candidates, {}, loads, context, start, random);
+        return std::get<picked_upstream>(result).chosen.instance;
+    };
+    BOOST_TEST(pick() == "b");
+    for (int calls = 0; calls < 12; ++calls) {
+        loads.on_call_sent("b", start);
+    }
+    BOOST_TEST(pick() == "a");
+}
+
 // Guards against calls that are refused for a second after the connection to the only upstream was
 // lost, although it is open again.
 BOOST_AUTO_TEST_CASE(a_new_connection_clears_an_earlier_failure) {
--- a/packages/routing/upstream_picker.cc
+++ b/packages/routing/upstream_picker.cc
@@ -56,6 +56,7 @@
     std::vector<scored> local;
     std::vector<scored> remote;
     std::vector<scored> avoided;
+    std::vector<scored> stopping;
     bool any_tried = false;
     for (const candidate& each : candidates) {
         if (!each.accepts_work()) {
@@ -73,6 +74,10 @@
             avoided.push_back({&each, this->score(load, now)});
             continue;
         }
+        if (each.state == candidate_state::stopping) {
+            stopping.push_back({&each, this->score(load, now)});
+            continue;
+        }
         bool same_domain = each.failure_domain == this->options.failure_domain;
         (same_domain ? local : remote).push_back({&each, this->score(load, now)});
     }
@@ -84,6 +89,9 @@
             best = other;
         }
     }
+    if (best.chosen == nullptr) {
+        best = this->better_of_two(stopping, random);
+    }
     // If all candidates are in a backoff after a refusal, one of them is tried anyway.
     if (best.chosen == nullptr) {
         best = this->better_of_two(avoided, random);
@@ -133,7 +141,8 @@
             result.any_tried = true;
             continue;
         }
-        if (wanted_of(each) == 0) {
+        bool stops = each.state == candidate_state::stopping;
+        if (!stops && wanted_of(each) == 0) {
             continue;
         }
         instance_load load = loads.find(each.instance);
@@ -142,6 +151,8 @@
         }
         if (now < load.avoid_until) {
             result.avoided.push_back(&each);
+        } else if (stops) {
+            result.stopping.push_back(&each);
         } else if (!all && !load.connected) {
             unconnected.push_back(&each);
         } else if (take_one(wanted_of(each))) {
@@ -153,6 +164,9 @@
             result.fresh.push_back(each);
         }
     }
+    if (all || result.fresh.empty()) {
+        result.fresh.insert(result.fresh.end(), result.stopping.begin(), result.stopping.end());
+    }
     return result;
 }
 
@@ -198,9 +212,13 @@
                         this->options.cross_domain_penalty_per_kib * context.payload_kib);
     }
     double connecting = load.connected ? 0 : seconds(this->options.connect_time).count();
+    double stopping = 0;
+    if (target.state == candidate_state::stopping) {
+        stopping = seconds(std::max(context.objective, this->options.min_stopping_penalty)).count();
+    }
     double failing = this->failing_share(load, now) * seconds(context.objective).count();
-    double total =
-        failing + service + wait + cross_domain + connecting + seconds(load.transit_time).count();
+    double total = failing + service + wait + cross_domain + connecting + stopping +
+                   seconds(load.transit_time).count();
     return std::chrono::duration_cast<mono_duration>(seconds(total));
 }
 
--- a/packages/routing/upstream_picker.h
+++ b/packages/routing/upstream_picker.h
@@ -54,6 +54,10 @@
     // Relative random noise that is added to expected times, so that ingresses with the same load
     // data choose different instances of about the same speed.
     double time_noise = 0.1;
+    // Added to the expected time of an instance whose daemon shuts down: the objective of the call,
+    // at least this. It gets calls that the others cannot serve in time, and calls of a service
+    // that has no other instance.
+    std::chrono::milliseconds min_stopping_penalty{500};
     // When no reply has arrived for this many mean service times, the time without a reply is added
     // to the expected time.
     double silent_service_times = 2.0;
@@ -90,7 +94,8 @@
 // With a pick_context, the candidate with the shortest expected time is chosen: the transit time,
 // the wait for a slot and the service time of the route at that upstream. A call that fails misses
 // its objective, so the share of failures adds that share of the objective. In a large service only
-// some random candidates are compared, preferably those with an open connection. Without a context,
+// some random candidates are compared, preferably those with an open connection, and stopping ones
+// only if there is no other. Without a context,
 // the less loaded of two random candidates is chosen, "the power of two choices" (M. Mitzenmacher,
 // 2001).
 class upstream_picker {
@@ -128,7 +133,8 @@
 
     struct usable_candidates {
         std::vector<const candidate*> fresh;
-        std::vector<const candidate*> avoided;  // In the backoff after a refusal.
+        std::vector<const candidate*> avoided;   // In the backoff after a refusal.
+        std::vector<const candidate*> stopping;  // Their daemons shut down.
         bool any_tried = false;
     };
     usable_candidates usable(const std::vector<candidate>& candidates,
