Nested calls precede new requests, except while the start rate is limited

Cause: a nested call has no workspace, so at an overloaded upstream all nested calls together were one more workspace in the round robin, and were refused as late for their own short objective.

--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -188,7 +188,8 @@
                                .deadline = held.deadline,
                                .route = held.call.route,
                                .priority = held.call.priority,
-                               .may_be_late = held.call.may_be_late};
+                               .may_be_late = held.call.may_be_late,
+                               .precedes = held.call.precedes};
     if (held.call.objective_us > 0) {
         mono_time sent = held.deadline - std::chrono::microseconds(held.call.budget_us);
         offered.objective_at = sent + std::chrono::microseconds(held.call.objective_us);
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -144,6 +144,7 @@
     call->message.body = std::move(request.body);
     call->message.may_be_late = call->objective.count() == 0;
     this->count_for_retry_budget(call);
+    this->rank_nested_call(call);
     if (call->nested || call->message.workspace.empty()) {
         call->admitted = true;
         this->dispatch(call, reasons::no_upstream);
@@ -162,6 +163,13 @@
     });
 }
 
+// Lets a nested call precede new requests. A request without a workspace may be a nested call.
+void ingress::rank_nested_call(const call_ptr& call) {
+    bool may_be_nested = !call->nested && call->message.workspace.empty();
+    call->message.precedes =
+        call->nested || (may_be_nested && this->precedence.begin(this->local.load().running));
+}
+
 // Counts the call for the retry budget of its service. A request without a workspace may be a
 // nested call of the local upstream that carries no context handle, so the probability that a
 // retried request makes it is estimated.
@@ -410,6 +418,9 @@
 
 void ingress::finish(const call_ptr& call, unsigned status, std::string_view reason) {
     call->ended = true;
+    if (call->message.precedes && !call->nested) {
+        this->precedence.end();
+    }
     finished_request finished{.service = call->message.service,
                               .route = call->message.route,
                               .workspace = call->message.workspace,
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -38,6 +38,7 @@
 #include "daemon/upstream_selector.h"
 #include "edge/header_profile.h"
 #include "edge/http_server.h"
+#include "routing/nested_call_precedence.h"
 #include "routing/retry_policy.h"
 #include "routing/traffic_split.h"
 #include "routing/upstream_picker.h"
@@ -90,6 +91,7 @@
     using attempt = detail::attempt;
     using call_ptr = std::shared_ptr<ingress_call>;
 
+    void rank_nested_call(const call_ptr& call);
     void count_for_retry_budget(const call_ptr& call) const;
     void dispatch(const call_ptr& call, std::string_view last_reason);
     void refuse_over_limit(const call_ptr& call, const admission_outcome& outcome);
@@ -119,6 +121,7 @@
     shared_state& shared;
     limit_service& limits;
     routing::traffic_split splits;
+    routing::nested_call_precedence precedence;
     const request_acceptance acceptance;
     egress& local;
     service_retry_budgets& budgets;
--- a/packages/gate/gate_types.h
+++ b/packages/gate/gate_types.h
@@ -54,6 +54,10 @@
     // Whether the call may start after `latest_start`. If not, it is refused instead, so that its
     // ingress can try another egress.
     bool may_be_late = true;
+    // Whether a running request waits for the call. Such a call starts first and has no objective:
+    // when it is refused, that request fails and the work spent on it is lost. While the start rate
+    // is limited, the call takes as much of that rate as any other and does not precede.
+    bool precedes = false;
 
     friend bool operator==(const offered_call&, const offered_call&) = default;
 };
--- a/packages/gate/upstream_gate.cc
+++ b/packages/gate/upstream_gate.cc
@@ -34,6 +34,10 @@
 offer_result upstream_gate::offer(const offered_call& offered, mono_time now) {
     absl::MutexLock lock(&this->mutex);
     offered_call call = offered;
+    if (call.precedes && !this->limit->max_start_rate(now).has_value()) {
+        call.priority = 0;
+        call.objective_at.reset();
+    }
     if (call.objective_at.has_value()) {
         call.latest_start = *call.objective_at - this->times.high_percentile(call.route, now);
     }
--- a/packages/messages/codec.cc
+++ b/packages/messages/codec.cc
@@ -79,11 +79,26 @@
 }
 
 json encode_fields(const call& m) {
-    return json::array({m.sequence, m.sent_us, m.budget_us, to_binary(m.request_id),
-                        m.caller_service, m.service, m.route, m.workspace, m.idempotent, m.priority,
-                        m.objective_us, m.may_be_late, m.depth, m.base_revision,
-                        to_binary(m.method), to_binary(m.target), encode_headers(m.headers),
-                        to_binary(m.body), m.retry_probability});
+    return json::array({m.sequence,
+                        m.sent_us,
+                        m.budget_us,
+                        to_binary(m.request_id),
+                        m.caller_service,
+                        m.service,
+                        m.route,
+                        m.workspace,
+                        m.idempotent,
+                        m.priority,
+                        m.objective_us,
+                        m.may_be_late,
+                        m.depth,
+                        m.base_revision,
+                        to_binary(m.method),
+                        to_binary(m.target),
+                        encode_headers(m.headers),
+                        to_binary(m.body),
+                        m.retry_probability,
+                        m.precedes});
 }
 
 json encode_fields(const load_report& m) {
@@ -245,6 +260,9 @@
     if (in.has_more()) {
         in.read(m.retry_probability);
     }
+    if (in.has_more()) {
+        in.read(m.precedes);
+    }
 }
 
 void decode_fields(field_reader& in, load_report& m) {
--- a/packages/messages/messages.h
+++ b/packages/messages/messages.h
@@ -158,6 +158,9 @@
     // have reached an upstream; otherwise the probability that the caller is itself serving a
     // retried attempt. Absent from an earlier version.
     double retry_probability = 0;
+    // A nested call that precedes new requests while the upstream has no limit on its start rate.
+    // Absent from an earlier version.
+    bool precedes = false;
 
     friend bool operator==(const call&, const call&) = default;
 };
