Test of nested calls at a cold upstream: use a rate whose next start lies within the queue's wait

At 10 starts a second the next start comes after 100 ms, the longest wait in the queue, so the gate refuses the calls at once, as it should. Change: 20 starts a second, next start after 50 ms; the checks are the same.

--- a/packages/gate/testing/nested_calls_test.cc
+++ b/packages/gate/testing/nested_calls_test.cc
@@ -186,7 +186,7 @@
 BOOST_AUTO_TEST_CASE(nested_calls_do_not_precede_at_a_cold_upstream) {
     mono_time now{std::chrono::hours(1)};
     upstream_gate gate({}, std::make_unique<slot_limit>(slot_limit_options{.slots = slots}));
-    gate.set_cold({.until = now + seconds(3), .rate = 10}, now);
+    gate.set_cold({.until = now + seconds(3), .rate = 20}, now);
     auto call = [&](std::uint64_t sequence, std::uint32_t priority, bool precedes) {
         return offered_call{.id = {.instance = "i", .incarnation = 1, .sequence = sequence},
                             .deadline = now + seconds(2),
@@ -196,7 +196,7 @@
     BOOST_TEST(std::holds_alternative<start_now>(gate.offer(call(1, 5, false), now).decision));
     BOOST_TEST(std::holds_alternative<queued>(gate.offer(call(2, 5, true), now).decision));
     BOOST_TEST(std::holds_alternative<queued>(gate.offer(call(3, 4, false), now).decision));
-    gate_changes changes = gate.expire(now + milliseconds(100));
+    gate_changes changes = gate.expire(now + milliseconds(50));
     BOOST_REQUIRE(changes.start.size() == 1U);
     BOOST_TEST(changes.start.front().sequence == 3U);
 }
