--- a/packages/base/hash.cc
+++ b/packages/base/hash.cc
@@ -7,7 +7,10 @@
 #include <openssl/hmac.h>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <array>
+#include <charconv>
+#include <memory>
 
 namespace trefoil {
 
@@ -27,11 +30,37 @@
     return hex;
 }
 
+sha256_digest sha256(std::string_view data) {
+    // Fetching the algorithm and allocating a context cost more than hashing a short text.
+    static EVP_MD* const algorithm = EVP_MD_fetch(nullptr, "SHA256", nullptr);
+    thread_local const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(
+        EVP_MD_CTX_new(), &EVP_MD_CTX_free);
+    sha256_digest digest{};
+    EVP_DigestInit_ex2(context.get(), algorithm, nullptr);
+    EVP_DigestUpdate(context.get(), data.data(), data.size());
+    EVP_DigestFinal_ex(context.get(), digest.data(), nullptr);
+    return digest;
+}
+
 std::string sha256_hex(std::string_view data) {
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-    unsigned int size = 0;
-    EVP_Digest(data.data(), data.size(), digest.data(), &size, EVP_sha256(), nullptr);
-    return to_hex({reinterpret_cast<const char*>(digest.data()), size});
+    sha256_digest digest = sha256(data);
+    return to_hex({reinterpret_cast<const char*>(digest.data()), digest.size()});
+}
+
+std::optional<sha256_digest> parse_sha256_hex(std::string_view hex) {
+    constexpr int base = 16;
+    sha256_digest digest{};
+    bool plain = hex.size() == 2 * digest.size() && std::all_of(hex.begin(), hex.end(), [](char c) {
+                     return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+                 });
+    if (!plain) {
+        return std::nullopt;
+    }
+    for (std::size_t i = 0; i < digest.size(); ++i) {
+        const char* digits = hex.data() + 2 * i;
+        std::from_chars(digits, digits + 2, digest[i], base);
+    }
+    return digest;
 }
 
 std::string hmac_sha256_hex(std::string_view secret, std::string_view data) {
--- a/packages/base/hash.h
+++ b/packages/base/hash.h
@@ -8,6 +8,8 @@
 #ifndef TREFOIL_BASE_HASH_H_
 #define TREFOIL_BASE_HASH_H_
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -20,9 +22,17 @@
 // not protect against forgery.
 std::uint64_t checksum64(std::string_view data);
 
+constexpr std::size_t sha256_bytes = 32;
+using sha256_digest = std::array<std::uint8_t, sha256_bytes>;
+
+sha256_digest sha256(std::string_view data);
+
 // Returns the SHA-256 digest of `data` as 64 lower-case hex digits.
 std::string sha256_hex(std::string_view data);
 
+// Returns the digest that sha256_hex() returned as `hex`, or nothing if it is not one.
+std::optional<sha256_digest> parse_sha256_hex(std::string_view hex);
+
 // Returns the HMAC-SHA256 of `data` under `secret` as 64 lower-case hex digits.
 std::string hmac_sha256_hex(std::string_view secret, std::string_view data);
 
--- a/packages/config/active_configuration.cc
+++ b/packages/config/active_configuration.cc
@@ -23,7 +23,8 @@
 
 }  // namespace
 
-active_configuration::active_configuration(std::string_view site) {
+active_configuration::active_configuration(std::string_view site, std::size_t max_document_bytes)
+    : builder(max_document_bytes) {
     this->base.name = base_document_name;
     this->overlay.name = overlay_document_name(site);
 }
--- a/packages/config/active_configuration.h
+++ b/packages/config/active_configuration.h
@@ -99,7 +99,9 @@
 
 class active_configuration {
 public:
-    explicit active_configuration(std::string_view site);
+    // A base document larger than `max_document_bytes` is invalid.
+    explicit active_configuration(std::string_view site,
+                                  std::size_t max_document_bytes = document_bytes_max);
 
     // Stores the document and applies the first valid pair in this order: (newest base, newest
     // overlay), (newest base, overlay in force), (base in force, newest overlay), then pairs with a
--- a/packages/config/build_snapshot.cc
+++ b/packages/config/build_snapshot.cc
@@ -3,6 +3,8 @@
 
 #include "config/build_snapshot.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <array>
 #include <string>
@@ -60,6 +62,15 @@
     }
 }
 
+// A key that two workspaces share would give its callers access to an arbitrary one of them.
+validation_failure shared_key(const document& base, const std::string& first,
+                              const std::string& second) {
+    std::string path = child_path(child_path("workspaces", second), "key_digests");
+    return conflicting_entries{
+        location{base.name, 1, std::move(path)},
+        fmt::format("digests that differ from those of the other keys of workspace \"{}\"", first)};
+}
+
 void sort_by_location(validation_failures& failures, const std::string& base_name) {
     auto position = [&base_name](const validation_failure& failure) {
         const location& at = where(failure);
@@ -114,7 +125,11 @@
     }
     contents.base = version_of(base);
     contents.overlay = version_of(overlay);
-    return snapshot(std::move(contents));
+    snapshot built(std::move(contents));
+    if (auto duplicate = built.find_duplicate_key()) {
+        return validation_failures{shared_key(base, duplicate->first, duplicate->second)};
+    }
+    return built;
 }
 
 result<snapshot, validation_failures> build_snapshot(const document& base,
--- a/packages/config/difference.cc
+++ b/packages/config/difference.cc
@@ -109,11 +109,23 @@
             optional_field("regions", regions_text(each.regions))};
 }
 
+// Returns the number of keys and a checksum of their digests, which shows a replaced key without
+// showing a digest.
+std::string key_digests_text(const std::vector<sha256_digest>& digests) {
+    if (digests.empty()) {
+        return "none";
+    }
+    std::string_view bytes(reinterpret_cast<const char*>(digests.data()),
+                           digests.size() * sha256_bytes);
+    return fmt::format("{} with checksum {:016x}", digests.size(), checksum64(bytes));
+}
+
 field_list fields_of(const workspace& each) {
     return {{"rate", each.limited ? fmt::to_string(each.rate) : "unlimited"},
             {"burst", each.limited ? fmt::to_string(each.burst) : "unlimited"},
             optional_field("priority", text_or_none(each.priority)),
-            optional_field("regions", regions_text(each.regions))};
+            optional_field("regions", regions_text(each.regions)),
+            optional_field("key_digests", key_digests_text(each.key_digests))};
 }
 
 field_list fields_of(const access_key& each) {
--- a/packages/config/document.h
+++ b/packages/config/document.h
@@ -18,7 +18,7 @@
 
 inline constexpr std::string_view base_document_name = "base";
 
-// Maximum document size on the platform.
+// Default of the maximum size of a document.
 inline constexpr std::size_t document_bytes_max = 1U << 20U;
 
 struct document {
--- a/packages/config/render.cc
+++ b/packages/config/render.cc
@@ -97,6 +97,9 @@
         write(out, "priority", *each.priority);
     }
     write_regions(out, each.regions);
+    if (!each.key_digests.empty()) {
+        write(out, "key_digests", "hidden");
+    }
 }
 
 void write_route(YAML::Emitter& out, const route& each) {
--- a/packages/config/snapshot.cc
+++ b/packages/config/snapshot.cc
@@ -17,11 +17,8 @@
 
 }  // namespace
 
-snapshot::snapshot(snapshot_contents contents) : values(std::move(contents)) {
-    for (const auto& [id, key] : this->values.keys) {
-        this->by_digest.emplace(key.sha256, key.workspace);
-    }
-}
+snapshot::snapshot(snapshot_contents contents)
+    : values(std::move(contents)), by_digest(this->values.workspaces, this->values.keys) {}
 
 const service* snapshot::find_service(std::string_view name) const {
     return find_in(this->values.services, name);
@@ -32,8 +29,9 @@
 }
 
 const workspace* snapshot::find_workspace_by_digest(std::string_view sha256) const {
-    auto found = this->by_digest.find(sha256);
-    return found == this->by_digest.end() ? nullptr : this->find_workspace(found->second);
+    auto digest = parse_sha256_hex(sha256);
+    const std::string* name = digest ? this->by_digest.find(*digest) : nullptr;
+    return name == nullptr ? nullptr : this->find_workspace(*name);
 }
 
 bool snapshot::is_failure_domain_out(std::string_view name) const {
--- a/packages/config/snapshot.h
+++ b/packages/config/snapshot.h
@@ -16,12 +16,13 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_map>
+#include <utility>
 
+#include "config/key_index.h"
 #include "config/route_table.h"
-#include "config/string_hash.h"
 #include "config/values.h"
 
 namespace trefoil::config {
@@ -77,6 +78,11 @@
     // digits), or null if no key has that digest.
     const workspace* find_workspace_by_digest(std::string_view sha256) const;
 
+    // Returns the workspaces of two keys with the same digest, if there are any.
+    std::optional<std::pair<std::string, std::string>> find_duplicate_key() const {
+        return this->by_digest.find_duplicate();
+    }
+
     // Names without an entry are in service.
     bool is_failure_domain_out(std::string_view name) const;
     bool is_instance_out(std::string_view name) const;
@@ -95,8 +101,7 @@
 
 private:
     snapshot_contents values;
-    // Workspace names by the digest of an API key.
-    std::unordered_map<std::string, std::string, detail::string_hash, std::equal_to<>> by_digest;
+    key_index by_digest;  // Of `values`.
 };
 
 }  // namespace trefoil::config
--- a/packages/config/snapshot_builder.cc
+++ b/packages/config/snapshot_builder.cc
@@ -21,20 +21,35 @@
     return left.name < right.name;
 }
 
+// Returns the size of a JSON object with these members.
+std::size_t text_size(const std::vector<json_piece>& members) {
+    constexpr std::size_t punctuation = 4;  // Of each member; the braces need two more.
+    std::size_t size = 2;
+    for (const json_piece& each : members) {
+        size += each.name.size() + each.text.size() + punctuation;
+    }
+    return size;
+}
+
 // Returns the body of `base` with the value of its section `routes` replaced by an object with
 // `members`. `routes_text` is a view of that value within the body.
 std::string with_routes(const document& base, std::string_view routes_text,
                         const std::vector<json_piece>& members) {
     auto start = static_cast<std::size_t>(routes_text.data() - base.body.data());
-    std::string body = base.body.substr(0, start) + "{";
+    std::string_view source = base.body;
+    std::string body;
+    body.reserve(source.size() - routes_text.size() + text_size(members));
+    body += source.substr(0, start);
+    body += '{';
     for (const json_piece& each : members) {
         body += body.back() == '{' ? "\"" : ",\"";
         body += each.name;
         body += "\":";
         body += each.text;
     }
-    body += "}";
-    return body + base.body.substr(start + routes_text.size());
+    body += '}';
+    body += source.substr(start + routes_text.size());
+    return body;
 }
 
 bool changes_routes(const yaml_node& overlay) {
@@ -46,8 +61,8 @@
 // Returns nothing for a base that is too large, that has no routes or that split_json_object()
 // cannot split.
 std::optional<snapshot_builder::split_base> snapshot_builder::split_routes(
-    std::shared_ptr<const document> base) {
-    if (base->body.size() > document_bytes_max) {
+    std::shared_ptr<const document> base) const {
+    if (base->body.size() > this->max_bytes) {
         return std::nullopt;
     }
     auto sections = split_json_object(base->body).value_or(std::vector<json_piece>());
@@ -78,7 +93,9 @@
     bool routes_from_base_only = overlay_root != nullptr && !changes_routes(*overlay_root);
     auto json_tree = split ? detail::read_json(*base) : std::nullopt;
     bool is_json = json_tree.has_value();
-    auto base_tree = is_json ? std::move(*json_tree) : read_yaml(*base, {.allow_remove = false});
+    auto base_tree = is_json
+                         ? std::move(*json_tree)
+                         : read_yaml(*base, {.allow_remove = false, .max_bytes = this->max_bytes});
     auto outcome =
         detail::build_from_trees(*base, overlay, std::move(base_tree), std::move(overlay_tree), {});
     if (auto* failures = std::get_if<validation_failures>(&outcome)) {
--- a/packages/config/snapshot_builder.h
+++ b/packages/config/snapshot_builder.h
@@ -29,7 +29,12 @@
 // Not safe for concurrent use.
 class snapshot_builder {
 public:
-    // Returns the same outcome as build_snapshot(), whatever was built before.
+    // A larger base document is invalid.
+    explicit snapshot_builder(std::size_t max_document_bytes = document_bytes_max)
+        : max_bytes(max_document_bytes) {}
+
+    // Returns the same outcome as build_snapshot(), whatever was built before, except for the
+    // maximum size.
     result<std::shared_ptr<const snapshot>, validation_failures> build(
         std::shared_ptr<const document> base, const document& overlay);
 
@@ -44,9 +49,10 @@
         std::vector<json_piece> routes;  // Sorted by name.
     };
 
-    static std::optional<split_base> split_routes(std::shared_ptr<const document> base);
+    std::optional<split_base> split_routes(std::shared_ptr<const document> base) const;
     std::optional<snapshot> build_incrementally(const split_base& base, const document& overlay);
 
+    std::size_t max_bytes;
     // The last valid version and its snapshot. Both are empty unless the base was JSON and the
     // overlay changed no routes, so that each route depends on its own text only.
     split_base last_base;
--- a/packages/config/testing/build_snapshot_test.cc
+++ b/packages/config/testing/build_snapshot_test.cc
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "base/base64.h"
 #include "base/hash.h"
 
 namespace trefoil::config {
@@ -64,6 +65,23 @@
     return text.replace(position, from.size(), to);
 }
 
+// Returns the packed digests of keys.
+std::string pack(const std::vector<std::string>& keys) {
+    std::string bytes;
+    for (const std::string& key : keys) {
+        sha256_digest digest = sha256(key);
+        bytes.append(digest.begin(), digest.end());
+    }
+    return encode_base64(bytes);
+}
+
+// Returns `base_body` with packed keys of two workspaces.
+std::string with_packed_keys(const std::string& north, const std::string& south) {
+    return replaced(base_body, "north: {rate: 50, burst: 20}",
+                    "north: {rate: 50, burst: 20, key_digests: \"" + north +
+                        "\"}\n  south: {rate: unlimited, key_digests: \"" + south + "\"}");
+}
+
 void expect_failure(const std::string& from, const std::string& to, const std::string& expected) {
     BOOST_TEST(failures_of(replaced(base_body, from, to)) == expected + "\n");
 }
@@ -269,4 +287,32 @@
                "\"north-0\"\n");
 }
 
+// Guards against packed keys that are dropped or given to another workspace.
+BOOST_AUTO_TEST_CASE(packed_keys_belong_to_their_workspace) {
+    snapshot built = build_valid(with_packed_keys(pack({"one", "two"}), pack({"three"})));
+    BOOST_TEST(built.find_workspace_by_digest(sha256_hex("one"))->name == "north");
+    BOOST_TEST(built.find_workspace_by_digest(sha256_hex("two"))->name == "north");
+    BOOST_TEST(built.find_workspace_by_digest(sha256_hex("three"))->name == "south");
+    BOOST_TEST(built.find_workspace_by_digest(sha256_hex("abc"))->name == "north");
+    BOOST_TEST(built.find_workspace_by_digest(sha256_hex("four")) == nullptr);
+    BOOST_TEST(built.contents().workspaces.at("north").key_digests.size() == 2U);
+}
+
+// Guards against a key that gives access to an arbitrary one of two workspaces, and against a
+// failure that shows a digest.
+BOOST_AUTO_TEST_CASE(invalid_packed_keys_are_rejected_without_showing_them) {
+    const std::string shared = pack({"one"});
+    BOOST_TEST(
+        failures_of(with_packed_keys(shared, shared)) ==
+        "base:1: workspaces.south.key_digests: expected digests that differ from those of the "
+        "other keys of workspace \"north\"\n");
+    BOOST_TEST(!failures_of(with_packed_keys(pack({"abc"}), "")).empty());
+    for (const std::string& invalid : {shared.substr(4), std::string("%%%%"), shared + "A"}) {
+        std::string texts = failures_of(with_packed_keys(invalid, ""));
+        BOOST_TEST(texts.find("workspaces.north.key_digests: expected SHA-256 digests") !=
+                   std::string::npos);
+        BOOST_TEST(texts.find(invalid) == std::string::npos);
+    }
+}
+
 }  // namespace trefoil::config
--- a/packages/config/testing/difference_test.cc
+++ b/packages/config/testing/difference_test.cc
@@ -58,6 +58,19 @@
                "failure domain d2: added (out true)\n");
 }
 
+// Guards against replaced packed keys that are not shown, and against their digests being shown.
+BOOST_AUTO_TEST_CASE(changes_of_packed_keys_are_shown_without_digests) {
+    snapshot_contents before = make_contents();
+    before.workspaces["w"].key_digests = {sha256("one")};
+    snapshot_contents after = make_contents();
+    after.workspaces["w"].key_digests = {sha256("two")};
+    std::string text = lines(before, after);
+    BOOST_TEST(text.starts_with("workspace w: key_digests 1 with checksum "));
+    BOOST_TEST(text.find(sha256_hex("two").substr(0, 32)) == std::string::npos);
+    BOOST_TEST(lines(make_contents(), after).starts_with("workspace w: key_digests none -> 1 "));
+    BOOST_TEST(render(snapshot(after)).find("    key_digests: hidden\n") != std::string::npos);
+}
+
 // Guards against a rendered configuration that shows digests.
 BOOST_AUTO_TEST_CASE(rendering_hides_digests) {
     std::string text = render(snapshot(make_contents()));
--- a/packages/config/values.h
+++ b/packages/config/values.h
@@ -16,6 +16,8 @@
 #include <string_view>
 #include <vector>
 
+#include "base/hash.h"
+
 namespace trefoil::config {
 
 // Priority of a request when capacity is short; 0 is the highest.
@@ -121,10 +123,14 @@
     // Overrides the priority of the route; absent: the route's priority applies.
     std::optional<std::uint32_t> priority{};
     std::vector<std::string> regions{};  // Allowed regions, sorted; empty: all.
+    // Digests of the API keys that have no id, sorted and unique; never printed. No other workspace
+    // of the same snapshot has one of them.
+    std::vector<sha256_digest> key_digests{};
 
     friend bool operator==(const workspace&, const workspace&) = default;
 };
 
+// An API key with an id, by which operators refer to it.
 struct access_key {
     std::string id{};
     std::string workspace{};  // Always names a workspace of the same snapshot.
--- a/packages/config/workspace_section.cc
+++ b/packages/config/workspace_section.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <utility>
 
+#include "base/base64.h"
 #include "config/redaction.h"
 #include "config/section_context.h"
 
@@ -32,6 +33,33 @@
                      .value_or(burst_requests_min);
 }
 
+// Returns the digests sorted and unique. The packed form takes a third of the space of entries of
+// the section `keys`, and a configuration may contain more than a hundred thousand keys.
+std::vector<sha256_digest> read_key_digests(section_context& context, const yaml_field& field) {
+    constexpr std::string_view expected = "SHA-256 digests, concatenated and encoded in base64";
+    std::vector<sha256_digest> digests;
+    auto text = read_text(field, expected, context.sink);
+    if (!text) {
+        return digests;
+    }
+    auto bytes = decode_base64(*text);
+    if (!bytes || bytes->size() % sha256_bytes != 0) {
+        reject_value(field, expected, context.sink);
+        return digests;
+    }
+    digests.resize(bytes->size() / sha256_bytes);
+    for (std::size_t i = 0; i < digests.size(); ++i) {
+        std::copy_n(bytes->begin() + static_cast<std::ptrdiff_t>(i * sha256_bytes), sha256_bytes,
+                    digests[i].begin());
+    }
+    if (!std::is_sorted(digests.begin(), digests.end())) {
+        std::sort(digests.begin(), digests.end());
+    }
+    digests.erase(std::unique(digests.begin(), digests.end()), digests.end());
+    digests.shrink_to_fit();
+    return digests;
+}
+
 void read_workspaces(section_context& context) {
     yaml_field section = context.sections.optional("workspaces");
     context.for_each_entry(section, [&context](const std::string& name, map_reader& entry) {
@@ -39,6 +67,7 @@
         read_rate(context, entry, each);
         each.priority = context.read_priority(entry.optional("priority"));
         each.regions = context.read_names(entry.optional("regions"), "a list of names of regions");
+        each.key_digests = read_key_digests(context, entry.secret("key_digests"));
         context.contents.workspaces.emplace(name, std::move(each));
     });
 }
--- a/packages/config/yaml_node.h
+++ b/packages/config/yaml_node.h
@@ -46,6 +46,7 @@
 
 struct yaml_options {
     bool allow_remove = false;  // Whether `!remove` is allowed as the value of a key.
+    std::size_t max_bytes = document_bytes_max;  // A larger body is a failure.
 };
 
 // Parses a body that is YAML or JSON. An empty body is an empty map. Aliases, tags other than
--- a/packages/config/yaml_reader.cc
+++ b/packages/config/yaml_reader.cc
@@ -199,6 +199,12 @@
     std::vector<open_node> open_nodes;  // From the root inwards.
 };
 
+std::string size_text(std::size_t bytes) {
+    constexpr std::size_t mebibyte = std::size_t{1} << 20U;
+    return bytes % mebibyte == 0 ? std::to_string(bytes / mebibyte) + " MiB"
+                                 : std::to_string(bytes) + " bytes";
+}
+
 void parse(const document& source, tree_builder& builder) {
     try {
         std::istringstream stream(source.body);
@@ -221,9 +227,9 @@
 }  // namespace
 
 result<yaml_node, validation_failures> read_yaml(const document& source, yaml_options options) {
-    if (source.body.size() > document_bytes_max) {
-        return validation_failures{
-            malformed_document{{source.name, 1, ""}, "a document of at most 1 MiB"}};
+    if (source.body.size() > options.max_bytes) {
+        return validation_failures{malformed_document{
+            {source.name, 1, ""}, "a document of at most " + size_text(options.max_bytes)}};
     }
     if (auto tree = detail::read_json(source)) {
         return std::move(*tree);
--- a/packages/ctl/status_command.cc
+++ b/packages/ctl/status_command.cc
@@ -60,8 +60,44 @@
     return text.empty() ? "-" : text;
 }
 
+// Returns the first failure and the number of the others.
+std::string failures_text(const json& rejected) {
+    auto failures = rejected.find("failures");
+    bool known = failures != rejected.end() && failures->is_array() && !failures->empty() &&
+                 failures->front().is_string();
+    if (!known) {
+        return "-";
+    }
+    std::string others =
+        failures->size() > 1 ? fmt::format(" (and {} more)", failures->size() - 1) : "";
+    return failures->front().get<std::string>() + others;
+}
+
+// Returns one line for each reason why the newest documents are not in force.
+std::string problems_text(const json& content) {
+    std::string text;
+    std::string instance = text_field(content, "instance");
+    auto rejected = content.find("rejected");
+    if (rejected != content.end() && rejected->is_object()) {
+        text += fmt::format("{}: base {} with overlay {} is rejected: {}\n", instance,
+                            text_field(*rejected, "base"), text_field(*rejected, "overlay"),
+                            failures_text(*rejected));
+    }
+    auto unreadable = content.find("unreadable");
+    if (unreadable != content.end() && unreadable->is_object()) {
+        text += fmt::format("{}: {} {} cannot be read: {}\n", instance,
+                            text_field(*unreadable, "document"),
+                            text_field(*unreadable, "revision"), text_field(*unreadable, "detail"));
+    }
+    return text;
+}
+
 bool is_healthy(const json& content) {
     std::vector<json> documents = list_field(content, "documents");
+    auto unreadable = content.find("unreadable");
+    if (unreadable != content.end() && unreadable->is_object()) {
+        return false;
+    }
     return boolean_field(content, "ready") && boolean_field(content, "confirmed") &&
            std::all_of(documents.begin(), documents.end(), newest_in_force);
 }
@@ -84,6 +120,7 @@
     text_table table({"FAILURE DOMAIN", "INSTANCE", "SITE", "SERVICE", "READY", "CONFIRMED", "BASE",
                       "OVERLAY", "INSTANCES", "MEMBERS"});
     bool healthy = true;
+    std::string problems;
     for (const admin_response& response : responses) {
         const json& content = response.content;
         table.add_row({text_field(content, "failure_domain"), text_field(content, "instance"),
@@ -91,11 +128,12 @@
                        text_field(content, "ready"), confirmation_text(content),
                        revision_of(content, "base"), revision_of(content, "site/"),
                        revision_of(content, "instances"), members_text(content)});
+        problems += problems_text(content);
         healthy = healthy && is_healthy(content);
     }
     table.sort_rows();
     if (out != nullptr) {
-        *out << table.to_string();
+        *out << table.to_string() << problems;
     }
     return healthy;
 }
--- a/packages/ctl/testing/fleet_commands_test.cc
+++ b/packages/ctl/testing/fleet_commands_test.cc
@@ -128,6 +128,22 @@
     BOOST_TEST(this->run({"status"}, {"{}"}) == 1);
 }
 
+// Guards against a configuration that is not in force without a reason that operators can see.
+BOOST_FIXTURE_TEST_CASE(status_tells_why_a_configuration_is_not_in_force, fixture) {
+    std::string rejected = status_body("d1", "s-1", 7);
+    rejected.insert(1, R"("rejected": {"base": 8, "overlay": 5, "failures": ["a", "b"]}, )");
+    BOOST_TEST(this->run({"status"}, {rejected}) == 1);
+    BOOST_TEST(this->out.ends_with("\ns-1: base 8 with overlay 5 is rejected: a (and 1 more)\n"));
+    std::string unreadable = status_body("d1", "s-1", 8);
+    unreadable.insert(
+        1, R"("unreadable": {"document": "base", "revision": 9, "detail": "no routes"}, )");
+    BOOST_TEST(this->run({"status"}, {unreadable}) == 1);
+    BOOST_TEST(this->out.ends_with("\ns-1: base 9 cannot be read: no routes\n"));
+    std::string good = status_body("d1", "s-1", 8);
+    good.insert(1, R"("rejected": null, "unreadable": null, )");
+    BOOST_TEST(this->run({"status"}, {good}) == 0);
+}
+
 // Guards against a crash on responses with unexpected JSON types, and against an endpoint that
 // failed but is not reported.
 BOOST_FIXTURE_TEST_CASE(unusable_responses_are_reported, fixture) {
--- a/packages/daemon/admin.cc
+++ b/packages/daemon/admin.cc
@@ -68,6 +68,15 @@
             {"failures", std::move(failures)}};
 }
 
+json unreadable_json(const std::optional<source::unreadable_document>& unreadable) {
+    if (!unreadable.has_value()) {
+        return nullptr;
+    }
+    return {{"document", unreadable->name},
+            {"revision", unreadable->revision},
+            {"detail", unreadable->detail}};
+}
+
 json members_json(const membership::view* view, mono_time now) {
     json list = json::array();
     if (view == nullptr) {
@@ -200,6 +209,7 @@
         body["documents"] = versions_json(*control);
         body["rejected"] = rejected_json(control->rejected);
     }
+    body["unreadable"] = unreadable_json(this->sources.platform.unreadable());
     auto snapshot = this->shared.snapshot.read();
     if (snapshot != nullptr) {
         body["base"] = snapshot->base_revision();
--- a/packages/daemon/configuration_store.cc
+++ b/packages/daemon/configuration_store.cc
@@ -11,8 +11,9 @@
 
 namespace trefoil::daemon {
 
-configuration_store::configuration_store(const std::string& own_site)
-    : site(own_site), active(own_site) {}
+configuration_store::configuration_store(const std::string& own_site,
+                                         std::size_t max_document_bytes)
+    : site(own_site), active(own_site, max_document_bytes) {}
 
 dissemination::held_document configuration_store::held(const std::string& name) const {
     dissemination::held_document state;
--- a/packages/daemon/configuration_store.h
+++ b/packages/daemon/configuration_store.h
@@ -4,12 +4,13 @@
 //
 // Example:
 //
-//     daemon::configuration_store store("north");
+//     daemon::configuration_store store("north", config::document_bytes_max);
 //     dissemination::core core(options, store, random, now);
 
 #ifndef TREFOIL_DAEMON_CONFIGURATION_STORE_H_
 #define TREFOIL_DAEMON_CONFIGURATION_STORE_H_
 
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -21,7 +22,7 @@
 // Not safe for concurrent use; the control loop calls it under its lock.
 class configuration_store final : public dissemination::document_store {
 public:
-    explicit configuration_store(const std::string& site);
+    configuration_store(const std::string& site, std::size_t max_document_bytes);
 
     dissemination::held_document held(const std::string& name) const override;
     std::optional<std::string> body(const std::string& name, std::uint64_t revision) const override;
--- a/packages/daemon/control_loop.cc
+++ b/packages/daemon/control_loop.cc
@@ -112,7 +112,7 @@
       platform(service),
       clock(time),
       random(entropy_seed()),
-      store(given.site),
+      store(given.site, given.max_document_bytes),
       core(given, this->store, this->random, time.now()) {}
 
 control_loop::~control_loop() {
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -47,15 +47,17 @@
             .address = options.listen.peers.text()};
 }
 
-dissemination::core_options make_core_options(const settings& options, bool mirrors) {
+dissemination::core_options make_core_options(const settings& options,
+                                              const platform_binding& platform) {
     dissemination::core_options core{.instance = options.instance,
                                      .failure_domain = options.failure_domain,
                                      .site = options.site,
-                                     .address = options.listen.peers.text()};
+                                     .address = options.listen.peers.text(),
+                                     .max_document_bytes = platform.max_document_bytes};
     for (const socket_address& seed : options.seeds) {
         core.seeds.push_back(seed.text());
     }
-    if (mirrors) {
+    if (platform.mirrors) {
         dissemination::use_mirror(core, options.platform_followers,
                                   options.platform_followers_min_domain);
     }
@@ -93,9 +95,8 @@
                      .headers = this->platform.headers},
                     this->shared, this->limits, this->contexts, this->local_egress,
                     this->retry_budgets, this->nested_retries, this->metrics, this->clock),
-      control(make_core_options(given, this->platform.mirrors),
-              make_hello(given, this->incarnation), this->shared, *this->platform.service,
-              this->clock),
+      control(make_core_options(given, this->platform), make_hello(given, this->incarnation),
+              this->shared, *this->platform.service, this->clock),
       connections({.endpoint = {.self = make_hello(given, this->incarnation),
                                 .fleet_secret = given.fleet_secret,
                                 .loop = &this->loop}},
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -5,6 +5,7 @@
 #include <boost/program_options.hpp>
 #include <chrono>
 #include <csignal>
+#include <cstddef>
 #include <cstdlib>
 #include <ctime>
 #include <iostream>
@@ -12,6 +13,7 @@
 #include <string>
 #include <variant>
 
+#include "base/allocator.h"
 #include "base/lock_checks.h"
 #include "base/log.h"
 #include "daemon/daemon.h"
@@ -104,10 +106,13 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+    trefoil::release_large_blocks();
     trefoil::disable_lock_order_checks();
     program_options::options_description options("trefoild --settings FILE");
     options.add_options()("help", "print this text")(
-        "settings", program_options::value<std::string>(), "YAML file with the settings");
+        "settings", program_options::value<std::string>(), "YAML file with the settings")(
+        "platform-value-bytes", program_options::value<std::size_t>(),
+        "maximum size of a value in the platform's store; overrides platform_value_bytes");
     program_options::variables_map given;
     try {
         program_options::store(program_options::parse_command_line(argc, argv, options), given);
@@ -125,6 +130,10 @@
     }
     auto path = given["settings"].as<std::string>();
     auto loaded = trefoil::daemon::load_settings(path);
+    auto* settings = std::get_if<trefoil::daemon::settings>(&loaded);
+    if (settings != nullptr && given.count("platform-value-bytes") > 0) {
+        settings->platform_value_bytes = given["platform-value-bytes"].as<std::size_t>();
+    }
     if (const auto* failures = std::get_if<trefoil::daemon::settings_failures>(&loaded)) {
         std::cerr << "trefoild: " << trefoil::daemon::describe(failures->front()) << '\n';
         return exit_usage;
--- a/packages/daemon/platform_binding.h
+++ b/packages/daemon/platform_binding.h
@@ -9,8 +9,10 @@
 #ifndef TREFOIL_DAEMON_PLATFORM_BINDING_H_
 #define TREFOIL_DAEMON_PLATFORM_BINDING_H_
 
+#include <cstddef>
 #include <memory>
 
+#include "config/document.h"
 #include "daemon/settings.h"
 #include "edge/header_profile.h"
 #include "source/configuration_service.h"
@@ -20,6 +22,8 @@
 struct platform_binding {
     std::unique_ptr<source::configuration_service> service;  // Never null.
     edge::header_profile headers{};
+    // Maximum size of a document that the service returns.
+    std::size_t max_document_bytes = config::document_bytes_max;
     // True if the service keeps a copy of the platform's documents, so that reads cause no load on
     // the platform and every daemon may watch it.
     bool mirrors = false;
--- a/packages/daemon/settings.cc
+++ b/packages/daemon/settings.cc
@@ -25,6 +25,8 @@
 constexpr std::uint32_t milliseconds_max = 600'000;
 constexpr std::uint32_t retries_max = 100'000;
 constexpr std::uint32_t followers_max = 1'000;
+constexpr std::uint32_t value_bytes_min = 1'024;
+constexpr std::uint32_t value_bytes_max = 1U << 28U;
 constexpr std::uint32_t min_domain_max = 100'000;
 constexpr double seconds_max = 600;
 constexpr double requests_max = 1e6;
@@ -66,6 +68,10 @@
             this->read_address(this->fields.required("upstream", expected_address));
         this->read_platform();
         this->read_platform_protocol();
+        this->parsed.platform_value_bytes =
+            config::read_integer(this->fields.optional("platform_value_bytes"), value_bytes_min,
+                                 value_bytes_max, this->invalid)
+                .value_or(this->parsed.platform_value_bytes);
         this->parsed.platform_followers =
             config::read_integer(this->fields.optional("platform_followers"), 0, followers_max,
                                  this->invalid)
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -15,6 +15,7 @@
 #define TREFOIL_DAEMON_SETTINGS_H_
 
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <string>
 #include <string_view>
@@ -25,6 +26,7 @@
 #include "base/log.h"
 #include "base/result.h"
 #include "base/time.h"
+#include "config/document.h"
 #include "config/validation_failure.h"
 #include "daemon/socket_address.h"
 
@@ -82,6 +84,8 @@
     std::string platform{};  // URL without a trailing slash.
     // Name of the adapter that reads the platform.
     std::string platform_protocol{"documents"};
+    // Maximum size of one value in the platform's store, or of one document.
+    std::size_t platform_value_bytes = config::document_bytes_max;
     // Number of daemons per failure domain that watch a mirrored platform and send its documents to
     // the others; 0: every daemon watches it.
     std::size_t platform_followers = 0;
--- a/packages/daemon/state_series.cc
+++ b/packages/daemon/state_series.cc
@@ -90,6 +90,8 @@
     source::call_counts calls = this->sources.platform.calls();
     all.add("platform_reads_total", calls.started, "Calls to the platform.");
     all.add("platform_failures_total", calls.failed, "Calls to the platform that failed.");
+    all.add("configuration_unreadable", gauge(this->sources.platform.unreadable().has_value()),
+            "1 when the newest configuration of the platform cannot be translated.");
     if (auto snapshot = this->shared.snapshot.read()) {
         all.add("base_revision", gauge(snapshot->base_revision()), "Base document in force.");
         all.add("overlay_revision", gauge(snapshot->overlay_revision()), "Overlay in force.");
--- a/packages/daemon/testing/settings_test.cc
+++ b/packages/daemon/testing/settings_test.cc
@@ -109,10 +109,14 @@
     expect_failure("site: north", "site: a/b",
                    "t.yaml:3: site: expected a name of 1 to 64 letters, digits, dots, hyphens and "
                    "underscores that starts with a letter or digit, found \"a/b\"");
+    expect_failure("seeds:", "platform_value_bytes: 1023\nseeds:",
+                   "t.yaml:8: platform_value_bytes: expected an integer from 1024 to 268435456, "
+                   "found \"1023\"");
     expect_failure("seeds:", "seed:",
                    "t.yaml:8: seed: unknown field, expected one of instance, name, "
                    "failure_domain, site, service, listen, upstream, platform, platform_protocol, "
-                   "platform_followers, platform_followers_min_domain, regions, stop, limits, "
+                   "platform_value_bytes, platform_followers, platform_followers_min_domain, "
+                   "regions, stop, limits, "
                    "retries, seeds, fleet_secret, "
                    "fleet_secret_file, trust_network, "
                    "log_level");
--- a/packages/dissemination/core.cc
+++ b/packages/dissemination/core.cc
@@ -13,12 +13,18 @@
 
 namespace {
 
-// Bound of the memory that a compressed document may take at its receiver. A frame between daemons
-// has at most 4 MiB.
-constexpr std::size_t max_document_bytes = std::size_t{16} << 20U;
+// Bound of the documents that are not configurations. They grow with the fleet.
+constexpr std::size_t max_list_bytes = std::size_t{16} << 20U;
 
-// Returns the document with its body uncompressed, or nothing if the body is damaged.
-std::optional<messages::document> intact_document(const messages::document& message) {
+// Returns the size of the largest message body that compress() makes of `bytes`.
+constexpr std::size_t transfer_bytes_max(std::size_t bytes) {
+    return bytes + bytes / 128 + 1024;
+}
+
+// Returns the document with its body uncompressed, or nothing if the body is damaged or larger than
+// `max_document_bytes`.
+std::optional<messages::document> intact_document(const messages::document& message,
+                                                  std::size_t max_document_bytes) {
     messages::document received{
         .name = message.name, .revision = message.revision, .checksum = message.checksum};
     if (message.compressed) {
@@ -42,6 +48,7 @@
       held(configuration, this->options.site),
       confirmations(this->options.instance, this->options.site),
       puller(this->options.request_timeout, this->options.pull_last_good),
+      assembler(transfer_bytes_max(std::max(this->options.max_document_bytes, max_list_bytes))),
       schedule(this->options, source, start_time),
       peers(this->options, source, start_time),
       rounds(this->options, source, start_time),
@@ -107,25 +114,38 @@
     if (!index.has_value()) {
         return;
     }
-    auto transfer = this->held.transfer(*index, message.revision, message.accepts_compressed);
+    auto transfer = this->held.transfer(*index, message);
     if (!transfer.has_value()) {
         // The requested revision was replaced here; the digest names the current one.
         this->send(peer, this->make_digest());
         return;
     }
-    ++this->totals.documents_sent;
+    if (transfer->offset == 0) {
+        ++this->totals.documents_sent;
+    }
     this->send(peer, std::move(*transfer));
     this->finish_input(now);
 }
 
-void core::receive(mono_time now, const std::string& /*peer*/, const messages::document& message) {
+void core::receive(mono_time now, const std::string& peer, const messages::document& message) {
     this->held.refresh();
     auto index = this->held.index_of(message.name);
     if (!index.has_value()) {
         return;
     }
+    bool is_part = message.total_bytes != 0;
+    if (is_part && !this->puller.requested(*index, peer, message.revision)) {
+        return;
+    }
+    auto whole = this->assembler.add(*index, peer, message);
+    if (!whole.has_value()) {
+        this->continue_transfer(now, peer, *index, message);
+        this->finish_input(now);
+        return;
+    }
     ++this->totals.documents_received;
-    auto received = intact_document(message);
+    std::size_t limit = *index == base_index ? this->options.max_document_bytes : max_list_bytes;
+    auto received = intact_document(*whole, limit);
     if (!received.has_value()) {
         // The document is requested from another peer when the request times out.
         ++this->totals.damaged_documents;
@@ -140,6 +160,40 @@
     this->finish_input(now);
 }
 
+// Requests the next part after `part`, unless the platform is likely to deliver the document
+// sooner.
+void core::continue_transfer(mono_time now, const std::string& peer, std::size_t index,
+                             const messages::document& part) {
+    std::uint64_t received = this->assembler.received_bytes(index, part.revision, peer);
+    if (received == 0) {
+        return;  // Another peer is asked when the request times out.
+    }
+    this->puller.record_part(index, peer, part.revision, now);
+    // All daemons of a failure domain share the links of its readers, but each has a link of its
+    // own to the platform.
+    bool large = part.total_bytes > this->options.max_part_bytes;
+    bool tried = now < this->platform_expected_until + this->options.large_document_pause &&
+                 this->platform_answered_at < this->platform_expected_until;
+    if (large && this->options.mirrored && !this->follow.following() && !tried) {
+        this->platform_expected_until = now + this->options.large_document_delay;
+        this->puller.postpone(index, this->platform_expected_until);
+        return;
+    }
+    this->send_document_request(peer, index, part.revision);
+}
+
+void core::send_document_request(const std::string& peer, std::size_t index,
+                                 std::uint64_t revision) {
+    std::uint64_t received = this->assembler.received_bytes(index, revision, peer);
+    this->send(peer, messages::document_request{
+                         .name = this->held.name(index),
+                         .revision = revision,
+                         .accepts_compressed = this->options.compressed_transfers,
+                         .offset = received,
+                         .max_bytes = received == 0 ? this->options.first_part_bytes
+                                                    : this->options.max_part_bytes});
+}
+
 void core::on_platform_answer(mono_time now, std::uint64_t request, const platform_answer& answer) {
     auto sent = this->schedule.finish(request);
     if (!sent.has_value()) {
@@ -180,6 +234,7 @@
 void core::on_connection_closed(const std::string& peer) {
     this->peers.on_disconnected(peer);
     this->puller.on_disconnected(peer);
+    this->assembler.drop_peer(peer);
     this->rounds.on_disconnected(peer);
 }
 
@@ -240,6 +295,7 @@
                                   .ready = this->readiness.ready(),
                                   .peer_platform_confirmed_at = this->peer_platform_confirmed_at,
                                   .answered_at = this->platform_answered_at,
+                                  .large_document = now < this->platform_expected_until,
                                   .domain_size = this->readers.domain_size()});
     if (after != before) {
         this->actions.emplace_back(follow_platform{.following = after});
@@ -289,6 +345,7 @@
         this->announcement_pending = true;
     }
     this->puller.record_offer(index, offered.revision, after, now);
+    this->assembler.drop_until(index, after.revision_in_force);
 }
 
 read_outcome core::apply_document(mono_time now, const platform_schedule::sent_read& sent,
@@ -355,11 +412,7 @@
     }
     this->refresh_stalled_watch(now);
     for (const pull& each : this->puller.next_pulls(now)) {
-        this->send(each.peer, messages::document_request{
-                                  .name = this->held.name(each.document),
-                                  .revision = each.revision,
-
-                                  .accepts_compressed = this->options.compressed_transfers});
+        this->send_document_request(each.peer, each.document, each.revision);
     }
     // Older confirmations do not count: a peer may report one from before this start, and the peers
     // may have been partitioned since.
--- a/packages/dissemination/core.h
+++ b/packages/dissemination/core.h
@@ -25,6 +25,7 @@
 #include "dissemination/action.h"
 #include "dissemination/confirmation.h"
 #include "dissemination/core_options.h"
+#include "dissemination/document_assembler.h"
 #include "dissemination/document_puller.h"
 #include "dissemination/document_store.h"
 #include "dissemination/follow_policy.h"
@@ -127,6 +128,9 @@
     read_outcome apply_unchanged(mono_time now, const platform_schedule::sent_read& sent,
                                  std::uint64_t revision);
     mono_time confirmation_time(mono_time requested_at, mono_time now) const;
+    void continue_transfer(mono_time now, const std::string& peer, std::size_t index,
+                           const messages::document& part);
+    void send_document_request(const std::string& peer, std::size_t index, std::uint64_t revision);
     milliseconds pull_delay(mono_time now, const std::string& peer) const;
     bool reads_as_reader() const;
     void update_following(mono_time now);
@@ -147,6 +151,7 @@
     held_documents held;
     confirmation confirmations;
     document_puller puller;
+    document_assembler assembler;
     platform_schedule schedule;
     gossip_peers peers;
     gossip_rounds rounds;
@@ -159,6 +164,9 @@
     mono_time platform_answered_at = unknown_time;
     // The newest confirmation by the platform that a peer reported, whatever documents it holds.
     mono_time peer_platform_confirmed_at = unknown_time;
+    // A large document is expected from the platform, and not requested from peers, until this
+    // time.
+    mono_time platform_expected_until = unknown_time;
     mono_time refreshed_at = unknown_time;  // Time of the last refresh_platform.
     mono_time announced_at = unknown_time;
     bool announcement_pending = false;  // A newly held revision is not announced yet.
--- a/packages/dissemination/core_options.h
+++ b/packages/dissemination/core_options.h
@@ -27,6 +27,14 @@
     // Peer addresses to connect to while no instance list is known.
     std::vector<std::string> seeds;
 
+    // Maximum size of a document, uncompressed. Larger ones are not received from peers.
+    std::size_t max_document_bytes = std::size_t{1} << 20U;
+    // A larger document is received from a peer in several parts. A part delays the calls behind it
+    // on the connection by 0.1 s at 10 Mbit/s.
+    std::size_t max_part_bytes = std::size_t{128} << 10U;
+    // Size of the first part, which tells the size of the document. All daemons of a failure domain
+    // request it from its readers.
+    std::size_t first_part_bytes = std::size_t{8} << 10U;
     std::size_t gossip_peer_count = 4;
     std::size_t readers_per_domain = 2;
     // In a failure domain with fewer listed instances than this, all are readers.
@@ -76,6 +84,11 @@
     // Mean time until the next attempt, multiplied by the number of daemons in the failure domain:
     // together they try twice a second, whatever the size of the domain.
     milliseconds fallback_retry_interval{500};
+    // When a document is larger than `max_part_bytes`, a daemon follows the platform for this long
+    // before it requests the other parts from the peer.
+    milliseconds large_document_delay{2500};
+    // Minimum time between two such attempts if the platform does not answer.
+    milliseconds large_document_pause{10'000};
     // Minimum duration of following the platform, because it starts with a load of all documents.
     milliseconds min_follow_time{3000};
     // Minimum time between two announcements. Revisions that are replaced within this time are not
--- /dev/null
+++ b/packages/dissemination/document_assembler.cc
@@ -0,0 +1,87 @@
+// Implements the assembling of documents.
+
+#include "dissemination/document_assembler.h"
+
+#include <algorithm>
+
+namespace trefoil::dissemination {
+
+namespace {
+
+// The newest and the last good revision of the base document, and one other document.
+constexpr std::size_t max_partial_documents = 3;
+
+bool is_whole(const messages::document& part) {
+    return part.total_bytes == 0;
+}
+
+}  // namespace
+
+document_assembler::document_assembler(std::size_t max_document_bytes)
+    : max_bytes(max_document_bytes) {}
+
+document_assembler::partial_document* document_assembler::find(std::size_t index,
+                                                               std::uint64_t revision,
+                                                               const std::string& peer) {
+    auto found = std::find_if(this->partial.begin(), this->partial.end(), [&](const auto& each) {
+        return each.index == index && each.document.revision == revision && each.peer == peer;
+    });
+    return found == this->partial.end() ? nullptr : &*found;
+}
+
+std::optional<messages::document> document_assembler::add(std::size_t index,
+                                                          const std::string& peer,
+                                                          const messages::document& part) {
+    if (is_whole(part)) {
+        return part;
+    }
+    if (part.total_bytes > this->max_bytes) {
+        return std::nullopt;
+    }
+    partial_document* target = this->find(index, part.revision, peer);
+    if (part.offset == 0) {
+        if (target == nullptr) {
+            if (this->partial.size() == max_partial_documents) {
+                this->partial.erase(this->partial.begin());
+            }
+            target = &this->partial.emplace_back();
+        }
+        *target = {.index = index, .peer = peer, .document = part};
+    } else {
+        bool continues = target != nullptr && part.offset == target->document.body.size() &&
+                         part.total_bytes == target->document.total_bytes &&
+                         part.checksum == target->document.checksum &&
+                         part.compressed == target->document.compressed;
+        if (!continues) {
+            return std::nullopt;
+        }
+        target->document.body += part.body;
+    }
+    if (target->document.body.size() < part.total_bytes) {
+        return std::nullopt;
+    }
+    messages::document complete = std::move(target->document);
+    this->partial.erase(this->partial.begin() + (target - this->partial.data()));
+    complete.total_bytes = 0;
+    return complete;
+}
+
+std::uint64_t document_assembler::received_bytes(std::size_t index, std::uint64_t revision,
+                                                 const std::string& peer) const {
+    auto found = std::find_if(this->partial.begin(), this->partial.end(), [&](const auto& each) {
+        return each.index == index && each.document.revision == revision && each.peer == peer;
+    });
+    return found == this->partial.end() ? 0 : found->document.body.size();
+}
+
+void document_assembler::drop_until(std::size_t index, std::uint64_t revision) {
+    std::erase_if(this->partial, [&](const auto& each) {
+        return each.index == index && each.document.revision <= revision;
+    });
+}
+
+void document_assembler::drop_peer(const std::string& peer) {
+    std::erase_if(this->partial, [&peer](const auto& each) { return each.peer == peer; });
+}
+
+}  // namespace trefoil::dissemination
--- a/packages/dissemination/document_puller.cc
+++ b/packages/dissemination/document_puller.cc
@@ -28,7 +28,8 @@
         bool wanted_before = target.revision != 0;
         // Messages of a peer arrive in order. When the peer that was asked announces a newer
         // revision, it had replaced the requested one before the request arrived.
-        bool pending = wanted_before && !target.pending_peer.empty() && target.pending_peer != peer;
+        bool pending = wanted_before && !target.pending_peer.empty() &&
+                       (target.pending_peer != peer || target.receiving);
         bool delayed = wanted_before && target.pending_peer.empty();
         mono_time next_request_at = now + delay;
         if (pending || delayed) {
@@ -39,7 +40,8 @@
                   .wanted_since = wanted_before ? target.wanted_since : now,
                   .next_request_at = next_request_at,
                   .pending_peer = pending ? target.pending_peer : "",
-                  .pending_revision = pending ? target.pending_revision : 0};
+                  .pending_revision = pending ? target.pending_revision : 0,
+                  .receiving = pending && target.receiving};
     }
     bool sooner = target.pending_peer.empty() && now + delay < target.next_request_at;
     if (sooner) {
@@ -69,6 +71,32 @@
     }
 }
 
+bool document_puller::wanted_document::is_pending(const std::string& peer,
+                                                  std::uint64_t requested_revision) const {
+    return this->pending_peer == peer && this->pending_revision == requested_revision;
+}
+
+void document_puller::record_part(std::size_t document, const std::string& peer,
+                                  std::uint64_t revision, mono_time now) {
+    for (wanted_document* target : {&this->newest[document], &this->last_good[document]}) {
+        if (target->is_pending(peer, revision)) {
+            target->receiving = true;
+            target->next_request_at = now + this->timeout;
+        }
+    }
+}
+
+bool document_puller::requested(std::size_t document, const std::string& peer,
+                                std::uint64_t revision) const {
+    return this->newest[document].is_pending(peer, revision) ||
+           this->last_good[document].is_pending(peer, revision);
+}
+
+void document_puller::postpone(std::size_t document, mono_time until) {
+    wanted_document& target = this->newest[document];
+    target.next_request_at = std::max(target.next_request_at, until);
+}
+
 bool document_puller::wants_last_good(std::size_t document, std::uint64_t revision) const {
     return revision != 0 && this->last_good[document].revision == revision;
 }
@@ -81,6 +109,7 @@
                offered == this->newest[document].pending_revision) {
         // The requested document arrived, and a newer revision was announced after the request.
         this->newest[document].pending_peer.clear();
+        this->newest[document].receiving = false;
         this->newest[document].next_request_at = now;
     }
     wanted_document& fallback = this->last_good[document];
@@ -99,9 +128,12 @@
             return;
         }
         target.holders.erase(found);
-        // The outstanding request may have been sent to this peer.
-        target.next_request_at = mono_time::min();
-        target.pending_peer.clear();
+        if (!target.receiving || target.pending_peer == peer) {
+            // The outstanding request may have been sent to this peer.
+            target.next_request_at = mono_time::min();
+            target.pending_peer.clear();
+            target.receiving = false;
+        }
         if (target.holders.empty()) {
             target = wanted_document{};
         }
@@ -120,6 +152,7 @@
     target.next_request_at = now + this->timeout;
     target.pending_peer = peer;
     target.pending_revision = target.revision;
+    target.receiving = false;
     result.push_back({.peer = peer, .document = document, .revision = target.revision});
 }
 
--- a/packages/dissemination/document_puller.h
+++ b/packages/dissemination/document_puller.h
@@ -54,6 +54,17 @@
     // Whether this revision of a document is wanted as the last good one.
     bool wants_last_good(std::size_t document, std::uint64_t revision) const;
 
+    // The peer that was asked has sent a part of the document, and the next one is requested. The
+    // request continues until the whole document has arrived, even if a newer revision is
+    // announced: otherwise a document that changes faster than it can be received would never
+    // arrive.
+    void record_part(std::size_t document, const std::string& peer, std::uint64_t revision,
+                     mono_time now);
+    // Whether this revision is requested from the peer.
+    bool requested(std::size_t document, const std::string& peer, std::uint64_t revision) const;
+    // Makes no request for the document before this time.
+    void postpone(std::size_t document, mono_time until);
+
     // The revision `offered` was offered to the store, whether or not that changed the held state.
     void record_offer(std::size_t document, std::uint64_t offered, const held_document& held,
                       mono_time now);
@@ -81,6 +92,9 @@
         // Recipient of the outstanding request; empty when there is none.
         std::string pending_peer;
         std::uint64_t pending_revision = 0;
+        bool receiving = false;  // Parts of the pending revision have arrived.
+
+        bool is_pending(const std::string& peer, std::uint64_t requested_revision) const;
     };
 
     static void add_holder(wanted_document& target, std::uint64_t revision, const std::string& peer,
--- a/packages/dissemination/follow_policy.cc
+++ b/packages/dissemination/follow_policy.cc
@@ -18,13 +18,14 @@
 bool follow_policy::update(mono_time now, const follow_inputs& inputs) {
     bool unreported = inputs.peer_platform_confirmed_at == mono_time::min() ||
                       now - inputs.peer_platform_confirmed_at > this->options.fallback_after;
-    bool wanted = inputs.reader || !inputs.ready || unreported;
+    bool wanted = inputs.reader || !inputs.ready || unreported || inputs.large_document;
     if (wanted && !std::exchange(this->needed, wanted)) {
         // Spreads the start, because all daemons of a failure domain lose their readers at once.
         this->follow_at = now + this->jitter(this->options.fallback_jitter);
     }
     this->needed = wanted;
-    if (!this->follows && wanted && (inputs.reader || now >= this->follow_at)) {
+    if (!this->follows && wanted &&
+        (inputs.reader || inputs.large_document || now >= this->follow_at)) {
         this->follows = true;
         this->followed_since = now;
     } else if (this->follows && !wanted &&
--- a/packages/dissemination/follow_policy.h
+++ b/packages/dissemination/follow_policy.h
@@ -1,9 +1,10 @@
 // Decides whether this daemon follows a mirrored platform, that is, keeps its mirror up to date.
 // Readers (reader_selection.h) always follow it. Another daemon follows it while it starts, and
 // while no peer reports a recent confirmation by the platform, which means that the readers of its
-// failure domain are unreachable or cannot reach the platform themselves. When the platform does
-// not answer, attempts are spaced out, so that an outage does not cause continuous calls from the
-// whole fleet.
+// failure domain are unreachable or cannot reach the platform themselves, or while a document is
+// announced that would take too long to receive from the readers. When the platform does not
+// answer, attempts are spaced out, so that an outage does not cause continuous calls from the whole
+// fleet.
 //
 // Example:
 //
@@ -27,7 +28,9 @@
     // The newest platform confirmation reported by a peer; mono_time::min() for none.
     mono_time peer_platform_confirmed_at = mono_time::min();
     mono_time answered_at = mono_time::min();  // Last answer of the platform to this daemon.
-    std::size_t domain_size = 1;               // Listed daemons of this failure domain.
+    // A document has been announced that takes too long to receive from peers.
+    bool large_document = false;
+    std::size_t domain_size = 1;  // Listed daemons of this failure domain.
 
     friend bool operator==(const follow_inputs&, const follow_inputs&) = default;
 };
--- a/packages/dissemination/held_documents.cc
+++ b/packages/dissemination/held_documents.cc
@@ -2,6 +2,7 @@
 
 #include "dissemination/held_documents.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/compression.h"
@@ -14,6 +15,24 @@
 // Smaller bodies are sent as they are, because the gain does not pay for the processing.
 constexpr std::size_t min_compressed_bytes = 1024;
 
+// Returns the part of the document that was requested.
+messages::document part_of(const messages::document& whole,
+                           const messages::document_request& request) {
+    bool complete =
+        request.max_bytes == 0 || (request.offset == 0 && whole.body.size() <= request.max_bytes);
+    if (complete) {
+        return whole;
+    }
+    messages::document part{.name = whole.name,
+                            .revision = whole.revision,
+                            .checksum = whole.checksum,
+                            .compressed = whole.compressed,
+                            .offset = std::min<std::uint64_t>(request.offset, whole.body.size()),
+                            .total_bytes = whole.body.size()};
+    part.body = whole.body.substr(part.offset, request.max_bytes);
+    return part;
+}
+
 }  // namespace
 
 held_documents::held_documents(document_store& configuration, const std::string& site)
@@ -49,27 +68,39 @@
     return std::nullopt;
 }
 
-std::optional<messages::document> held_documents::transfer(std::size_t index,
-                                                           std::uint64_t revision,
-                                                           bool accepts_compressed) {
-    messages::document& kept = this->compressed_transfers[index];
-    if (accepts_compressed && revision != 0 && kept.revision == revision) {
-        return kept;
+const messages::document* held_documents::find_compressed(std::size_t index,
+                                                          std::uint64_t revision) const {
+    for (const messages::document& each : this->compressed_transfers[index]) {
+        if (revision != 0 && each.revision == revision) {
+            return &each;
+        }
+    }
+    return nullptr;
+}
+
+std::optional<messages::document> held_documents::transfer(
+    std::size_t index, const messages::document_request& request) {
+    const messages::document* kept =
+        request.accepts_compressed ? this->find_compressed(index, request.revision) : nullptr;
+    if (kept != nullptr) {
+        return part_of(*kept, request);
     }
-    auto body = this->body(index, revision);
+    auto body = this->body(index, request.revision);
     if (!body.has_value()) {
         return std::nullopt;
     }
     messages::document message{
-        .name = this->names[index], .revision = revision, .checksum = checksum64(*body)};
-    if (!accepts_compressed || body->size() < min_compressed_bytes) {
+        .name = this->names[index], .revision = request.revision, .checksum = checksum64(*body)};
+    if (!request.accepts_compressed || body->size() < min_compressed_bytes) {
         message.body = std::move(*body);
-        return message;
+        return part_of(message, request);
     }
     message.body = compress(*body);
     message.compressed = true;
-    kept = message;
-    return message;
+    auto& transfers = this->compressed_transfers[index];
+    std::rotate(transfers.begin(), transfers.end() - 1, transfers.end());
+    transfers.front() = std::move(message);
+    return part_of(transfers.front(), request);
 }
 
 void held_documents::offer(std::size_t index, const messages::document& offered,
--- a/packages/dissemination/held_documents.h
+++ b/packages/dissemination/held_documents.h
@@ -47,11 +47,12 @@
     // The body of the newest revision or of the revision in force; nothing for other revisions.
     std::optional<std::string> body(std::size_t index, std::uint64_t revision) const;
 
-    // The message that transfers a revision for which body() has a body. Compresses large bodies if
-    // the receiver accepts that. The compressed body of the latest request is kept, because all
-    // daemons of a failure domain request the same revision from its readers.
-    std::optional<messages::document> transfer(std::size_t index, std::uint64_t revision,
-                                               bool accepts_compressed);
+    // The answer to a request for a revision for which body() has a body: the document, or a part
+    // of it. Compresses large bodies if the receiver accepts that. The compressed bodies of the
+    // latest requests are kept, because all daemons of a failure domain request the same revision
+    // from its readers, and a revision that is replaced can still be received to its end.
+    std::optional<messages::document> transfer(std::size_t index,
+                                               const messages::document_request& request);
 
     // Offers a document to the store, or parses it when it is the instance list, and appends the
     // resulting actions. Requires a revision above the one in force.
@@ -61,6 +62,7 @@
     std::vector<messages::document_state> states_for_digest() const;
 
 private:
+    const messages::document* find_compressed(std::size_t index, std::uint64_t revision) const;
     void offer_list(const messages::document& offered, std::vector<action>& actions);
 
     document_store& store;
@@ -68,8 +70,9 @@
     std::array<held_document, document_count> states;
     std::string newest_list_body;    // Of revision states[list_index].revision, valid or not.
     std::string list_body_in_force;  // Of revision states[list_index].revision_in_force.
-    // The latest compressed transfer of each document; revision 0 if there was none.
-    std::array<messages::document, document_count> compressed_transfers;
+    // The latest compressed transfers of each document, the newest first; revision 0 if there were
+    // none.
+    std::array<std::array<messages::document, 2>, document_count> compressed_transfers;
 };
 
 }  // namespace trefoil::dissemination
--- a/packages/dissemination/testing/fleet.cc
+++ b/packages/dissemination/testing/fleet.cc
@@ -122,6 +122,7 @@
         target.follower =
             std::make_unique<simulated_follower>(this->store, *target.random, this->time);
         target.follower->refused = target.refused;
+        target.follower->link_mbps = this->options.link_mbps;
         this->step_follower(index, incarnation);
     }
 }
--- a/packages/dissemination/testing/mirrored_platform_test.cc
+++ b/packages/dissemination/testing/mirrored_platform_test.cc
@@ -126,14 +126,24 @@
     std::uint64_t calls = 0;   // To the store.
 };
 
-// Publishes a configuration with 1,400 routes.
-delivery deliver_large_configuration(const thin_fleet& size) {
+std::string random_bytes(std::size_t count) {
+    constexpr std::uint64_t values = 256;
+    seeded_random random(5);
+    std::string bytes(count, '\0');
+    for (char& each : bytes) {
+        each = static_cast<char>(random.below(values));
+    }
+    return bytes;
+}
+
+// Publishes a configuration.
+delivery deliver(const thin_fleet& size, const std::string& body) {
     fleet_options options = mirrored_options(size.daemons, false);
     options.domains = size.domains;
     options.link_mbps = 10;
     options.core.compressed_transfers = size.compressed;
+    options.core.max_document_bytes = 2 * body.size();
     mirrored_fleet subject(options);
-    std::string body = large_configuration(1400);
     subject.take_most_bytes_sent();
     std::uint64_t calls = subject.store.calls;
     std::uint64_t version = ++subject.last_version;
@@ -148,6 +158,10 @@
     return result;
 }
 
+delivery deliver_large_configuration(const thin_fleet& size) {
+    return deliver(size, large_configuration(1400));
+}
+
 }  // namespace
 
 // Guards against a rate of store calls that grows with the fleet.
@@ -221,6 +235,64 @@
     BOOST_TEST(deliver_large_configuration({195, 6, false}).calls > 195U);
 }
 
+// Load pattern: a configuration with 45,000 API keys, whose digests cannot be compressed, and links
+// of 10 Mbit/s. The links of two readers would need half a minute to send it to their failure
+// domain.
+BOOST_AUTO_TEST_CASE(a_configuration_with_many_keys_reaches_all_daemons_behind_thin_links) {
+    constexpr std::size_t digest_bytes = 45'000 * 32;
+    // The daemons load all items, which takes a page or two each, and watch for a few seconds.
+    constexpr std::uint64_t calls_per_daemon = 6;
+    for (thin_fleet each : {thin_fleet{24, 6}, {91, 4}, {195, 6}}) {
+        delivery result = deliver(each, "good" + random_bytes(digest_bytes));
+        BOOST_TEST(result.time_ms <= large_fleet_limit_ms);
+        BOOST_TEST(result.calls <= each.daemons * calls_per_daemon);
+    }
+}
+
+// Guards against daemons that cannot reach the store and never receive a large configuration,
+// because it exceeds a frame or because each part is requested from another peer.
+BOOST_AUTO_TEST_CASE(a_large_configuration_arrives_in_parts_without_the_store) {
+    constexpr std::size_t bytes = std::size_t{8} << 20U;
+    constexpr std::size_t refused = 5;
+    fleet_options options = mirrored_options(fleet_size, false);
+    options.core.max_document_bytes = std::size_t{12} << 20U;
+    options.loss = 0.01;
+    mirrored_fleet subject(options);
+    for (std::size_t i = 0; i < refused; ++i) {
+        subject.set_refused(i, true);
+    }
+    std::uint64_t version = ++subject.last_version;
+    subject.publish("base", version, "good" + random_bytes(bytes));
+    std::int64_t time = subject.time_until_held("base", version);
+    BOOST_TEST_MESSAGE("8 MiB held by all daemons after " << time << " ms");
+    BOOST_TEST(time < max_wait.count());
+    BOOST_TEST(subject.regressions == 0U);
+}
+
+// Guards against a document that never arrives because each newer version restarts its transfer.
+BOOST_AUTO_TEST_CASE(large_versions_in_quick_succession_arrive_in_parts) {
+    constexpr std::size_t bytes = std::size_t{1} << 20U;
+    constexpr std::size_t refused = 3;
+    constexpr int versions = 20;
+    constexpr milliseconds gap{500};  // Less than the 0.9 s that a version takes on the link.
+    fleet_options options{.count = 12, .domains = 4, .seed = 3, .link_mbps = 10};
+    use_mirror(options.core, 2);
+    options.core.max_document_bytes = 2 * bytes;
+    mirrored_fleet subject(options);
+    for (std::size_t i = 0; i < refused; ++i) {
+        subject.set_refused(i, true);
+    }
+    std::uint64_t before = subject.last_version;
+    for (int i = 0; i < versions; ++i) {
+        subject.publish("base", ++subject.last_version, "good" + random_bytes(bytes));
+        subject.run(gap);
+    }
+    for (std::size_t i = 0; i < refused; ++i) {
+        BOOST_TEST(subject.held_revision(i, "base") > before);
+    }
+    BOOST_TEST(subject.time_until_held("base", subject.last_version) < max_wait.count());
+}
+
 // Guards against readers in a small failure domain, where they would only add a step.
 BOOST_AUTO_TEST_CASE(all_daemons_of_a_small_failure_domain_follow) {
     fleet_options options{.count = 12, .domains = 4, .seed = 3};
--- a/packages/dissemination/testing/simulated_follower.cc
+++ b/packages/dissemination/testing/simulated_follower.cc
@@ -29,6 +29,7 @@
     if (std::exchange(this->following, wanted) != wanted) {
         this->loaded = false;
         this->watching = false;
+        this->copied_at.reset();
         this->failures = 0;
     }
 }
@@ -55,8 +56,7 @@
     if (this->refused || this->store.down) {
         this->fail(now);
     } else if (!this->loaded) {
-        this->copy_documents();
-        this->loaded = true;
+        this->start_copy(now);
     } else {
         this->watching = true;
         while (this->watch_phase <= now) {
@@ -66,13 +66,40 @@
     }
 }
 
+void simulated_follower::start_copy(mono_time now) {
+    constexpr double bits_per_byte = 8;
+    constexpr double bits_per_ms_and_mbps = 1000;
+    std::size_t bytes = 0;
+    for (const auto& [name, entry] : this->store.documents) {
+        auto held = this->copy.find(name);
+        bool changed = held == this->copy.end() || held->second.revision != entry.revision;
+        bytes += changed || !this->loaded ? entry.body.size() : 0;
+    }
+    double time_ms = this->link_mbps > 0 ? static_cast<double>(bytes) * bits_per_byte /
+                                               (this->link_mbps * bits_per_ms_and_mbps)
+                                         : 0;
+    this->copied_at = now + milliseconds(static_cast<std::int64_t>(time_ms));
+    this->finish_copy(now);
+}
+
+void simulated_follower::finish_copy(mono_time now) {
+    if (now < *this->copied_at) {
+        return;
+    }
+    this->copied_at.reset();
+    this->copy_documents();
+    if (this->loaded) {
+        this->next_call = now + event_pause;
+    }
+    this->loaded = true;
+}
+
 void simulated_follower::end_call(mono_time now) {
     if (this->refused || this->store.down) {
         this->fail(now);
     } else if (this->store.version != this->copied_version) {
         this->watching = false;
-        this->copy_documents();
-        this->next_call = now + event_pause;
+        this->start_copy(now);
     } else if (now >= this->watch_until) {
         this->watching = false;
         this->copy_documents();
@@ -111,7 +138,9 @@
 }
 
 void simulated_follower::step(mono_time now) {
-    if (this->following && this->watching) {
+    if (this->following && this->copied_at.has_value()) {
+        this->finish_copy(now);
+    } else if (this->following && this->watching) {
         this->end_call(now);
     } else if (this->following && now >= this->next_call) {
         this->call(now);
--- a/packages/dissemination/testing/simulated_follower.h
+++ b/packages/dissemination/testing/simulated_follower.h
@@ -43,6 +43,7 @@
     void read(mono_time now, const read_document& request, reply answer);
 
     bool refused = false;  // Whether the store refuses this daemon's calls.
+    double link_mbps = 0;  // Bandwidth of the link to the store; 0: unlimited.
 
 private:
     struct pending_read {
@@ -54,6 +55,9 @@
 
     void call(mono_time now);
     void end_call(mono_time now);
+    // Copies the documents when they have passed the link.
+    void start_copy(mono_time now);
+    void finish_copy(mono_time now);
     void fail(mono_time now);
     void copy_documents();
     std::optional<platform_answer> answer_to(mono_time now, const pending_read& request) const;
@@ -66,9 +70,10 @@
     bool loaded = false;
     bool reached_store = false;
     unsigned failures = 0;
-    mono_time watch_phase;  // Watches end at this time plus multiples of the period.
-    mono_time next_call;    // No call is made before this time.
-    bool watching = false;  // Whether a watch is outstanding.
+    mono_time watch_phase;               // Watches end at this time plus multiples of the period.
+    mono_time next_call;                 // No call is made before this time.
+    bool watching = false;               // Whether a watch is outstanding.
+    std::optional<mono_time> copied_at;  // End of the response that is being received.
     mono_time watch_until;
     std::vector<pending_read> pending_reads;
 };
--- a/packages/messages/codec.cc
+++ b/packages/messages/codec.cc
@@ -56,16 +56,24 @@
 // earlier versions can read the messages.
 json encode_fields(const document_request& m) {
     json list = json::array({m.name, m.revision});
-    if (m.accepts_compressed) {
+    if (m.accepts_compressed || m.max_bytes != 0) {
         list.push_back(m.accepts_compressed);
     }
+    if (m.max_bytes != 0) {
+        list.push_back(m.offset);
+        list.push_back(m.max_bytes);
+    }
     return list;
 }
 json encode_fields(const document& m) {
     json list = json::array({m.name, m.revision, m.checksum, to_binary(m.body)});
-    if (m.compressed) {
+    if (m.compressed || m.total_bytes != 0) {
         list.push_back(m.compressed);
     }
+    if (m.total_bytes != 0) {
+        list.push_back(m.offset);
+        list.push_back(m.total_bytes);
+    }
     return list;
 }
 
@@ -239,6 +247,9 @@
     if (in.has_more()) {
         in.read(m.accepts_compressed);
     }
+    if (in.has_more()) {
+        read_all(in, m.offset, m.max_bytes);
+    }
 }
 void decode_fields(field_reader& in, document& m) {
     read_all(in, m.name, m.revision, m.checksum);
@@ -246,6 +257,9 @@
     if (in.has_more()) {
         in.read(m.compressed);
     }
+    if (in.has_more()) {
+        read_all(in, m.offset, m.total_bytes);
+    }
 }
 
 void decode_fields(field_reader& in, call& m) {
--- a/packages/messages/messages.h
+++ b/packages/messages/messages.h
@@ -109,17 +109,25 @@
     std::string name;
     std::uint64_t revision = 0;  // Exactly this revision, not a newer one.
     bool accepts_compressed = false;
+    // Asks for the bytes from `offset` of the body as it is sent, at most `max_bytes` of them. With
+    // `max_bytes` 0 the whole body is sent, as an earlier version expects.
+    std::uint64_t offset = 0;
+    std::uint64_t max_bytes = 0;
 
     friend bool operator==(const document_request&, const document_request&) = default;
 };
 
-// One revision of a document. Answers a document_request.
+// One revision of a document, or a part of it. Answers a document_request.
 struct document {
     std::string name;
     std::uint64_t revision = 0;
-    std::uint64_t checksum = 0;  // Of the uncompressed body.
+    std::uint64_t checksum = 0;  // Of the whole uncompressed body.
     std::string body;
-    bool compressed = false;  // The body is a frame of base/compression.h.
+    bool compressed = false;  // The whole body is a frame of base/compression.h.
+    // Of a part: its position in the whole body as it is sent, and the size of that. `total_bytes`
+    // is 0 if the message contains the whole body.
+    std::uint64_t offset = 0;
+    std::uint64_t total_bytes = 0;
 
     friend bool operator==(const document&, const document&) = default;
 };
--- a/packages/messages/testing/codec_test.cc
+++ b/packages/messages/testing/codec_test.cc
@@ -30,7 +30,9 @@
     BOOST_TEST(round_trips(digest{true, 9, true, {{"base", 3, 4, 2}}, 100, 8, {}, {7, 255}}));
     BOOST_TEST(round_trips(document_request{"base", 4}));
     BOOST_TEST(round_trips(document_request{"base", 4, true}));
+    BOOST_TEST(round_trips(document_request{"base", 4, false, 100, 200}));
     BOOST_TEST(round_trips(document{"base", 4, 99, "packed", true}));
+    BOOST_TEST(round_trips(document{"base", 4, 99, "part", false, 100, 300}));
     BOOST_TEST(round_trips(document{"base", 4, 99, std::string("a\0\xff", 3)}));
     BOOST_TEST(round_trips(call{.sequence = 1,
                                 .sent_us = 2,
--- a/packages/source/configuration_service.h
+++ b/packages/source/configuration_service.h
@@ -12,6 +12,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "base/result.h"
@@ -55,6 +56,16 @@
 
 using read_result = result<document, unchanged, absent, unavailable>;
 
+// A revision of a document that the service has read but cannot return, because it cannot be
+// translated. Reads continue to return the revision before it.
+struct unreadable_document {
+    std::string name;
+    std::uint64_t revision = 0;
+    std::string detail;
+
+    friend bool operator==(const unreadable_document&, const unreadable_document&) = default;
+};
+
 // Calls to the platform since the start of the process.
 struct call_counts {
     std::uint64_t started = 0;
@@ -82,6 +93,9 @@
     // For metrics. Thread-safe.
     virtual call_counts calls() const = 0;
 
+    // The newest revision of a document, if it is unreadable. Thread-safe.
+    virtual std::optional<unreadable_document> unreadable() const { return std::nullopt; }
+
     // For shutdown: ends outstanding calls; later calls return unavailable.
     virtual void stop() = 0;
 };
--- a/packages/source/http_client.cc
+++ b/packages/source/http_client.cc
@@ -20,7 +20,7 @@
 constexpr int probe_idle_s = 1;
 constexpr int probe_interval_s = 1;
 constexpr int probe_count = 2;
-constexpr int poll_timeout_ms = 10'000;
+constexpr std::chrono::milliseconds max_poll_wait{10'000};
 // Limit of all header bytes of a response: status lines, headers and trailers, including those of
 // interim responses. The platform's responses have a few hundred bytes.
 constexpr std::size_t head_bytes_max = 64U << 10U;
@@ -66,6 +66,11 @@
     return line.size();
 }
 
+std::chrono::milliseconds time_at_rate(std::size_t bytes, std::size_t bytes_per_second) {
+    constexpr std::size_t milliseconds_per_second = 1000;
+    return std::chrono::milliseconds(bytes * milliseconds_per_second / bytes_per_second);
+}
+
 // Enables TCP keepalive and TCP_USER_TIMEOUT, so that the kernel detects an unresponsive server.
 int set_socket_options(void* target, curl_socket_t socket, curlsocktype /*purpose*/) {
     unsigned timeout_ms = *static_cast<unsigned*>(target);
@@ -111,10 +116,10 @@
                                .body_too_large = false,
                                .response = {}};
         unsigned unacknowledged_ms = static_cast<unsigned>(options.unacknowledged_timeout.count());
-        this->prepare(url, timeout, options, state, unacknowledged_ms);
+        this->prepare(url, options, state, unacknowledged_ms);
         this->ended.store(stopping.load());
         curl_multi_add_handle(this->multi, this->easy);
-        CURLcode outcome = this->run();
+        CURLcode outcome = this->run(timeout, options.min_bytes_per_second, state.response.body);
         curl_multi_remove_handle(this->multi, this->easy);
         if (outcome != CURLE_OK) {
             return http_failure{.detail = curl_easy_strerror(outcome),
@@ -131,9 +136,8 @@
     }
 
 private:
-    void prepare(const std::string& url, std::chrono::milliseconds timeout,
-                 const http_client_options& options, partial_response& state,
-                 unsigned& unacknowledged_ms) {
+    void prepare(const std::string& url, const http_client_options& options,
+                 partial_response& state, unsigned& unacknowledged_ms) {
         curl_easy_reset(this->easy);
         curl_easy_setopt(this->easy, CURLOPT_URL, url.c_str());
         curl_easy_setopt(this->easy, CURLOPT_PROTOCOLS_STR, "http,https");
@@ -142,7 +146,6 @@
         curl_easy_setopt(this->easy, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(this->easy, CURLOPT_CONNECTTIMEOUT_MS,
                          static_cast<long>(options.connect_timeout.count()));
-        curl_easy_setopt(this->easy, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
         curl_easy_setopt(this->easy, CURLOPT_WRITEFUNCTION, receive_body);
         curl_easy_setopt(this->easy, CURLOPT_WRITEDATA, &state);
         curl_easy_setopt(this->easy, CURLOPT_HEADERFUNCTION, receive_header);
@@ -151,7 +154,10 @@
         curl_easy_setopt(this->easy, CURLOPT_SOCKOPTDATA, &unacknowledged_ms);
     }
 
-    CURLcode run() {
+    // Runs the transfer until its end or its timeout. `body` grows during the transfer.
+    CURLcode run(std::chrono::milliseconds timeout, std::size_t min_bytes_per_second,
+                 const std::string& body) {
+        auto begin = std::chrono::steady_clock::now();
         while (!this->ended.load()) {
             int running = 0;
             if (curl_multi_perform(this->multi, &running) != CURLM_OK) {
@@ -163,7 +169,14 @@
                     return message->data.result;
                 }
             }
-            curl_multi_poll(this->multi, nullptr, 0, poll_timeout_ms, nullptr);
+            auto limit = timeout + time_at_rate(body.size(), min_bytes_per_second);
+            auto left = std::chrono::ceil<std::chrono::milliseconds>(
+                begin + limit - std::chrono::steady_clock::now());
+            if (left.count() <= 0) {
+                return CURLE_OPERATION_TIMEDOUT;
+            }
+            auto wait = std::min(left, max_poll_wait);
+            curl_multi_poll(this->multi, nullptr, 0, static_cast<int>(wait.count()), nullptr);
         }
         return CURLE_ABORTED_BY_CALLBACK;
     }
--- a/packages/source/http_client.h
+++ b/packages/source/http_client.h
@@ -47,6 +47,9 @@
 struct http_client_options {
     std::chrono::milliseconds connect_timeout{1000};
     std::size_t max_body_bytes = 1U << 20U;
+    // Each received byte of the body extends the timeout of the call by the time that it takes at
+    // this rate, so that large responses arrive over slow links.
+    std::size_t min_bytes_per_second = std::size_t{128} << 10U;
     // A connection over which the server acknowledges neither data nor keepalive probes for this
     // long is closed. Otherwise a watch on a broken connection would wait for its full time while
     // documents change.
@@ -61,7 +64,8 @@
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
-    // Performs a GET request. `timeout` bounds the whole call, including the connection setup.
+    // Performs a GET request. `timeout` bounds the whole call, including the connection setup,
+    // apart from the time for the body at `min_bytes_per_second`.
     result<http_response, http_failure> get(const std::string& url,
                                             std::chrono::milliseconds timeout);
 
--- a/packages/source/testing/http_client_test.cc
+++ b/packages/source/testing/http_client_test.cc
@@ -83,4 +83,29 @@
     }
 }
 
+// Guards against a large response that never arrives over a slow link, although its bytes keep
+// coming, and against a slow response that occupies the client.
+BOOST_AUTO_TEST_CASE(received_bytes_extend_the_timeout) {
+    constexpr milliseconds timeout{300};
+    constexpr milliseconds pause{50};
+    const std::string unit(16U << 10U, 'b');
+    for (bool fast : {true, false}) {
+        raw_server server([&](const raw_socket& socket, int) {
+            socket.read_until("\r\n\r\n");
+            socket.write("HTTP/1.1 200 OK\r\nContent-Length: 262144\r\n\r\n");
+            for (std::size_t sent = 0; sent < (256U << 10U); sent += unit.size()) {
+                std::this_thread::sleep_for(pause);
+                socket.write(unit);
+            }
+        });
+        http_client client({.min_bytes_per_second = (fast ? 64U : 1024U) << 10U});
+        auto begin = std::chrono::steady_clock::now();
+        auto result =
+            client.get("http://127.0.0.1:" + std::to_string(server.port()) + "/", timeout);
+        auto took = std::chrono::steady_clock::now() - begin;
+        BOOST_TEST(std::holds_alternative<http_response>(result) == fast);
+        BOOST_TEST((fast ? took > timeout : took < 3 * timeout));
+    }
+}
+
 }  // namespace trefoil::source
