Continue the transfer of a document with another peer

Cause: parts were bound to the peer that sent the first one. When a busy peer missed the timeout of one part, the transfer started again with the next peer, so a large document might never arrive over thin links. And a daemon that had just read a large document from the platform requested the next one in parts from its readers.

No run shows the restart itself: the cause was found by reading.

--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -5,7 +5,6 @@
 #include <boost/program_options.hpp>
 #include <chrono>
 #include <csignal>
-#include <cstddef>
 #include <cstdlib>
 #include <ctime>
 #include <iostream>
@@ -111,7 +110,7 @@
     program_options::options_description options("trefoild --settings FILE");
     options.add_options()("help", "print this text")(
         "settings", program_options::value<std::string>(), "YAML file with the settings")(
-        "platform-value-bytes", program_options::value<std::size_t>(),
+        "platform-value-bytes", program_options::value<std::string>()->implicit_value(""),
         "maximum size of a value in the platform's store; overrides platform_value_bytes");
     program_options::variables_map given;
     try {
@@ -130,13 +129,24 @@
     }
     auto path = given["settings"].as<std::string>();
     auto loaded = trefoil::daemon::load_settings(path);
-    auto* settings = std::get_if<trefoil::daemon::settings>(&loaded);
-    if (settings != nullptr && given.count("platform-value-bytes") > 0) {
-        settings->platform_value_bytes = given["platform-value-bytes"].as<std::size_t>();
-    }
     if (const auto* failures = std::get_if<trefoil::daemon::settings_failures>(&loaded)) {
         std::cerr << "trefoild: " << trefoil::daemon::describe(failures->front()) << '\n';
         return exit_usage;
     }
-    return run(path, std::get<trefoil::daemon::settings>(loaded));
+    auto& settings = std::get<trefoil::daemon::settings>(loaded);
+    // A deployment without this figure passes an empty text.
+    std::string value_bytes = given.count("platform-value-bytes") > 0
+                                  ? given["platform-value-bytes"].as<std::string>()
+                                  : "";
+    if (!value_bytes.empty()) {
+        auto parsed = trefoil::daemon::parse_value_bytes(value_bytes);
+        if (!parsed.has_value()) {
+            std::cerr << "trefoild: --platform-value-bytes: expected an integer from 1024 to "
+                         "268435456, found \""
+                      << value_bytes << "\"\n";
+            return exit_usage;
+        }
+        settings.platform_value_bytes = *parsed;
+    }
+    return run(path, settings);
 }
--- a/packages/daemon/settings.cc
+++ b/packages/daemon/settings.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <charconv>
 #include <cstring>
 #include <filesystem>
 #include <fstream>
@@ -344,6 +345,15 @@
     return parse_settings(path, std::get<std::string>(std::move(body)));
 }
 
+std::optional<std::size_t> parse_value_bytes(std::string_view text) {
+    std::uint32_t bytes = 0;
+    const char* end = text.data() + text.size();
+    auto [rest, error] = std::from_chars(text.data(), end, bytes);
+    bool valid =
+        error == std::errc() && rest == end && bytes >= value_bytes_min && bytes <= value_bytes_max;
+    return valid ? std::optional<std::size_t>(bytes) : std::nullopt;
+}
+
 std::string describe(const settings_failure& failure) {
     return std::visit(overloaded{
                           [](const unreadable_file& f) {
--- a/packages/daemon/testing/settings_test.cc
+++ b/packages/daemon/testing/settings_test.cc
@@ -184,4 +184,12 @@
     BOOST_CHECK(stop_settings{}.flush_limit(milliseconds(62'000)) == milliseconds(1000));
 }
 
+// Guards against a size that is cut off or wraps around.
+BOOST_AUTO_TEST_CASE(value_sizes_are_checked) {
+    BOOST_TEST(parse_value_bytes("1048576").value() == 1048576U);
+    for (const char* invalid : {"", "1023", "268435457", "4294968320", "-1", "1e6", "2048 "}) {
+        BOOST_TEST(!parse_value_bytes(invalid).has_value(), invalid);
+    }
+}
+
 }  // namespace trefoil::daemon
--- a/packages/dissemination/core.cc
+++ b/packages/dissemination/core.cc
@@ -135,9 +135,9 @@
     }
     bool is_part = message.total_bytes != 0;
     if (is_part && !this->puller.requested(*index, peer, message.revision)) {
-        return;
+        return;  // The peer was too slow, and another one sends this part.
     }
-    auto whole = this->assembler.add(*index, peer, message);
+    auto whole = this->assembler.add(*index, message);
     if (!whole.has_value()) {
         this->continue_transfer(now, peer, *index, message);
         this->finish_input(now);
@@ -164,7 +164,7 @@
 // sooner.
 void core::continue_transfer(mono_time now, const std::string& peer, std::size_t index,
                              const messages::document& part) {
-    std::uint64_t received = this->assembler.received_bytes(index, part.revision, peer);
+    std::uint64_t received = this->assembler.received_bytes(index, part.revision);
     if (received == 0) {
         return;  // Another peer is asked when the request times out.
     }
@@ -172,8 +172,10 @@
     // All daemons of a failure domain share the links of its readers, but each has a link of its
     // own to the platform.
     bool large = part.total_bytes > this->options.max_part_bytes;
+    // Whether the platform was asked a short time ago and has not answered since.
     bool tried = now < this->platform_expected_until + this->options.large_document_pause &&
-                 this->platform_answered_at < this->platform_expected_until;
+                 this->platform_answered_at <=
+                     this->platform_expected_until - this->options.large_document_delay;
     if (large && this->options.mirrored && !this->follow.following() && !tried) {
         this->platform_expected_until = now + this->options.large_document_delay;
         this->puller.postpone(index, this->platform_expected_until);
@@ -184,7 +186,7 @@
 
 void core::send_document_request(const std::string& peer, std::size_t index,
                                  std::uint64_t revision) {
-    std::uint64_t received = this->assembler.received_bytes(index, revision, peer);
+    std::uint64_t received = this->assembler.received_bytes(index, revision);
     this->send(peer, messages::document_request{
                          .name = this->held.name(index),
                          .revision = revision,
@@ -234,7 +236,6 @@
 void core::on_connection_closed(const std::string& peer) {
     this->peers.on_disconnected(peer);
     this->puller.on_disconnected(peer);
-    this->assembler.drop_peer(peer);
     this->rounds.on_disconnected(peer);
 }
 
--- a/packages/dissemination/document_assembler.cc
+++ b/packages/dissemination/document_assembler.cc
@@ -21,16 +21,14 @@
     : max_bytes(max_document_bytes) {}
 
 document_assembler::partial_document* document_assembler::find(std::size_t index,
-                                                               std::uint64_t revision,
-                                                               const std::string& peer) {
+                                                               std::uint64_t revision) {
     auto found = std::find_if(this->partial.begin(), this->partial.end(), [&](const auto& each) {
-        return each.index == index && each.document.revision == revision && each.peer == peer;
+        return each.index == index && each.document.revision == revision;
     });
     return found == this->partial.end() ? nullptr : &*found;
 }
 
 std::optional<messages::document> document_assembler::add(std::size_t index,
-                                                          const std::string& peer,
                                                           const messages::document& part) {
     if (is_whole(part)) {
         return part;
@@ -38,7 +36,7 @@
     if (part.total_bytes > this->max_bytes) {
         return std::nullopt;
     }
-    partial_document* target = this->find(index, part.revision, peer);
+    partial_document* target = this->find(index, part.revision);
     if (part.offset == 0) {
         if (target == nullptr) {
             if (this->partial.size() == max_partial_documents) {
@@ -46,7 +44,7 @@
             }
             target = &this->partial.emplace_back();
         }
-        *target = {.index = index, .peer = peer, .document = part};
+        *target = {.index = index, .document = part};
     } else {
         bool continues = target != nullptr && part.offset == target->document.body.size() &&
                          part.total_bytes == target->document.total_bytes &&
@@ -66,10 +64,9 @@
     return complete;
 }
 
-std::uint64_t document_assembler::received_bytes(std::size_t index, std::uint64_t revision,
-                                                 const std::string& peer) const {
+std::uint64_t document_assembler::received_bytes(std::size_t index, std::uint64_t revision) const {
     auto found = std::find_if(this->partial.begin(), this->partial.end(), [&](const auto& each) {
-        return each.index == index && each.document.revision == revision && each.peer == peer;
+        return each.index == index && each.document.revision == revision;
     });
     return found == this->partial.end() ? 0 : found->document.body.size();
 }
@@ -80,8 +77,4 @@
     });
 }
 
-void document_assembler::drop_peer(const std::string& peer) {
-    std::erase_if(this->partial, [&peer](const auto& each) { return each.peer == peer; });
-}
-
 }  // namespace trefoil::dissemination
--- a/packages/dissemination/document_assembler.h
+++ b/packages/dissemination/document_assembler.h
@@ -4,8 +4,8 @@
 // Example:
 //
 //     document_assembler assembler(options.max_document_bytes);
-//     auto complete = assembler.add(index, "station-1", part);
-//     std::uint64_t offset = assembler.received_bytes(index, part.revision, "station-1");
+//     auto complete = assembler.add(index, part);
+//     std::uint64_t offset = assembler.received_bytes(index, part.revision);
 
 #ifndef TREFOIL_DISSEMINATION_DOCUMENT_ASSEMBLER_H_
 #define TREFOIL_DISSEMINATION_DOCUMENT_ASSEMBLER_H_
@@ -13,7 +13,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <string>
 #include <vector>
 
 #include "messages/messages.h"
@@ -25,31 +24,29 @@
     // Documents that are larger than `max_document_bytes` as sent are not assembled.
     explicit document_assembler(std::size_t max_document_bytes);
 
-    // Adds a part that a peer has sent. Returns the whole document after its last part, or nothing.
-    // A part that does not continue the earlier ones of its peer is dropped, unless it is the
-    // first. `index` identifies the document.
-    std::optional<messages::document> add(std::size_t index, const std::string& peer,
-                                          const messages::document& part);
+    // Adds a part. Returns the whole document after its last part, or nothing. A part that does not
+    // continue the earlier ones is dropped, unless it is the first. `index` identifies the
+    // document.
+    //
+    // The parts may come from several peers, so that a transfer survives the loss of one. Peers
+    // whose libraries compress differently yield a document that is damaged.
+    std::optional<messages::document> add(std::size_t index, const messages::document& part);
 
-    // Returns the number of bytes received so far: the offset of the next part. 0 if none of the
-    // peer's parts of this revision is kept.
-    std::uint64_t received_bytes(std::size_t index, std::uint64_t revision,
-                                 const std::string& peer) const;
+    // Returns the number of bytes received so far: the offset of the next part. 0 if no part of
+    // this revision is kept.
+    std::uint64_t received_bytes(std::size_t index, std::uint64_t revision) const;
 
     // Drops the parts of a document's revisions up to `revision`, which is held already.
     void drop_until(std::size_t index, std::uint64_t revision);
-    // Drops the parts that a peer has sent.
-    void drop_peer(const std::string& peer);
 
 private:
     struct partial_document {
         std::size_t index = 0;
-        std::string peer;
         // The body contains the parts so far, in order and without gaps.
         messages::document document;
     };
 
-    partial_document* find(std::size_t index, std::uint64_t revision, const std::string& peer);
+    partial_document* find(std::size_t index, std::uint64_t revision);
 
     std::size_t max_bytes;
     // In the order of their first parts; at most `max_partial_documents`.
