Restart a transfer whose parts come from different bodies

Cause: a part that did not fit the earlier ones was dropped and requested again at once. With peers that hold different bodies of one revision, or that compress differently, this was a request after the other without an end.

Change: a part of another body drops the earlier ones, and without progress the next request waits for the timeout.

Evidence: a_part_of_another_body_restarts_the_transfer; the old code kept the parts (by reading, not run). mirrored_platform_test as before.

--- a/packages/dissemination/core.cc
+++ b/packages/dissemination/core.cc
@@ -137,9 +137,13 @@
     if (is_part && !this->puller.requested(*index, peer, message.revision)) {
         return;  // The peer was too slow, and another one sends this part.
     }
+    std::uint64_t received_before = this->assembler.received_bytes(*index, message.revision);
     auto whole = this->assembler.add(*index, message);
     if (!whole.has_value()) {
-        this->continue_transfer(now, peer, *index, message);
+        // Without progress, another peer is asked when the request times out.
+        if (this->assembler.received_bytes(*index, message.revision) > received_before) {
+            this->continue_transfer(now, peer, *index, message);
+        }
         this->finish_input(now);
         return;
     }
@@ -164,10 +168,6 @@
 // sooner.
 void core::continue_transfer(mono_time now, const std::string& peer, std::size_t index,
                              const messages::document& part) {
-    std::uint64_t received = this->assembler.received_bytes(index, part.revision);
-    if (received == 0) {
-        return;  // Another peer is asked when the request times out.
-    }
     this->puller.record_part(index, peer, part.revision, now);
     // All daemons of a failure domain share the links of its readers, but each has a link of its
     // own to the platform.
--- a/packages/dissemination/document_assembler.cc
+++ b/packages/dissemination/document_assembler.cc
@@ -15,6 +15,11 @@
     return part.total_bytes == 0;
 }
 
+bool is_same_body(const messages::document& left, const messages::document& right) {
+    return left.total_bytes == right.total_bytes && left.checksum == right.checksum &&
+           left.compressed == right.compressed;
+}
+
 }  // namespace
 
 document_assembler::document_assembler(std::size_t max_document_bytes)
@@ -46,11 +51,14 @@
         }
         *target = {.index = index, .document = part};
     } else {
-        bool continues = target != nullptr && part.offset == target->document.body.size() &&
-                         part.total_bytes == target->document.total_bytes &&
-                         part.checksum == target->document.checksum &&
-                         part.compressed == target->document.compressed;
-        if (!continues) {
+        if (target == nullptr) {
+            return std::nullopt;
+        }
+        if (!is_same_body(target->document, part)) {
+            this->erase(target);
+            return std::nullopt;
+        }
+        if (part.offset != target->document.body.size()) {
             return std::nullopt;
         }
         target->document.body += part.body;
@@ -59,11 +67,15 @@
         return std::nullopt;
     }
     messages::document complete = std::move(target->document);
-    this->partial.erase(this->partial.begin() + (target - this->partial.data()));
+    this->erase(target);
     complete.total_bytes = 0;
     return complete;
 }
 
+void document_assembler::erase(const partial_document* target) {
+    this->partial.erase(this->partial.begin() + (target - this->partial.data()));
+}
+
 std::uint64_t document_assembler::received_bytes(std::size_t index, std::uint64_t revision) const {
     auto found = std::find_if(this->partial.begin(), this->partial.end(), [&](const auto& each) {
         return each.index == index && each.document.revision == revision;
--- a/packages/dissemination/document_assembler.h
+++ b/packages/dissemination/document_assembler.h
@@ -25,11 +25,11 @@
     explicit document_assembler(std::size_t max_document_bytes);
 
     // Adds a part. Returns the whole document after its last part, or nothing. A part that does not
-    // continue the earlier ones is dropped, unless it is the first. `index` identifies the
-    // document.
+    // continue the earlier ones is dropped, unless it is the first; one of another body drops the
+    // earlier ones too. `index` identifies the document.
     //
-    // The parts may come from several peers, so that a transfer survives the loss of one. Peers
-    // whose libraries compress differently yield a document that is damaged.
+    // The parts may come from several peers, so that a transfer survives the loss of one. If peers
+    // compress a document differently to the same size, the result is damaged.
     std::optional<messages::document> add(std::size_t index, const messages::document& part);
 
     // Returns the number of bytes received so far: the offset of the next part. 0 if no part of
@@ -47,6 +47,7 @@
     };
 
     partial_document* find(std::size_t index, std::uint64_t revision);
+    void erase(const partial_document* target);
 
     std::size_t max_bytes;
     // In the order of their first parts; at most `max_partial_documents`.
