--- a/packages/dissemination/testing/mirrored_platform_test.cc
+++ b/packages/dissemination/testing/mirrored_platform_test.cc
@@ -239,7 +239,7 @@
 // of 10 Mbit/s. The links of two readers would need half a minute to send it to their failure
 // domain.
 BOOST_AUTO_TEST_CASE(a_configuration_with_many_keys_reaches_all_daemons_behind_thin_links) {
-    constexpr std::size_t digest_bytes = 45'000 * 32;
+    constexpr std::size_t digest_bytes = std::size_t{45'000} * 32;
     // The daemons load all items, which takes a page or two each, and watch for a few seconds.
     constexpr std::uint64_t calls_per_daemon = 6;
     for (thin_fleet each : {thin_fleet{24, 6}, {91, 4}, {195, 6}}) {
