--- a/packages/daemon/settings.cc
+++ b/packages/daemon/settings.cc
@@ -59,7 +59,7 @@
     result<settings, settings_failures> read() {
         this->parsed.instance = this->read_name("instance");
         this->parsed.name =
-            config::read_name(this->fields.optional("name"), "a name", this->invalid)
+            config::read_name(optional(this->fields, "name"), "a name", this->invalid)
                 .value_or(this->parsed.instance);
         this->parsed.failure_domain = this->read_name("failure_domain");
         this->parsed.site = this->read_name("site");
@@ -70,15 +70,15 @@
         this->read_platform();
         this->read_platform_protocol();
         this->parsed.platform_value_bytes =
-            config::read_integer(this->fields.optional("platform_value_bytes"), value_bytes_min,
+            config::read_integer(optional(this->fields, "platform_value_bytes"), value_bytes_min,
                                  value_bytes_max, this->invalid)
                 .value_or(this->parsed.platform_value_bytes);
         this->parsed.platform_followers =
-            config::read_integer(this->fields.optional("platform_followers"), 0, followers_max,
+            config::read_integer(optional(this->fields, "platform_followers"), 0, followers_max,
                                  this->invalid)
                 .value_or(this->parsed.platform_followers);
         this->parsed.platform_followers_min_domain =
-            config::read_integer(this->fields.optional("platform_followers_min_domain"), 0,
+            config::read_integer(optional(this->fields, "platform_followers_min_domain"), 0,
                                  min_domain_max, this->invalid)
                 .value_or(this->parsed.platform_followers_min_domain);
         this->read_regions();
@@ -93,6 +93,16 @@
     }
 
 private:
+    // Returns an optional setting. Without a value it has its default, because templates of
+    // settings leave a field empty that the deployment does not define.
+    static config::yaml_field optional(config::map_reader& map, std::string_view name) {
+        config::yaml_field field = map.optional(name);
+        if (field.value != nullptr && field.value->kind == config::yaml_kind::null) {
+            field.value = nullptr;
+        }
+        return field;
+    }
+
     std::string read_name(std::string_view name) {
         config::yaml_field field = this->fields.required(name, "a name");
         return config::read_name(field, "a name", this->invalid).value_or("");
@@ -161,14 +171,14 @@
     }
 
     void read_platform_protocol() {
-        config::yaml_field field = this->fields.optional("platform_protocol");
+        config::yaml_field field = optional(this->fields, "platform_protocol");
         if (auto name = config::read_name(field, "a name", this->invalid)) {
             this->parsed.platform_protocol = std::move(*name);
         }
     }
 
     void read_regions() {
-        config::yaml_field section = this->fields.optional("regions");
+        config::yaml_field section = optional(this->fields, "regions");
         for (const config::yaml_field& field : config::read_entries(section, this->invalid)) {
             if (auto region = config::read_name(field, "the name of a region", this->invalid)) {
                 this->parsed.regions.emplace(field.name, std::move(*region));
@@ -177,12 +187,12 @@
     }
 
     void read_stop() {
-        config::map_reader map(this->fields.optional("stop"), this->invalid);
+        config::map_reader map(optional(this->fields, "stop"), this->invalid);
         stop_settings& stop = this->parsed.stop;
-        stop.announce = this->read_milliseconds(map.optional("announce_ms"), stop.announce);
-        stop.limit = this->read_milliseconds(map.optional("limit_ms"), stop.limit);
+        stop.announce = this->read_milliseconds(optional(map, "announce_ms"), stop.announce);
+        stop.limit = this->read_milliseconds(optional(map, "limit_ms"), stop.limit);
         auto total_limit =
-            config::read_number(map.optional("within_s"), 0, seconds_max, this->invalid);
+            config::read_number(optional(map, "within_s"), 0, seconds_max, this->invalid);
         if (total_limit) {
             stop.total_limit = std::chrono::duration_cast<std::chrono::milliseconds>(
                 std::chrono::duration<double>(*total_limit));
@@ -191,29 +201,29 @@
     }
 
     void read_limits() {
-        config::map_reader map(this->fields.optional("limits"), this->invalid);
+        config::map_reader map(optional(this->fields, "limits"), this->invalid);
         admission::limit_tolerance& limits = this->parsed.limits;
-        auto window = config::read_number(map.optional("window_s"), 1, seconds_max, this->invalid);
+        auto window = config::read_number(optional(map, "window_s"), 1, seconds_max, this->invalid);
         if (window) {
             limits.window = std::chrono::duration_cast<std::chrono::milliseconds>(
                 std::chrono::duration<double>(*window));
         }
-        limits.overage = config::read_number(map.optional("overage"), 0, 1, this->invalid)
+        limits.overage = config::read_number(optional(map, "overage"), 0, 1, this->invalid)
                              .value_or(limits.overage);
-        limits.slack = config::read_number(map.optional("slack"), 0, requests_max, this->invalid)
+        limits.slack = config::read_number(optional(map, "slack"), 0, requests_max, this->invalid)
                            .value_or(limits.slack);
         map.reject_unknown();
     }
 
     void read_retries() {
-        config::map_reader map(this->fields.optional("retries"), this->invalid);
+        config::map_reader map(optional(this->fields, "retries"), this->invalid);
         retry_settings& retries = this->parsed.retries;
-        retries.share =
-            config::read_number(map.optional("share"), 0, 1, this->invalid).value_or(retries.share);
-        retries.slack = config::read_number(map.optional("slack"), 0, requests_max, this->invalid)
+        retries.share = config::read_number(optional(map, "share"), 0, 1, this->invalid)
+                            .value_or(retries.share);
+        retries.slack = config::read_number(optional(map, "slack"), 0, requests_max, this->invalid)
                             .value_or(retries.slack);
         retries.minimum_per_second =
-            config::read_integer(map.optional("minimum_per_second"), 0, retries_max, this->invalid)
+            config::read_integer(optional(map, "minimum_per_second"), 0, retries_max, this->invalid)
                 .value_or(retries.minimum_per_second);
         map.reject_unknown();
     }
@@ -225,7 +235,7 @@
     }
 
     void read_seeds() {
-        config::yaml_field field = this->fields.optional("seeds");
+        config::yaml_field field = optional(this->fields, "seeds");
         for (const auto& element : config::read_list(field, "a list of addresses", this->invalid)) {
             this->parsed.seeds.push_back(this->read_address(element));
         }
@@ -236,8 +246,8 @@
             return;
         }
         config::yaml_field text = this->fields.secret("fleet_secret");
-        config::yaml_field file = this->fields.optional("fleet_secret_file");
-        auto trusted = config::read_boolean(this->fields.optional("trust_network"), this->invalid);
+        config::yaml_field file = optional(this->fields, "fleet_secret_file");
+        auto trusted = config::read_boolean(optional(this->fields, "trust_network"), this->invalid);
         if (trusted.value_or(false) && text.value == nullptr && file.value == nullptr) {
             return;
         }
@@ -280,7 +290,7 @@
 
     void read_log_level() {
         constexpr std::string_view expected = "debug, info, warning, error or off";
-        config::yaml_field field = this->fields.optional("log_level");
+        config::yaml_field field = optional(this->fields, "log_level");
         auto text = config::read_text(field, expected, this->invalid);
         std::optional<trefoil::log_level> level = parse_log_level(text.value_or("info"));
         if (!level) {
--- a/packages/daemon/testing/settings_test.cc
+++ b/packages/daemon/testing/settings_test.cc
@@ -192,4 +192,18 @@
     }
 }
 
+// Guards against a daemon that does not start where a deployment leaves out some of the values that
+// the template of its settings refers to.
+BOOST_AUTO_TEST_CASE(optional_settings_without_a_value_have_their_defaults) {
+    const std::string empty = complete +
+                              "limits: {window_s: , overage: , slack: }\n"
+                              "retries: {share: , slack: , minimum_per_second: }\n"
+                              "stop: {within_s: }\n"
+                              "platform_followers:\n";
+    BOOST_TEST_REQUIRE(failures_of(empty) == "");
+    BOOST_CHECK(std::get<settings>(parse_settings("t.yaml", empty)) ==
+                std::get<settings>(parse_settings("t.yaml", complete)));
+    BOOST_TEST(failures_of(complete + "limits: {slack: x}\n") != "");
+}
+
 }  // namespace trefoil::daemon
--- a/packages/edge/http_server.cc
+++ b/packages/edge/http_server.cc
@@ -3,6 +3,7 @@
 #include "edge/http_server.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <future>
@@ -123,6 +124,7 @@
     const server_limits& limits() const override { return this->current_limits; }
     request_handler& handler() override { return this->target_handler; }
     io::event_loop& loop() override { return this->event_loop; }
+    asio::mutable_buffer read_buffer() override { return asio::buffer(this->received); }
     bool keep_alive_disabled() const override { return this->no_keep_alive.load(); }
     bool closes_idle_connections() const override { return !this->accepting; }
     std::chrono::milliseconds stall_timeout() const override { return this->options.stall_timeout; }
@@ -258,6 +260,7 @@
     bool started = false;  // Set once, before the loop uses this object.
     bool stopped = false;  // Used by the owner's thread only.
     // Used on the loop only.
+    std::array<char, detail::session_owner::read_bytes> received{};
     asio::ip::tcp::acceptor acceptor;
     bool accepting = true;
     bool shutting_down = false;
--- a/packages/edge/http_session.cc
+++ b/packages/edge/http_session.cc
@@ -20,7 +20,6 @@
 
 namespace {
 
-constexpr std::size_t read_bytes = 16U << 10U;
 // Limit on the bytes of further requests that are read while one is handled or answered. Once it is
 // reached, reading stops and a disconnect of the caller is not detected until the response is
 // written.
@@ -143,28 +142,41 @@
 void http_session::read() {
     bool answering = this->state == phase::handling || this->state == phase::responding;
     bool full = answering && this->buffer.size() >= max_read_ahead_bytes;
-    if (this->read_in_progress || this->state == phase::closed || full) {
+    if (this->wait_in_progress || this->state == phase::closed || full) {
         return;
     }
-    this->read_in_progress = true;
-    this->socket.async_read_some(
-        this->buffer.prepare(read_bytes),
-        [kept = this->shared_from_this()](const error_code& error, std::size_t bytes) {
-            kept->on_read(error, bytes);
-        });
+    this->wait_in_progress = true;
+    this->socket.async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [kept = this->shared_from_this()](const error_code& error) { kept->on_readable(error); });
 }
 
-void http_session::on_read(const error_code& error, std::size_t bytes) {
-    this->read_in_progress = false;
+// Appends the bytes that can be read without waiting to the buffer and returns their number.
+std::size_t http_session::receive(error_code& error) {
+    asio::mutable_buffer space = this->owner.read_buffer();
+    std::size_t bytes = this->socket.read_some(space, error);
+    if (bytes > 0) {
+        this->buffer.commit(asio::buffer_copy(this->buffer.prepare(bytes), space, bytes));
+        this->last_read = clock::now();
+    }
+    return bytes;
+}
+
+void http_session::on_readable(const error_code& wait_error) {
+    this->wait_in_progress = false;
     if (this->state == phase::closed) {
         return;
     }
-    if (error == asio::error::operation_aborted && this->close_requested &&
+    if (wait_error == asio::error::operation_aborted && this->close_requested &&
         this->state == phase::idle) {
         this->read_available();
         return;
     }
-    if (error) {
+    error_code error = wait_error;
+    if (!error) {
+        this->receive(error);
+    }
+    if (error && error != asio::error::would_block && error != asio::error::try_again) {
         this->caller_disconnected = true;
         if (this->state == phase::responding) {
             return;  // The caller may still read the response.
@@ -172,8 +184,6 @@
         this->close();
         return;
     }
-    this->buffer.commit(bytes);
-    this->last_read = clock::now();
     if (this->state == phase::lingering) {
         this->buffer.consume(this->buffer.size());
     } else if (this->state == phase::idle || this->state == phase::receiving) {
@@ -196,9 +206,9 @@
 }
 
 void http_session::close_idle() {
-    if (this->read_in_progress) {
+    if (this->wait_in_progress) {
         error_code ignored;
-        this->socket.cancel(ignored);  // on_read() continues, with bytes if any arrived.
+        this->socket.cancel(ignored);  // on_readable() continues.
     } else {
         this->read_available();
     }
@@ -208,13 +218,10 @@
 // waiting.
 void http_session::read_available() {
     error_code error;
-    std::size_t bytes = this->socket.read_some(this->buffer.prepare(read_bytes), error);
-    this->buffer.commit(bytes);
-    if (bytes == 0) {
+    if (this->receive(error) == 0) {
         this->close();
         return;
     }
-    this->last_read = clock::now();
     this->parse();
     this->read();
 }
@@ -260,7 +267,7 @@
     const server_limits& limits = this->owner.limits();
     return this->buffer.size() > limits.header_bytes ||
            this->parsed_bytes >
-               limits.header_bytes + read_bytes + framing_factor * limits.body_bytes;
+               limits.header_bytes + session_owner::read_bytes + framing_factor * limits.body_bytes;
 }
 
 // Checks a request whose headers are complete. Returns false when it was refused.
--- a/packages/edge/http_session.h
+++ b/packages/edge/http_session.h
@@ -4,6 +4,7 @@
 #ifndef TREFOIL_EDGE_HTTP_SESSION_H_
 #define TREFOIL_EDGE_HTTP_SESSION_H_
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -22,10 +23,16 @@
 // What a session needs from its server. Used on the loop only.
 class session_owner {
 public:
+    // Size of read_buffer().
+    static constexpr std::size_t read_bytes = std::size_t{16} << 10U;
+
     virtual ~session_owner() = default;
     virtual const server_limits& limits() const = 0;
     virtual request_handler& handler() = 0;
     virtual io::event_loop& loop() = 0;
+    // Receives the bytes of one read. Shared by all sessions, because a read does not wait and its
+    // bytes are copied at once.
+    virtual boost::asio::mutable_buffer read_buffer() = 0;
     // Whether every response must close its connection.
     virtual bool keep_alive_disabled() const = 0;
     // Whether connections are closed that have been idle for idle_close_delay. True after
@@ -77,7 +84,8 @@
     using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     void read();
-    void on_read(const boost::system::error_code& error, std::size_t bytes);
+    void on_readable(const boost::system::error_code& error);
+    std::size_t receive(boost::system::error_code& error);
     void close_idle();
     void read_available();
     void parse();
@@ -97,7 +105,9 @@
 
     boost::asio::ip::tcp::socket socket;
     session_owner& owner;
-    boost::beast::flat_buffer buffer;           // Received bytes that are not parsed yet.
+    // Received bytes that are not parsed yet. No pending operation refers to it, so that requests
+    // can be parsed and consumed at any time.
+    boost::beast::flat_buffer buffer;
     std::optional<parser_type> parser;          // Parses the request that is being received.
     std::size_t parsed_bytes = 0;               // Bytes of that request parsed so far.
     std::shared_ptr<pending_response> pending;  // Set in phase handling.
@@ -107,8 +117,8 @@
     // The idle timeout that was in force when the last response began, or when the connection was
     // opened. A lower timeout set later does not apply, since the caller may rely on this one.
     std::chrono::milliseconds promised_idle_timeout{0};
-    bool read_in_progress = false;
-    bool close_requested = false;  // The current request is the last one.
+    bool wait_in_progress = false;  // For bytes to read.
+    bool close_requested = false;   // The current request is the last one.
     bool caller_disconnected = false;
     bool keep_alive = true;  // As the last request asked for.
     bool head_request = false;
--- a/packages/edge/testing/http_server_test.cc
+++ b/packages/edge/testing/http_server_test.cc
@@ -169,6 +169,29 @@
     BOOST_TEST(text.find("/a|abc") < text.find("/b|"));
 }
 
+// Guards against bytes that are parsed twice or lost when they arrive while earlier requests are
+// answered.
+BOOST_FIXTURE_TEST_CASE(requests_that_arrive_in_pieces_are_each_handled_once, fixture) {
+    constexpr int requests = 12;
+    std::string sent;
+    for (int i = 0; i < requests; ++i) {
+        sent += "POST /" + std::string(static_cast<std::size_t>(i % 5), 'p') + std::to_string(i) +
+                " HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc";
+    }
+    for (std::size_t piece = 1; piece < sent.size(); piece += 1 + piece / 2) {
+        int before = this->handler.handled;
+        raw_socket socket = this->connect();
+        for (std::size_t at = 0; at < sent.size(); at += piece) {
+            socket.write(sent.substr(at, piece));
+            // Lets the server answer the requests that are complete.
+            std::this_thread::sleep_for(std::chrono::microseconds(50));
+        }
+        std::string text = socket.read_until(std::to_string(requests - 1) + "|abc");
+        BOOST_TEST(count_responses(text) == static_cast<std::size_t>(requests), piece);
+        BOOST_TEST(this->handler.handled - before == requests, piece);
+    }
+}
+
 // Guards against work for a disconnected caller, also when it had sent more bytes after its
 // request.
 BOOST_FIXTURE_TEST_CASE(caller_disconnect_is_detected_while_its_request_waits, fixture) {
