Pass on pipelined requests before earlier responses

Cause: a session received one request at a time. A request behind a slow one was not even parsed until the whole response before it was written.

Change: request_line (no socket, no clock) holds the requests of a connection that are read and not answered, decides which are passed on, and keeps their responses in order. A request runs ahead if the handler allows it (may_run_ahead, false by default) for it and for all before it. Behind a response that closes the connection nothing is passed on, and what runs is cancelled. A stop answers all requests that run; the last response closes.

--- a/packages/edge/http_server.cc
+++ b/packages/edge/http_server.cc
@@ -2,7 +2,6 @@
 
 #include "edge/http_server.h"
 
-#include <algorithm>
 #include <array>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
@@ -85,9 +84,9 @@
     std::size_t pending_requests() const {
         std::size_t count = 0;
         this->run_on_loop([&] {
-            count = static_cast<std::size_t>(
-                std::count_if(this->sessions.begin(), this->sessions.end(),
-                              [](const auto& each) { return each->has_request(); }));
+            for (const auto& each : this->sessions) {
+                count += each->request_count();
+            }
         });
         return count;
     }
@@ -270,6 +269,10 @@
     std::optional<io::loop_timer> accept_retry_timer;
 };
 
+bool request_handler::may_run_ahead(const http_request& /*request*/) const {
+    return false;
+}
+
 http_response request_handler::refuse_during_shutdown() {
     return this->refuse(status_unavailable);
 }
--- a/packages/edge/http_server.h
+++ b/packages/edge/http_server.h
@@ -39,6 +39,9 @@
 public:
     virtual ~request_handler() = default;
     virtual void handle(http_request request, std::shared_ptr<responder> responder) = 0;
+    // Whether the request may be handled while earlier requests of its connection are not answered,
+    // so that it may run beside them, and again when one of them closes the connection.
+    virtual bool may_run_ahead(const http_request& request) const;
     // Builds the response to a request that is refused: 413 for a body and 431 for headers above
     // their limits, 408 for a request that takes too long to arrive, 400 for a malformed request,
     // and 503 for one that is still being handled when the server stops.
@@ -111,7 +114,8 @@
     static constexpr std::chrono::milliseconds idle_close_delay{500};
 
     // Number of requests of which at least one byte has arrived and whose response is not yet
-    // written in full.
+    // written in full. Does not count those that get no response because an earlier one closes
+    // their connection.
     std::size_t pending_requests() const;
     std::size_t open_connections() const;
 
--- a/packages/edge/http_session.cc
+++ b/packages/edge/http_session.cc
@@ -20,9 +20,9 @@
 
 namespace {
 
-// Limit on the bytes of further requests that are read while one is handled or answered. Once it is
-// reached, reading stops and a disconnect of the caller is not detected until the response is
-// written.
+// Limit on the bytes that are read while a request is handled or answered and that the line does
+// not accept. Once it is reached, reading stops and a disconnect of the caller is not detected
+// until the response is written.
 constexpr std::size_t max_read_ahead_bytes = 64U << 10U;
 // Bytes that a request may take per byte of its body limit. A chunk of one byte takes six.
 constexpr std::size_t framing_factor = 8;
@@ -63,7 +63,7 @@
 
 // Connects one request at the handler with its session. The handler may keep it indefinitely, also
 // after the session has ended.
-class pending_response final : public responder,
+class pending_response final : public caller_link,
                                public std::enable_shared_from_this<pending_response> {
 public:
     pending_response(std::weak_ptr<http_session> session, io::event_loop& server_loop)
@@ -99,7 +99,7 @@
         this->loop.post(std::move(action));
     }
 
-    void notify_caller_gone() {
+    void notify_caller_gone() override {
         std::function<void()> action;
         {
             absl::MutexLock lock(&this->mutex);
@@ -177,32 +177,44 @@
         this->receive(error);
     }
     if (error && error != asio::error::would_block && error != asio::error::try_again) {
-        this->caller_disconnected = true;
-        if (this->state == phase::responding) {
-            return;  // The caller may still read the response.
-        }
-        this->close();
+        this->on_caller_closed();
         return;
     }
     if (this->state == phase::lingering) {
         this->buffer.consume(this->buffer.size());
-    } else if (this->state == phase::idle || this->state == phase::receiving) {
+    } else {
         this->parse();
     }
     this->read();
 }
 
+void http_session::on_caller_closed() {
+    this->caller_disconnected = true;
+    if (this->state != phase::responding) {
+        this->close();
+        return;
+    }
+    // The caller may still read the response that is being written.
+    this->line.abandon();
+    this->notify_dropped();
+}
+
 void http_session::close_gracefully() {
     this->close_requested = true;
     if (this->state == phase::idle) {
         this->close_idle();
     } else if (this->state == phase::receiving && !this->owner.accepts_requests()) {
         this->refuse_during_shutdown();
+    } else {
+        this->line.close_after_started();
     }
 }
 
+// Refuses a partly received request.
 void http_session::refuse_during_shutdown() {
-    this->write(this->owner.handler().refuse_during_shutdown(), false);
+    this->parser.reset();
+    this->line.add_refused(this->owner.handler().refuse_during_shutdown());
+    this->write_ready();
 }
 
 void http_session::close_idle() {
@@ -226,18 +238,29 @@
     this->read();
 }
 
+bool http_session::may_parse() const {
+    return this->buffer.size() > 0 && this->state != phase::lingering &&
+           this->state != phase::closed &&
+           this->line.accepts(this->parser.has_value() ? this->parsed_bytes : 0);
+}
+
 void http_session::parse() {
-    if (this->buffer.size() == 0) {
-        return;
+    while (this->may_parse() && this->parse_request()) {
     }
+}
+
+// Returns whether a complete request was parsed.
+bool http_session::parse_request() {
     if (!this->parser.has_value()) {
         this->parser.emplace();
         this->parser->eager(true);
         this->parser->header_limit(static_cast<std::uint32_t>(this->owner.limits().header_bytes));
         this->parser->body_limit(this->owner.limits().body_bytes);
-        this->head_request = false;
         this->parsed_bytes = 0;
-        this->enter(phase::receiving);
+        this->continue_due = false;
+        if (this->line.empty()) {
+            this->enter(phase::receiving);
+        }
     }
     bool had_header = this->parser->is_header_done();
     error_code error;
@@ -246,18 +269,21 @@
     this->parsed_bytes += used;
     if (error && error != http::error::need_more) {
         this->refuse(status_of(error));
-        return;
+        return false;
     }
     if (this->parser->is_header_done() && !had_header && !this->check_header()) {
-        return;
+        return false;
     }
     if (this->parser->is_done()) {
-        this->dispatch_request();
-    } else if (!this->owner.accepts_requests()) {
+        this->add_request();
+        return true;
+    }
+    if (!this->owner.accepts_requests()) {
         this->refuse_during_shutdown();
     } else if (this->exceeds_limit()) {
         this->refuse(status_headers_too_large);
     }
+    return false;
 }
 
 // Whether an incomplete request exceeds its limits. The parser limits neither the length of a chunk
@@ -278,16 +304,22 @@
         this->refuse(status_bad_request);
         return false;
     }
-    bool wants_continue = message[http::field::expect] == "100-continue";
-    if (wants_continue && !this->parser->is_done()) {
+    this->continue_due = message[http::field::expect] == "100-continue" && !this->parser->is_done();
+    this->send_due_continue();
+    return true;
+}
+
+// An interim response is sent in the turn of its request, too.
+void http_session::send_due_continue() {
+    if (this->state == phase::receiving && std::exchange(this->continue_due, false)) {
         this->send(std::string(continue_response), [] {});
     }
-    return true;
 }
 
 void http_session::refuse(unsigned status) {
-    this->head_request = false;
-    this->write(this->owner.handler().refuse(status), false);
+    this->parser.reset();
+    this->line.add_refused(this->owner.handler().refuse(status));
+    this->write_ready();
 }
 
 // Whether the caller closed the connection after the bytes that were read. When the loop is
@@ -299,39 +331,84 @@
     return error && error != asio::error::would_block && error != asio::error::try_again;
 }
 
-void http_session::dispatch_request() {
-    if (this->has_caller_closed()) {
-        this->close();
-        return;
-    }
+void http_session::add_request() {
     auto message = this->parser->release();
     this->parser.reset();
-    this->keep_alive = message.keep_alive();
-    this->head_request = message.method() == http::verb::head;
-    this->enter(phase::handling);
-    if (!this->owner.accepts_requests()) {
-        this->refuse_during_shutdown();
-        return;
+    bool keep_alive = message.keep_alive();
+    bool head = message.method() == http::verb::head;
+    http_request request = make_request(std::move(message));
+    bool may_run_ahead = this->owner.handler().may_run_ahead(request);
+    this->line.add({.request = std::move(request),
+                    .may_run_ahead = may_run_ahead,
+                    .keep_alive = keep_alive,
+                    .head = head,
+                    .bytes = this->parsed_bytes,
+                    .arrived = clock::now()});
+    if (this->state == phase::receiving) {
+        this->enter(phase::handling);
+    }
+    this->start_requests();
+}
+
+// Passes on the requests that are due.
+void http_session::start_requests() {
+    while (this->line.can_start()) {
+        if (this->has_caller_closed()) {
+            this->on_caller_closed();
+            return;
+        }
+        if (this->line.next_is_ahead() && this->must_close()) {
+            this->line.close_after_started();
+        }
+        if (!this->line.can_start()) {
+            break;
+        }
+        if (!this->owner.accepts_requests()) {
+            this->line.refuse_next(this->owner.handler().refuse_during_shutdown());
+            break;
+        }
+        auto link = std::make_shared<pending_response>(this->weak_from_this(), this->owner.loop());
+        http_request request = this->line.start(link, clock::now());
+        this->owner.handler().handle(std::move(request), std::move(link));
     }
-    this->pending = std::make_shared<pending_response>(this->weak_from_this(), this->owner.loop());
-    this->owner.handler().handle(make_request(std::move(message)), this->pending);
+    this->write_ready();
 }
 
-void http_session::deliver(const pending_response* from, http_response response) {
-    if (this->pending.get() != from || this->state != phase::handling) {
-        return;
+// Whether the connection is closed after the requests that were passed on.
+bool http_session::must_close() const {
+    return this->close_requested || this->owner.keep_alive_disabled();
+}
+
+void http_session::notify_dropped() {
+    for (const auto& each : this->line.take_dropped()) {
+        each->notify_caller_gone();
+    }
+}
+
+void http_session::deliver(const caller_link* from, http_response response) {
+    if (this->line.finish(from, std::move(response))) {
+        this->write_ready();
+        this->notify_dropped();
+    }
+}
+
+std::size_t http_session::request_count() const {
+    switch (this->state) {
+        case phase::closed:
+            return 0;
+        case phase::lingering:
+            return 1;
+        default: {
+            bool receiving = this->parser.has_value() || this->buffer.size() > 0;
+            return this->line.size() + (receiving && !this->line.closing() ? 1 : 0);
+        }
     }
-    this->pending.reset();
-    bool keep = this->keep_alive && !this->close_requested && !response.close_connection &&
-                !this->owner.keep_alive_disabled();
-    this->write(std::move(response), keep);
 }
 
 void http_session::refuse_pending(unsigned status) {
-    if (this->pending != nullptr) {
-        http_response response = this->owner.handler().refuse(status);
-        response.close_connection = true;
-        this->pending->respond(std::move(response));
+    this->line.close_after_started();
+    for (const auto& each : this->line.unanswered()) {
+        each->respond(this->owner.handler().refuse(status));
     }
 }
 
@@ -345,21 +422,34 @@
     const bool keep_connection;
 };
 
-void http_session::write(http_response response, bool keep_connection) {
+// Writes the response that is due, if it has arrived.
+void http_session::write_ready() {
+    if (!this->line.has_ready()) {
+        return;
+    }
+    if (this->must_close()) {
+        this->line.close_after_started();
+    }
+    this->write(this->line.take_ready());
+}
+
+void http_session::write(ready_response ready) {
     this->enter(phase::responding);
     this->promised_idle_timeout = this->owner.limits().idle_timeout;
+    http_response& response = ready.response;
     bool bodiless = response.status == status_no_content || response.status == status_not_modified;
     http::response<http::string_body> message;
     message.result(response.status);
     for (const messages::header& each : response.headers) {
         message.insert(each.name, each.value);
     }
-    message.keep_alive(keep_connection);
-    if (!bodiless && !this->head_request) {
+    message.keep_alive(ready.keep_connection);
+    if (!bodiless && !ready.head) {
         message.body() = std::move(response.body);
         message.prepare_payload();
     }
-    this->write_some(std::make_shared<outgoing_response>(std::move(message), keep_connection));
+    this->write_some(
+        std::make_shared<outgoing_response>(std::move(message), ready.keep_connection));
 }
 
 // Writes in steps, so that the time limit restarts with each step.
@@ -393,17 +483,34 @@
     if (this->state != phase::responding) {
         return;
     }
+    this->line.on_written();
     if (this->caller_disconnected) {
         this->close();
     } else if (!keep_connection) {
         this->linger();
     } else {
+        this->begin_next();
+    }
+}
+
+// Continues with what was received behind a request that is answered.
+void http_session::begin_next() {
+    if (!this->line.empty()) {
+        this->enter(phase::handling);
+        this->start_requests();
+    } else if (!this->parser.has_value()) {
         this->enter(phase::idle);
-        this->parse();
-        this->read();
-        if (this->close_requested && this->state == phase::idle) {
-            this->close_idle();
+    } else {
+        this->enter(phase::receiving);
+        if (!this->owner.accepts_requests()) {
+            this->refuse_during_shutdown();
         }
+        this->send_due_continue();
+    }
+    this->parse();
+    this->read();
+    if (this->close_requested && this->state == phase::idle) {
+        this->close_idle();
     }
 }
 
@@ -465,14 +572,12 @@
         return;
     }
     auto kept = this->shared_from_this();
-    auto abandoned = std::exchange(this->pending, nullptr);
+    this->line.abandon();
     this->enter(phase::closed);
     error_code ignored;
     this->socket.close(ignored);
     this->owner.on_closed(kept);
-    if (abandoned != nullptr) {
-        abandoned->notify_caller_gone();
-    }
+    this->notify_dropped();
 }
 
 }  // namespace trefoil::edge::detail
--- a/packages/edge/http_session.h
+++ b/packages/edge/http_session.h
@@ -1,5 +1,5 @@
-// One connection of a caller: reads requests one after the other, passes each to the handler and
-// writes its response. Internal to the package.
+// One connection of a caller: reads requests, passes them to the handler and writes their responses
+// in the same order. request_line decides when a request is passed on. Internal to the package.
 
 #ifndef TREFOIL_EDGE_HTTP_SESSION_H_
 #define TREFOIL_EDGE_HTTP_SESSION_H_
@@ -14,11 +14,11 @@
 #include <optional>
 
 #include "edge/http_server.h"
+#include "edge/request_line.h"
 
 namespace trefoil::edge::detail {
 
 class http_session;
-class pending_response;
 
 // What a session needs from its server. Used on the loop only.
 class session_owner {
@@ -60,26 +60,27 @@
     // Closes the connection or refuses the request when a time limit of the current phase has
     // passed.
     void enforce_timeouts(clock::time_point now);
-    // Closes the connection after the response to the current request, or to one that is in the
-    // receive buffer; an idle connection is closed at once. The receive buffer is read first,
-    // because a close with unread bytes would lose a request. When the server accepts no more
-    // requests, a partly received request is refused.
+    // Closes the connection after the responses to the requests that were passed to the handler, or
+    // after the response to one that is in the receive buffer; an idle connection is closed at
+    // once. The receive buffer is read first, because a close with unread bytes would lose a
+    // request. When the server accepts no more requests, a partly received request is refused.
     void close_gracefully();
     // No byte of a request has arrived since the last response.
     bool idle() const { return this->state == phase::idle; }
     clock::time_point idle_since() const { return this->phase_start; }
-    // The handler has received the request and has not responded.
-    bool handling() const { return this->state == phase::handling; }
-    bool has_request() const { return this->state != phase::idle && this->state != phase::closed; }
-    // Answers the request that is being handled with `status` and closes the connection afterwards.
+    // See http_server::pending_requests().
+    std::size_t request_count() const;
+    // Answers the requests that are being handled with `status` and closes the connection
+    // afterwards.
     void refuse_pending(unsigned status);
     void close();
 
-    // Writes the response to the request that `from` represents.
-    void deliver(const pending_response* from, http_response response);
+    // Writes the response to the request that `from` represents, once it is due.
+    void deliver(const caller_link* from, http_response response);
 
 private:
     struct outgoing_response;
+    // Follows the first request in the line; further ones may be received at the same time.
     enum class phase { idle, receiving, handling, responding, lingering, closed };
     using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
@@ -88,17 +89,26 @@
     std::size_t receive(boost::system::error_code& error);
     void close_idle();
     void read_available();
+    bool may_parse() const;
     void parse();
+    bool parse_request();
     bool check_header();
+    void send_due_continue();
     bool exceeds_limit() const;
     void refuse(unsigned status);
     void refuse_during_shutdown();
     bool has_caller_closed();
-    void dispatch_request();
-    void write(http_response response, bool keep_connection);
+    void on_caller_closed();
+    void add_request();
+    void start_requests();
+    bool must_close() const;
+    void notify_dropped();
+    void write_ready();
+    void write(ready_response ready);
     void write_some(const std::shared_ptr<outgoing_response>& response);
     void send(std::string bytes, std::function<void()> then);
     void on_written(bool keep_connection);
+    void begin_next();
     void linger();
     void enter(phase next);
     bool stalls_shutdown(clock::time_point now) const;
@@ -108,9 +118,12 @@
     // Received bytes that are not parsed yet. No pending operation refers to it, so that requests
     // can be parsed and consumed at any time.
     boost::beast::flat_buffer buffer;
-    std::optional<parser_type> parser;          // Parses the request that is being received.
-    std::size_t parsed_bytes = 0;               // Bytes of that request parsed so far.
-    std::shared_ptr<pending_response> pending;  // Set in phase handling.
+    std::optional<parser_type> parser;  // Parses the request that is being received.
+    std::size_t parsed_bytes = 0;       // Bytes of that request parsed so far.
+    bool continue_due = false;          // That request waits for "100 Continue".
+    // The requests that were received and whose responses are not written. Empty in the phases idle
+    // and receiving.
+    request_line line;
     phase state = phase::idle;
     clock::time_point phase_start;  // When the phase began.
     clock::time_point last_read;    // When the last bytes arrived.
@@ -118,10 +131,8 @@
     // opened. A lower timeout set later does not apply, since the caller may rely on this one.
     std::chrono::milliseconds promised_idle_timeout{0};
     bool wait_in_progress = false;  // For bytes to read.
-    bool close_requested = false;   // The current request is the last one.
+    bool close_requested = false;   // See close_gracefully().
     bool caller_disconnected = false;
-    bool keep_alive = true;  // As the last request asked for.
-    bool head_request = false;
 };
 
 }  // namespace trefoil::edge::detail
--- a/packages/edge/http_types.h
+++ b/packages/edge/http_types.h
@@ -7,6 +7,7 @@
 #ifndef TREFOIL_EDGE_HTTP_TYPES_H_
 #define TREFOIL_EDGE_HTTP_TYPES_H_
 
+#include <chrono>
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -26,6 +27,8 @@
     std::string query;  // As received, without the question mark.
     std::vector<messages::header> headers;
     std::string body;
+    // How long it waited on its connection for earlier requests to be answered.
+    std::chrono::steady_clock::duration waited{0};
 
     friend bool operator==(const http_request&, const http_request&) = default;
 };
