Count a request's deadline from when it was read

Cause: a request that waits on its connection for earlier responses would get its whole time limit when it is passed on, so upstreams would be given more time than is left.

Change: the ingress subtracts http_request::waited from the deadline, the latency objective and the logged duration; confirmation, handles and retry budgets use the current time. The ingress lets requests of idempotent routes run ahead. Metrics count requests that ran ahead and requests dropped behind a closing response.

--- a/packages/daemon/admin_sources.h
+++ b/packages/daemon/admin_sources.h
@@ -12,6 +12,7 @@
 #include "daemon/limit_service.h"
 #include "daemon/peer_connections.h"
 #include "daemon/request_metrics.h"
+#include "edge/http_server.h"
 #include "source/configuration_service.h"
 
 namespace trefoil::daemon {
@@ -24,6 +25,7 @@
     peer_connections& connections;
     request_metrics& metrics;
     const source::configuration_service& platform;
+    const edge::http_server& callers;
 };
 
 }  // namespace trefoil::daemon
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -111,7 +111,8 @@
                  .limits = this->limits,
                  .connections = this->connections,
                  .metrics = this->metrics,
-                 .platform = *this->platform.service},
+                 .platform = *this->platform.service,
+                 .callers = this->callers_server},
                 this->clock),
       callers_server(
           {.ip = given.listen.callers.ip, .port = given.listen.callers.port, .loop = &this->loop},
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -127,13 +127,18 @@
                         this->options.headers);
 }
 
+bool ingress::may_run_ahead(const edge::http_request& request) const {
+    return this->acceptance.may_run_ahead(request);
+}
+
 void ingress::handle(edge::http_request request, std::shared_ptr<edge::responder> responder) {
     auto call = std::make_shared<ingress_call>();
     ++this->in_progress;
     call->responder = std::move(responder);
-    call->arrived = this->clock.now();
+    mono_time now = this->clock.now();
+    call->arrived = now - request.waited;
     call->responder->on_caller_gone([this, call] { this->abandon(call); });
-    auto refusal = this->acceptance.accept(request, call->arrived, *call);
+    auto refusal = this->acceptance.accept(request, now, *call);
     if (refusal.has_value()) {
         this->respond_refused(call, *refusal);
         return;
@@ -143,7 +148,7 @@
         edge::forwardable_request_headers(this->options.headers, request.headers);
     call->message.body = std::move(request.body);
     call->message.may_be_late = call->objective.count() == 0;
-    this->count_for_retry_budget(call);
+    this->count_for_retry_budget(call, now);
     this->rank_nested_call(call);
     if (call->nested || call->message.workspace.empty()) {
         call->admitted = true;
@@ -173,16 +178,15 @@
 // Counts the call for the retry budget of its service. A request without a workspace may be a
 // nested call of the local upstream that carries no context handle, so the probability that a
 // retried request makes it is estimated.
-void ingress::count_for_retry_budget(const call_ptr& call) const {
+void ingress::count_for_retry_budget(const call_ptr& call, mono_time now) const {
     const std::string& service = call->message.service;
     if (call->nested) {
-        this->nested_retries.count_nested_call(service, call->message.retry_probability,
-                                               call->arrived);
+        this->nested_retries.count_nested_call(service, call->message.retry_probability, now);
     } else if (call->message.workspace.empty()) {
         call->message.retry_probability =
-            this->nested_retries.count_nested_call(service, std::nullopt, call->arrived);
+            this->nested_retries.count_nested_call(service, std::nullopt, now);
     } else {
-        this->budgets.budget_for(service, call->arrived)->count_call(call->arrived);
+        this->budgets.budget_for(service, now)->count_call(now);
     }
 }
 
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -64,6 +64,7 @@
     void set_connections(peer_connections& target) { this->connections = &target; }
 
     void handle(edge::http_request request, std::shared_ptr<edge::responder> responder) override;
+    bool may_run_ahead(const edge::http_request& request) const override;
     edge::http_response refuse(unsigned status) override;
     edge::http_response refuse_during_shutdown() override;
 
@@ -92,7 +93,7 @@
     using call_ptr = std::shared_ptr<ingress_call>;
 
     void rank_nested_call(const call_ptr& call);
-    void count_for_retry_budget(const call_ptr& call) const;
+    void count_for_retry_budget(const call_ptr& call, mono_time now) const;
     void dispatch(const call_ptr& call, std::string_view last_reason);
     void refuse_over_limit(const call_ptr& call, const admission_outcome& outcome);
     void send_attempt(const call_ptr& call, const routing::candidate& target);
--- a/packages/daemon/ingress_call.h
+++ b/packages/daemon/ingress_call.h
@@ -30,7 +30,7 @@
 // processes a request.
 struct ingress_call : accepted_request {
     std::shared_ptr<edge::responder> responder;
-    mono_time arrived;
+    mono_time arrived;  // When the request was read.
     bool admitted = false;
     bool ended = false;               // Answered, or its caller has disconnected.
     std::uint64_t last_sequence = 0;  // Of the latest attempt; 0 before the first.
--- a/packages/daemon/request_acceptance.cc
+++ b/packages/daemon/request_acceptance.cc
@@ -68,7 +68,7 @@
 }  // namespace
 
 std::optional<call_refusal> request_acceptance::accept(const edge::http_request& request,
-                                                       mono_time arrived,
+                                                       mono_time now,
                                                        accepted_request& accepted) const {
     auto control = this->shared.control.read();
     auto snapshot = this->shared.snapshot.read();
@@ -98,11 +98,11 @@
     if (!limit.has_value()) {
         return call_refusal{.reason = reasons::bad_request};
     }
-    accepted.history.deadline = arrived + *limit;
-    if (auto refusal = this->identify(*snapshot, route, request, arrived, accepted)) {
+    accepted.history.deadline = now - request.waited + *limit;
+    if (auto refusal = this->identify(*snapshot, route, request, now, accepted)) {
         return refusal;
     }
-    if (auto refusal = this->check_confirmation(route, *control, arrived)) {
+    if (auto refusal = this->check_confirmation(route, *control, now)) {
         return refusal;
     }
     accepted.objective = route.latency_objective.value_or(std::chrono::milliseconds(0));
@@ -113,15 +113,27 @@
     return std::nullopt;
 }
 
+bool request_acceptance::may_run_ahead(const edge::http_request& request) const {
+    auto snapshot = this->shared.snapshot.read();
+    if (snapshot == nullptr ||
+        edge::find_header(request.headers, this->options.headers.idempotent) == "false") {
+        return false;
+    }
+    std::string host = edge::find_header(request.headers, "Host").value_or("");
+    auto found = snapshot->find_route(host, request.method, request.path);
+    const auto* matched = std::get_if<const config::route*>(&found);
+    return matched != nullptr && (*matched)->idempotent_for(request.method);
+}
+
 // A valid context handle identifies the workspace of a nested call. An invalid one is ignored, so
 // that an external caller gains nothing by sending one.
 std::optional<call_refusal> request_acceptance::identify(const config::snapshot& snapshot,
                                                          const config::route& route,
                                                          const edge::http_request& request,
-                                                         mono_time arrived,
+                                                         mono_time now,
                                                          accepted_request& accepted) const {
     if (auto handle = edge::find_header(request.headers, this->options.headers.context)) {
-        auto context = this->contexts.nested_context(*handle, arrived);
+        auto context = this->contexts.nested_context(*handle, now);
         if (const auto* valid = std::get_if<admission::call_context>(&context)) {
             accepted.nested = true;
             accepted.message.workspace = valid->workspace;
@@ -155,8 +167,8 @@
 
 std::optional<call_refusal> request_acceptance::check_confirmation(const config::route& route,
                                                                    const control_state& control,
-                                                                   mono_time arrived) const {
-    if (control.confirmed(arrived) || route.when_unconfirmed == config::unconfirmed_policy::serve) {
+                                                                   mono_time now) const {
+    if (control.confirmed(now) || route.when_unconfirmed == config::unconfirmed_policy::serve) {
         return std::nullopt;
     }
     return call_refusal{.reason = reasons::unconfirmed};
--- a/packages/daemon/request_acceptance.h
+++ b/packages/daemon/request_acceptance.h
@@ -44,18 +44,22 @@
                        const admission::context_table& contexts, routing::traffic_split& splits);
 
     // Returns the refusal, or nothing if the request is accepted. `accepted` must be
-    // default-constructed.
-    std::optional<call_refusal> accept(const edge::http_request& request, mono_time arrived,
+    // default-constructed. The request's deadline includes the time for which it has waited.
+    std::optional<call_refusal> accept(const edge::http_request& request, mono_time now,
                                        accepted_request& accepted) const;
 
+    // See edge::request_handler. Depends on the route only, because a caller's statement that the
+    // request may be repeated does not say that it may overtake others.
+    bool may_run_ahead(const edge::http_request& request) const;
+
 private:
     std::optional<call_refusal> identify(const config::snapshot& snapshot,
                                          const config::route& route,
-                                         const edge::http_request& request, mono_time arrived,
+                                         const edge::http_request& request, mono_time now,
                                          accepted_request& accepted) const;
     std::optional<call_refusal> check_confirmation(const config::route& route,
                                                    const control_state& control,
-                                                   mono_time arrived) const;
+                                                   mono_time now) const;
 
     bool is_idempotent(const config::route& route, const edge::http_request& request) const;
     std::optional<std::chrono::milliseconds> time_limit(const config::snapshot& snapshot,
--- a/packages/daemon/state_series.cc
+++ b/packages/daemon/state_series.cc
@@ -112,6 +112,11 @@
             "Connections closed for a wrong proof or a bad frame.");
     all.add("calls_in_progress", gauge(this->sources.local_ingress.calls_in_progress()),
             "Requests of callers without a response.");
+    edge::pipelining_totals pipelining = this->sources.callers.pipelining();
+    all.add("pipelined_requests_ahead_total", pipelining.ran_ahead,
+            "Requests passed on before an earlier one of their connection was answered.");
+    all.add("pipelined_requests_dropped_total", pipelining.dropped,
+            "Requests without a response because an earlier one closed their connection.");
 }
 
 void state_series::add_retry_series(detail::series_list& all) const {
--- a/packages/edge/http_server.cc
+++ b/packages/edge/http_server.cc
@@ -93,6 +93,10 @@
 
     std::size_t open_connections() const { return this->connections.load(); }
 
+    pipelining_totals pipelining() const {
+        return {.ran_ahead = this->ran_ahead.load(), .dropped = this->dropped.load()};
+    }
+
     void stop() {
         if (!this->started || std::exchange(this->stopped, true)) {
             return;
@@ -128,6 +132,8 @@
     bool closes_idle_connections() const override { return !this->accepting; }
     std::chrono::milliseconds stall_timeout() const override { return this->options.stall_timeout; }
     bool accepts_requests() const override { return !this->shutting_down; }
+    void count_ran_ahead() override { ++this->ran_ahead; }
+    void count_dropped(std::size_t requests) override { this->dropped += requests; }
     void on_closed(const std::shared_ptr<detail::http_session>& session) override {
         this->sessions.erase(session);
         this->connections = this->sessions.size();
@@ -256,6 +262,8 @@
     io::event_loop& event_loop;
     std::atomic<bool> no_keep_alive{false};
     std::atomic<std::size_t> connections{0};
+    std::atomic<std::uint64_t> ran_ahead{0};
+    std::atomic<std::uint64_t> dropped{0};
     bool started = false;  // Set once, before the loop uses this object.
     bool stopped = false;  // Used by the owner's thread only.
     // Used on the loop only.
@@ -308,6 +316,10 @@
     return this->self->open_connections();
 }
 
+pipelining_totals http_server::pipelining() const {
+    return this->self->pipelining();
+}
+
 void http_server::stop() {
     this->self->stop();
 }
--- a/packages/edge/http_server.h
+++ b/packages/edge/http_server.h
@@ -91,7 +91,16 @@
     friend bool operator==(const http_started&, const http_started&) = default;
 };
 
-// The members are safe for concurrent use, but must not be called on the loop.
+// Requests of callers that send further ones before the first is answered.
+struct pipelining_totals {
+    std::uint64_t ran_ahead = 0;  // Passed on before an earlier response was written.
+    std::uint64_t dropped = 0;    // Got no response because an earlier one closes the connection.
+
+    friend bool operator==(const pipelining_totals&, const pipelining_totals&) = default;
+};
+
+// The members are safe for concurrent use, but must not be called on the loop, except
+// open_connections() and pipelining().
 class http_server {
 public:
     http_server(http_server_options options, request_handler& handler);
@@ -118,6 +127,7 @@
     // their connection.
     std::size_t pending_requests() const;
     std::size_t open_connections() const;
+    pipelining_totals pipelining() const;
 
     // Closes all connections. Before that, requests that are being handled, unread or partly
     // received are answered with 503.
--- a/packages/edge/http_session.cc
+++ b/packages/edge/http_session.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "absl/synchronization/mutex.h"
+#include "base/time.h"
 
 namespace trefoil::edge::detail {
 
@@ -35,6 +36,9 @@
 constexpr unsigned status_not_modified = 304;
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
+// Measures how long requests wait. Advances while the machine is suspended, as deadlines do.
+const machine_time_source line_clock;
+
 unsigned status_of(const error_code& error) {
     if (error == http::error::header_limit) {
         return status_headers_too_large;
@@ -196,7 +200,7 @@
     }
     // The caller may still read the response that is being written.
     this->line.abandon();
-    this->notify_dropped();
+    this->settle_dropped();
 }
 
 void http_session::close_gracefully() {
@@ -207,6 +211,7 @@
         this->refuse_during_shutdown();
     } else {
         this->line.close_after_started();
+        this->settle_dropped();
     }
 }
 
@@ -343,7 +348,7 @@
                     .keep_alive = keep_alive,
                     .head = head,
                     .bytes = this->parsed_bytes,
-                    .arrived = clock::now()});
+                    .arrived = line_clock.now()});
     if (this->state == phase::receiving) {
         this->enter(phase::handling);
     }
@@ -368,7 +373,10 @@
             break;
         }
         auto link = std::make_shared<pending_response>(this->weak_from_this(), this->owner.loop());
-        http_request request = this->line.start(link, clock::now());
+        if (this->line.next_is_ahead()) {
+            this->owner.count_ran_ahead();
+        }
+        http_request request = this->line.start(link, line_clock.now());
         this->owner.handler().handle(std::move(request), std::move(link));
     }
     this->write_ready();
@@ -379,7 +387,10 @@
     return this->close_requested || this->owner.keep_alive_disabled();
 }
 
-void http_session::notify_dropped() {
+void http_session::settle_dropped() {
+    if (std::size_t count = this->line.take_dropped_count(); count > 0) {
+        this->owner.count_dropped(count);
+    }
     for (const auto& each : this->line.take_dropped()) {
         each->notify_caller_gone();
     }
@@ -388,7 +399,7 @@
 void http_session::deliver(const caller_link* from, http_response response) {
     if (this->line.finish(from, std::move(response))) {
         this->write_ready();
-        this->notify_dropped();
+        this->settle_dropped();
     }
 }
 
@@ -577,7 +588,7 @@
     error_code ignored;
     this->socket.close(ignored);
     this->owner.on_closed(kept);
-    this->notify_dropped();
+    this->settle_dropped();
 }
 
 }  // namespace trefoil::edge::detail
--- a/packages/edge/http_session.h
+++ b/packages/edge/http_session.h
@@ -43,6 +43,9 @@
     // Whether requests are still passed to the handler. Otherwise they are refused with
     // request_handler::refuse_during_shutdown().
     virtual bool accepts_requests() const = 0;
+    // Count requests for http_server::pipelining().
+    virtual void count_ran_ahead() = 0;
+    virtual void count_dropped(std::size_t requests) = 0;
     virtual void on_closed(const std::shared_ptr<http_session>& session) = 0;
 };
 
@@ -102,7 +105,7 @@
     void add_request();
     void start_requests();
     bool must_close() const;
-    void notify_dropped();
+    void settle_dropped();
     void write_ready();
     void write(ready_response ready);
     void write_some(const std::shared_ptr<outgoing_response>& response);
--- a/packages/edge/request_line.cc
+++ b/packages/edge/request_line.cc
@@ -126,6 +126,8 @@
 
 void request_line::close_after(entry_list::iterator last) {
     this->closed = true;
+    this->dropped_count +=
+        static_cast<std::size_t>(std::distance(std::next(last), this->entries.end()));
     this->drop_from(std::next(last));
 }
 
--- a/packages/edge/request_line.h
+++ b/packages/edge/request_line.h
@@ -23,6 +23,7 @@
 #include <list>
 #include <memory>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "edge/http_server.h"
@@ -113,6 +114,9 @@
     // The requests that were passed on and have left the line without a response since the last
     // call.
     links take_dropped();
+    // Number of requests that have left the line behind a response that closes the connection since
+    // the last call.
+    std::size_t take_dropped_count() { return std::exchange(this->dropped_count, 0); }
 
 private:
     struct entry {
@@ -134,6 +138,7 @@
     bool closed = false;
     bool taken = false;  // The first response was taken and is not written yet.
     links dropped;
+    std::size_t dropped_count = 0;
 };
 
 }  // namespace trefoil::edge::detail
