--- a/packages/edge/testing/raw_peer.h
+++ b/packages/edge/testing/raw_peer.h
@@ -38,13 +38,15 @@
     // A small `receive_buffer` (bytes; 0: the system's default) makes the peer notice early that
     // this side does not read.
     static raw_socket connect_to(std::uint16_t port, int receive_buffer = 0) {
+        return connect_to(loopback(port), receive_buffer);
+    }
+    static raw_socket connect_to(sockaddr_in address, int receive_buffer = 0) {
         raw_socket made(::socket(AF_INET, SOCK_STREAM, 0));
         if (receive_buffer > 0) {
             throw_on_error(::setsockopt(made.descriptor, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
                                         sizeof(receive_buffer)),
                            "setsockopt");
         }
-        sockaddr_in address = loopback(port);
         throw_on_error(
             ::connect(made.descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
             "connect");
