Break off answers without a valid status line

Cause: parse_status read any number, and libcurl accepts status lines of HTTP/2, after which it shares the connection between requests. An answer "HTTP/2 000" reached the caller's side as an answer with status 0, "HTTP/2 5000" as 5000 (the same test on the code before); "HTTP/1.1 000" is already refused by libcurl. A late second copy of a rejection without an id was taken for the answer to the next request on the connection. A 503 of an upstream that does not state that the request has not run was passed on, where callers read it as that promise.

Change: a status line other than HTTP/1.0 or HTTP/1.1 with three digits from 100 to 599 ends the response; HTTP/1.1 is requested. A response without the id of its request closes its connection. A 408, 421, 429 or 503 that does not state that the request has not run counts as unknown where callers conclude the outcome from the status.

--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -88,6 +88,15 @@
            edge::find_header(response.headers, names.not_run).has_value();
 }
 
+// Whether callers conclude from this status that the request has not run. An upstream that does not
+// state it may have run the request.
+bool promises_not_run(const edge::header_profile& names, unsigned status) {
+    constexpr unsigned status_request_timeout = 408;
+    return names.status_implies_outcome &&
+           (status == status_request_timeout || status == status_misdirected ||
+            status == status_rate_limited || status == status_unavailable);
+}
+
 messages::call_result result_of(const edge::header_profile& names, edge::upstream_result result) {
     messages::call_result answer;
     if (auto* response = std::get_if<edge::http_response>(&result)) {
@@ -96,6 +105,11 @@
             answer.reason = reason_of_not_run_response(response->status);
             return answer;
         }
+        if (promises_not_run(names, response->status)) {
+            answer.outcome = messages::call_outcome::unknown;
+            answer.reason = "upstream_failed";
+            return answer;
+        }
         answer.outcome = messages::call_outcome::answered;
         answer.status = response->status;
         answer.headers = edge::forwardable_headers(response->headers);
@@ -130,7 +144,10 @@
       observer(watcher),
       clock(time),
       gate({}),
-      client({.address = this->options.upstream, .loop = this->options.loop}, time) {}
+      client({.address = this->options.upstream,
+              .header_for_reuse = this->options.headers.request_id,
+              .loop = this->options.loop},
+             time) {}
 
 void egress::offer(const gate::call_id& id, messages::call call, mono_time deadline,
                    std::uint64_t connection, result_callback reply) {
--- a/packages/edge/response_builder.cc
+++ b/packages/edge/response_builder.cc
@@ -2,6 +2,7 @@
 
 #include "edge/response_builder.h"
 
+#include <algorithm>
 #include <charconv>
 #include <limits>
 #include <utility>
@@ -16,14 +17,29 @@
 constexpr unsigned status_no_content = 204;
 constexpr unsigned status_not_modified = 304;
 
-unsigned parse_status(std::string_view status_line) {
+// Returns nothing for a line other than "HTTP/1.0" or "HTTP/1.1", a space, a status from 100 to 599
+// in three digits, and nothing or a space with a reason. Libcurl accepts more: other versions,
+// after which it shares the connection between requests, and statuses of other lengths.
+std::optional<unsigned> parse_status(std::string_view status_line) {
+    constexpr std::size_t status_start = 9;
+    constexpr std::size_t status_digits = 3;
+    constexpr unsigned min_status = 100;
+    constexpr unsigned max_status = 599;
+    bool known_version =
+        status_line.starts_with("HTTP/1.0 ") || status_line.starts_with("HTTP/1.1 ");
+    std::string_view rest = status_line.substr(std::min(status_line.size(), status_start));
     unsigned status = 0;
-    std::size_t space = status_line.find(' ');
-    if (space != std::string_view::npos) {
-        std::string_view rest = trim(status_line.substr(space));
-        std::from_chars(rest.data(), rest.data() + rest.size(), status);
-    }
-    return status;
+    const char* end = rest.data() + std::min(rest.size(), status_digits);
+    auto parsed = std::from_chars(rest.data(), end, status);
+    bool three_digits =
+        rest.size() >= status_digits && parsed.ec == std::errc() && parsed.ptr == end;
+    bool ends_there = rest.size() == status_digits ||
+                      (rest.size() > status_digits &&
+                       (rest[status_digits] == ' ' || rest[status_digits] == '\r' ||
+                        rest[status_digits] == '\n'));
+    bool valid =
+        known_version && three_digits && ends_there && status >= min_status && status <= max_status;
+    return valid ? std::optional(status) : std::nullopt;
 }
 
 bool allows_body(unsigned status) {
@@ -52,6 +68,8 @@
             return "response_too_many_bytes";
         case response_loss::buffer_limit:
             return "response_no_room";
+        case response_loss::bad_status_line:
+            return "response_bad_status_line";
         case response_loss::broken:
             break;
     }
@@ -81,7 +99,11 @@
     this->response.headers.clear();
     this->complete = false;
     this->declared_length = 0;
-    this->status = parse_status(status_line);
+    auto stated = parse_status(status_line);
+    if (!stated.has_value()) {
+        return this->fail(response_loss::bad_status_line);
+    }
+    this->status = *stated;
     if (this->status < status_ok && ++this->interim_count > this->limits.interim_responses) {
         return this->fail(response_loss::too_many_interim_responses);
     }
--- a/packages/edge/response_builder.h
+++ b/packages/edge/response_builder.h
@@ -44,7 +44,8 @@
     too_many_interim_responses,  // Above response_limits::interim_responses.
     body_too_large,              // Above response_limits::body_bytes, as received or as declared.
     too_many_bytes,              // Above curl_loop_options::max_transfer_bytes.
-    buffer_limit,  // Dropped to stay within upstream_client_options::max_buffered_bytes.
+    buffer_limit,     // Dropped to stay within upstream_client_options::max_buffered_bytes.
+    bad_status_line,  // Not a status line of HTTP/1.0 or HTTP/1.1 with a status from 100 to 599.
 };
 
 // Returns the name used in logs and metrics.
@@ -61,6 +62,10 @@
 
     // Whether the empty line after the headers has arrived.
     bool header_complete() const { return this->complete; }
+    // Whether the headers that have arrived include this one.
+    bool has_header(std::string_view name) const {
+        return find_header(this->response.headers, name).has_value();
+    }
     std::optional<response_loss> loss() const { return this->failure; }
     // Bytes of the body that are in memory.
     std::size_t buffered_bytes() const { return this->response.body.size(); }
@@ -78,7 +83,7 @@
     http_response response;
     std::size_t head_bytes = 0;
     unsigned interim_count = 0;         // Interim responses received so far.
-    unsigned status = 0;                // From the last status line; 0 when it has none.
+    unsigned status = 0;                // From the last status line; 0 before it.
     std::uint64_t declared_length = 0;  // Content-Length; 0 when there is none.
     bool complete = false;
     std::optional<response_loss> failure;
--- a/packages/edge/testing/response_builder_test.cc
+++ b/packages/edge/testing/response_builder_test.cc
@@ -84,4 +84,23 @@
     BOOST_TEST(accepts_length("GET", "100 Continue", "101"));
 }
 
+// Guards against a caller that gets an answer with a status that is none, and against a connection
+// on which libcurl mixes requests after a status line of another version.
+BOOST_AUTO_TEST_CASE(other_status_lines_break_the_response_off) {
+    for (const char* line :
+         {"HTTP/1.1 000 X\r\n", "HTTP/1.1 000\r\n", "HTTP/1.1 099 X\r\n", "HTTP/1.1 600 X\r\n",
+          "HTTP/1.1 20 OK\r\n", "HTTP/1.1 2000 OK\r\n", "HTTP/1.1 OK\r\n", "HTTP/1.1  200 OK\r\n",
+          "HTTP/1.1\r\n", "HTTP/1.2 200 OK\r\n", "HTTP/2 200 OK\r\n", "HTTP/2.0 200 OK\r\n",
+          "HTTP/3 200\r\n", "HTTP/1.1 2x0 OK\r\n", "HTTP/1.1 -20 OK\r\n", "HTTP/11 200 OK\r\n"}) {
+        response_builder response({}, "GET");
+        BOOST_TEST(!response.add_line(line), line);
+        BOOST_TEST(has_failed(response, response_loss::bad_status_line), line);
+    }
+    for (const char* line : {"HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.1 599\r\n",
+                             "HTTP/1.1 200 \r\n", "HTTP/1.1 100 Continue\r\n", "HTTP/1.1 404\n"}) {
+        response_builder response({}, "GET");
+        BOOST_TEST(response.add_line(line), line);
+    }
+}
+
 }  // namespace trefoil::edge
--- a/packages/edge/testing/upstream_client_test.cc
+++ b/packages/edge/testing/upstream_client_test.cc
@@ -22,9 +22,11 @@
 const std::string plain_response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 struct fixture {
-    explicit fixture(std::function<void(raw_socket, int)> serve)
+    explicit fixture(std::function<void(raw_socket, int)> serve, std::string header_for_reuse = {})
         : server(std::move(serve)),
-          client({.address = "127.0.0.1:" + std::to_string(this->server.port())}, this->clock) {}
+          client({.address = "127.0.0.1:" + std::to_string(this->server.port()),
+                  .header_for_reuse = std::move(header_for_reuse)},
+                 this->clock) {}
 
     std::future<upstream_result> start(upstream_request request, request_number* number = nullptr) {
         auto promise = std::make_shared<std::promise<upstream_result>>();
@@ -224,4 +226,43 @@
     }
 }
 
+// Guards against an answer without a status that reaches the caller, and against requests that mix
+// on one connection after a status line of another version.
+BOOST_AUTO_TEST_CASE(a_bad_status_line_loses_the_response_and_its_connection) {
+    for (std::string line :
+         {"HTTP/1.1 000 X", "HTTP/1.1 2000 X", "HTTP/2 200 OK", "HTTP/2 000", "HTTP/2 5000 X"}) {
+        std::atomic<int> connections{0};
+        fixture setup([&](raw_socket socket, int) {
+            ++connections;
+            while (!socket.read_until("\r\n\r\n").empty()) {
+                socket.write(connections == 1 ? line + "\r\nContent-Length: 2\r\n\r\nok"
+                                              : plain_response);
+            }
+        });
+        auto bad = setup.run(false);
+        BOOST_TEST(std::holds_alternative<response_lost>(bad), line);
+        BOOST_TEST(std::holds_alternative<http_response>(setup.run(false)), line);
+        BOOST_TEST(connections == 2, line);
+    }
+}
+
+// Guards against a late second copy of a response that is taken for the response to the next
+// request on the connection.
+BOOST_AUTO_TEST_CASE(a_response_without_the_required_header_closes_its_connection) {
+    std::atomic<int> connections{0};
+    fixture setup(
+        [&](raw_socket socket, int) {
+            int number = ++connections;
+            while (!socket.read_until("\r\n\r\n").empty()) {
+                socket.write(number == 1 ? plain_response
+                                         : "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 0\r\n\r\n");
+            }
+        },
+        "Id");
+    for (int expected : {1, 2, 2, 2}) {
+        BOOST_TEST(std::holds_alternative<http_response>(setup.run(false)));
+        BOOST_TEST(connections == expected);
+    }
+}
+
 }  // namespace trefoil::edge
--- a/packages/edge/upstream_client.cc
+++ b/packages/edge/upstream_client.cc
@@ -70,6 +70,7 @@
     header_list headers;
     CURL* easy = nullptr;
     response_builder response;
+    std::string_view header_for_reuse;  // Of the client's options.
     buffer_usage* shared_usage = nullptr;
     bool sent = false;  // Bytes of the request may have been sent.
 };
@@ -89,7 +90,15 @@
 
 std::size_t on_header(char* data, std::size_t size, std::size_t count, void* target) {
     auto* state = static_cast<transfer*>(target);
-    return state->response.add_line({data, size * count}) ? size * count : 0;
+    if (!state->response.add_line({data, size * count})) {
+        return 0;
+    }
+    bool forbid = state->response.header_complete() && !state->header_for_reuse.empty() &&
+                  !state->response.has_header(state->header_for_reuse);
+    if (forbid) {
+        curl_easy_setopt(state->easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+    return size * count;
 }
 
 // Called before each send. Libcurl resends a request with any method when a reused connection
@@ -232,9 +241,12 @@
         const upstream_request& request = state.request;
         std::string url = "http://" + this->options.address + request.target;
         state.shared_usage = &this->usage;
+        state.header_for_reuse = this->options.header_for_reuse;
         auto connect = std::min(left, this->options.connect_timeout);
         curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
         curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
+        // Otherwise a status line of HTTP/2 makes libcurl share the connection between requests.
+        curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
         curl_easy_setopt(handle, CURLOPT_HTTPHEADER, state.headers.get());
         curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(handle, CURLOPT_PROXY, "");
