Warn of entries without effect before a configuration is sent

Cause: trefoilctl check reported errors only. Operators asked for what can never match, for limits that contradict each other and for what differs from the version in force.

--- a/packages/ctl/check_command.cc
+++ b/packages/ctl/check_command.cc
@@ -5,8 +5,11 @@
 #include <fmt/format.h>
 
 #include <set>
+#include <string>
 #include <vector>
 
+#include "config/difference.h"
+#include "config/warnings.h"
 #include "ctl/document_file.h"
 
 namespace trefoil::ctl {
@@ -25,6 +28,39 @@
     }
 }
 
+// Prints the warnings that were not printed for an earlier overlay. Returns whether there are any.
+bool print_warnings(const config::snapshot& checked, std::set<std::string>& printed,
+                    std::ostream& out) {
+    auto warnings = config::find_warnings(checked);
+    for (const config::warning& each : warnings) {
+        std::string line = "warning: " + config::describe(each);
+        if (printed.insert(line).second) {
+            out << line << '\n';
+        }
+    }
+    return !warnings.empty();
+}
+
+// Prints what the document changes compared to the one in force. Returns false if that one cannot
+// be read or is invalid.
+bool print_changes(const std::string& in_force, const std::string& overlay,
+                   const config::snapshot& checked, output_streams output) {
+    auto outcome = read_snapshot(in_force, overlay);
+    if (auto* failure = std::get_if<unreadable_document>(&outcome)) {
+        usage_error(output, describe(*failure));
+        return false;
+    }
+    const auto* current = std::get_if<config::snapshot>(&outcome);
+    if (current == nullptr) {
+        usage_error(output, fmt::format("{} is invalid", in_force));
+        return false;
+    }
+    for (const config::difference& each : config::compare(*current, checked)) {
+        output.out << "change: " << config::describe(each) << '\n';
+    }
+    return true;
+}
+
 }  // namespace
 
 std::string check_command::name() const {
@@ -32,15 +68,20 @@
 }
 
 std::string check_command::arguments() const {
-    return "BASE [OVERLAY...]";
+    return "BASE [OVERLAY...] [--against BASE_IN_FORCE] [--strict]";
 }
 
 std::string check_command::summary() const {
-    return "Validate a base document alone or with each of its overlays.";
+    return "Validate a base document alone or with each of its overlays, and warn of entries "
+           "without "
+           "effect.";
 }
 
-void check_command::add_options(boost::program_options::options_description& /*shown*/,
+void check_command::add_options(boost::program_options::options_description& shown,
                                 boost::program_options::options_description& hidden) const {
+    shown.add_options()("against", boost::program_options::value<std::string>(),
+                        "base document in force, to show what the new one changes");
+    shown.add_options()("strict", "exit with 1 also for warnings");
     hidden.add_options()("file", boost::program_options::value<std::vector<std::string>>());
 }
 
@@ -59,8 +100,11 @@
     if (overlays.empty()) {
         overlays.emplace_back(no_overlay);
     }
+    std::string against = values.count("against") > 0 ? values["against"].as<std::string>() : "";
+    bool strict = values.count("strict") > 0;
     std::set<std::string> printed;
     bool valid = true;
+    bool warned = false;
     for (const std::string& overlay : overlays) {
         auto outcome = read_snapshot(files.front(), overlay);
         if (auto* failure = std::get_if<unreadable_document>(&outcome)) {
@@ -73,11 +117,16 @@
             valid = false;
             print_new_failures(*failures, printed, output.out);
             output.out << pair << ": invalid\n";
-        } else {
-            output.out << pair << ": valid\n";
+            continue;
+        }
+        const auto& checked = std::get<config::snapshot>(outcome);
+        output.out << pair << ": valid\n";
+        warned = print_warnings(checked, printed, output.error) || warned;
+        if (!against.empty() && !print_changes(against, overlay, checked, output)) {
+            return exit_code::usage;
         }
     }
-    return valid ? exit_code::success : exit_code::findings;
+    return valid && !(strict && warned) ? exit_code::success : exit_code::findings;
 }
 
 }  // namespace trefoil::ctl
--- a/packages/ctl/testing/document_commands_test.cc
+++ b/packages/ctl/testing/document_commands_test.cc
@@ -83,6 +83,18 @@
 
 }  // namespace
 
+// Guards against a change that is sent although it has no effect, or another one than intended.
+BOOST_FIXTURE_TEST_CASE(check_shows_warnings_and_what_the_document_changes, fixture) {
+    this->write("next.yaml", base(60, "abc") + "instances: {}\n");
+    BOOST_TEST(this->run({"check", "next.yaml", "--against", "base.yaml"}) == 0);
+    BOOST_TEST(this->out.find("change: workspace north: rate 50 -> 60\n") != std::string::npos);
+    BOOST_TEST(this->run({"check", "base.yaml", "north.yaml"}) == 0);
+    BOOST_TEST(this->error.find("warning: failure domains: all are taken out") != std::string::npos);
+    BOOST_TEST(this->run({"check", "base.yaml", "north.yaml", "--strict"}) == 1);
+    BOOST_TEST(this->run({"check", "base.yaml", "--strict"}) == 0);
+    BOOST_TEST(this->run({"check", "base.yaml", "--against", "absent.yaml"}) == 2);
+}
+
 // Guards against a check that accepts an invalid pair or does not name the invalid overlay.
 BOOST_FIXTURE_TEST_CASE(check_reports_each_pair, fixture) {
     BOOST_TEST(this->run({"check", "base.yaml"}) == 0);
