Test callers that occupy memory and connections

Cause: requests of callers are bounded one by one and never as a sum, a body is copied several times on its way, and a call above 4 MiB ends the peer connection that it is sent on. Connections with an incomplete request are never closed, and their number does not depend on the descriptors of the process.

--- a/packages/edge/testing/raw_peer.h
+++ b/packages/edge/testing/raw_peer.h
@@ -38,16 +38,18 @@
     // A small `receive_buffer` (bytes; 0: the system's default) makes the peer notice early that
     // this side does not read.
     static raw_socket connect_to(std::uint16_t port, int receive_buffer = 0) {
+        return connect_to(loopback(port), receive_buffer);
+    }
+    static raw_socket connect_to(const sockaddr_in& address, int receive_buffer = 0) {
         raw_socket made(::socket(AF_INET, SOCK_STREAM, 0));
         if (receive_buffer > 0) {
             throw_on_error(::setsockopt(made.descriptor, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
                                         sizeof(receive_buffer)),
                            "setsockopt");
         }
-        sockaddr_in address = loopback(port);
-        throw_on_error(
-            ::connect(made.descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
-            "connect");
+        throw_on_error(::connect(made.descriptor, reinterpret_cast<const sockaddr*>(&address),
+                                 sizeof(address)),
+                       "connect");
         return made;
     }
 
@@ -63,6 +65,25 @@
         ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     }
 
+    struct readiness {
+        bool writable = false;
+        bool readable = false;
+    };
+    // Waits until bytes can be written.
+    readiness wait_writable(std::chrono::milliseconds limit) const {
+        pollfd entry{.fd = this->descriptor, .events = POLLOUT, .revents = 0};
+        ::poll(&entry, 1, static_cast<int>(limit.count()));
+        bool writable = (entry.revents & POLLOUT) != 0;
+        entry = {.fd = this->descriptor, .events = POLLIN, .revents = 0};
+        return {.writable = writable, .readable = ::poll(&entry, 1, 0) > 0};
+    }
+    // Writes what can be written without waiting. Returns the number of bytes, 0 on an error.
+    std::size_t write_some(std::string_view bytes) const {
+        auto sent =
+            ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        return sent > 0 ? static_cast<std::size_t>(sent) : 0;
+    }
+
     // Writes `unit` repeatedly until the peer closes the connection. Returns whether it did so
     // within the limit.
     bool write_until_closed(std::string_view unit, std::chrono::milliseconds pause,
--- a/testing/support/process.h
+++ b/testing/support/process.h
@@ -17,10 +17,12 @@
 #include <chrono>
 #include <csignal>
 #include <cstddef>
+#include <filesystem>
 #include <fstream>
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <system_error>
 #include <thread>
 #include <vector>
 
@@ -99,6 +101,21 @@
         return kib << 10U;
     }
 
+    // Open sockets and pipes; 0 after the child has ended.
+    std::size_t open_channels() const {
+        std::size_t count = 0;
+        std::error_code ended;
+        std::filesystem::directory_iterator entries("/proc/" + std::to_string(this->pid) + "/fd",
+                                                    ended);
+        for (; !ended && entries != std::filesystem::directory_iterator();
+             entries.increment(ended)) {
+            std::error_code closed;
+            std::string target = std::filesystem::read_symlink(entries->path(), closed).string();
+            count += target.rfind("socket:", 0) == 0 || target.rfind("pipe:", 0) == 0 ? 1 : 0;
+        }
+        return count;
+    }
+
 private:
     pid_t pid = -1;
     std::optional<int> status;  // Set when the child was reaped.
