Bound the memory and connections of callers, and send large bodies in parts

Cause: nothing bounded the bytes of all requests together; a body was copied for each attempt, for the upstream, for the encoding and for the frame; a call above the 4 MiB of a frame ended the peer connection; the 4,096 connections of callers left no descriptors on a machine with 4,100, and connections with an incomplete request were never closed.

Change: one account per process (edge::memory_account), bounded by memory_mb, counts requests, responses and bodies that arrive from peers. Without room the incomplete request that has stalled the longest, or else the largest one, is refused as not run. Connections of callers are bounded by max_descriptors. A body exists once per process. Bodies above 64 KiB go to peers in parts with a window, before their call; a peer states in its hello that it accepts them.

--- a/packages/daemon/admin_sources.h
+++ b/packages/daemon/admin_sources.h
@@ -24,6 +24,7 @@
     peer_connections& connections;
     request_metrics& metrics;
     const source::configuration_service& platform;
+    const edge::memory_account& memory;
 };
 
 }  // namespace trefoil::daemon
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -10,6 +10,7 @@
 
 #include "base/log.h"
 #include "base/random.h"
+#include "daemon/process_limits.h"
 
 namespace trefoil::daemon {
 
@@ -75,6 +76,7 @@
     : options(given),
       platform(std::move(bound)),
       incarnation(make_incarnation()),
+      caller_bytes(caller_memory(given.memory_mb)),
       metrics(this->clock),
       limits({.incarnation = this->incarnation,
               .loan_duration = loan_duration,
@@ -87,7 +89,8 @@
       nested_retries(this->retry_budgets),
       local_egress({.upstream = given.upstream.text(),
                     .headers = this->platform.headers,
-                    .loop = &this->loop},
+                    .loop = &this->loop,
+                    .memory = &this->caller_bytes},
                    this->shared, this->contexts, this->nested_retries, this->metrics, this->clock),
       local_ingress({.instance = given.instance,
                      .incarnation = this->incarnation,
@@ -99,7 +102,8 @@
               this->shared, *this->platform.service, this->clock),
       connections({.endpoint = {.self = make_hello(given, this->incarnation),
                                 .fleet_secret = given.fleet_secret,
-                                .loop = &this->loop}},
+                                .loop = &this->loop},
+                   .memory = &this->caller_bytes},
                   *this, this->clock),
       operators({.instance = given.instance,
                  .incarnation = this->incarnation,
@@ -111,14 +115,20 @@
                  .limits = this->limits,
                  .connections = this->connections,
                  .metrics = this->metrics,
-                 .platform = *this->platform.service},
+                 .platform = *this->platform.service,
+                 .memory = this->caller_bytes},
                 this->clock),
-      callers_server(
-          {.ip = given.listen.callers.ip, .port = given.listen.callers.port, .loop = &this->loop},
-          this->local_ingress),
-      admin_server(
-          {.ip = given.listen.admin.ip, .port = given.listen.admin.port, .loop = &this->loop},
-          this->operators),
+      callers_server({.ip = given.listen.callers.ip,
+                      .port = given.listen.callers.port,
+                      .max_connections = max_caller_connections(given.max_descriptors),
+                      .memory = &this->caller_bytes,
+                      .loop = &this->loop},
+                     this->local_ingress),
+      admin_server({.ip = given.listen.admin.ip,
+                    .port = given.listen.admin.port,
+                    .max_connections = max_admin_connections,
+                    .loop = &this->loop},
+                   this->operators),
       timer(this->loop, [this] { this->on_timer(); }) {
     this->shared.settings.publish(std::make_shared<const settings>(given));
     this->control.set_connections(this->connections);
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -90,6 +90,7 @@
     const platform_binding platform;
     const std::uint64_t incarnation;
     machine_time_source clock;
+    edge::memory_account caller_bytes;
     io::event_loop loop;
     shared_state shared;
     admission::context_table contexts;
--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -133,9 +133,15 @@
       client({.address = this->options.upstream, .loop = this->options.loop}, time) {}
 
 void egress::offer(const gate::call_id& id, messages::call call, mono_time deadline,
-                   std::uint64_t connection, result_callback reply) {
+                   std::uint64_t connection, result_callback reply, edge::shared_body body) {
     auto held = std::make_shared<pending_call>();
     held->call = std::move(call);
+    held->body = std::move(body);
+    if (held->body == nullptr && !held->call.body.empty()) {
+        auto bytes = std::make_shared<edge::memory_reservation>(this->options.memory);
+        bytes->resize_unchecked(held->call.body.size());
+        held->body = edge::make_shared_body(std::exchange(held->call.body, {}), std::move(bytes));
+    }
     held->deadline = deadline;
     held->connection = connection;
     held->arrived = this->clock.now();
@@ -233,7 +239,7 @@
     edge::upstream_request request{.method = call.call.method,
                                    .target = call.call.target,
                                    .headers = edge::forwardable_headers(call.call.headers),
-                                   .body = call.call.body,
+                                   .body = call.body,
                                    .deadline = call.deadline};
     const edge::header_profile& names = this->options.headers;
     auto add = [&request](const std::string& name, std::string value) {
--- a/packages/daemon/egress.h
+++ b/packages/daemon/egress.h
@@ -35,7 +35,8 @@
 struct egress_options {
     std::string upstream;  // "ip:port".
     edge::header_profile headers = {};
-    io::event_loop* loop = nullptr;  // Null: the egress has a loop of its own.
+    io::event_loop* loop = nullptr;          // Null: the egress has a loop of its own.
+    edge::memory_account* memory = nullptr;  // Counts the bodies of calls; may be null.
 };
 
 using result_callback = std::function<void(messages::call_result)>;
@@ -64,9 +65,10 @@
 
     // Starts, queues or refuses a call. `deadline` is on the local clock. `connection` is the peer
     // connection that delivered the call, 0 for the local ingress. `reply` is called once, from any
-    // thread, unless the call is cancelled before it starts.
+    // thread, unless the call is cancelled before it starts. `body` replaces the message's own
+    // body.
     void offer(const gate::call_id& id, messages::call call, mono_time deadline,
-               std::uint64_t connection, result_callback reply);
+               std::uint64_t connection, result_callback reply, edge::shared_body body = nullptr);
 
     // The peer's ingress has given up all calls of this connection: queued calls are dropped and
     // running idempotent ones aborted. Running calls that are not idempotent continue, because an
@@ -102,7 +104,8 @@
 private:
     // A call from offer() to its reply.
     struct pending_call {
-        messages::call call;
+        messages::call call;     // Its own body is empty.
+        edge::shared_body body;  // Null without a body.
         mono_time deadline;
         mono_time arrived;
         std::uint64_t connection = 0;
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -58,7 +58,8 @@
                : last;
 }
 
-// Copies the call's message. An attempt that counts as a retry is one with probability 1.
+// Copies the call's message, which does not contain the body. An attempt that counts as a retry is
+// one with probability 1.
 messages::call next_attempt_message(const detail::ingress_call& call) {
     messages::call message = call.message;
     message.retry_probability = call.history.retries > 0 ? 1 : message.retry_probability;
@@ -127,6 +128,12 @@
                         this->options.headers);
 }
 
+edge::http_response ingress::refuse_without_memory() {
+    return make_refusal({.reason = reasons::overloaded,
+                         .retry_after = retry_after_for(reasons::overloaded, std::nullopt)},
+                        this->options.headers);
+}
+
 void ingress::handle(edge::http_request request, std::shared_ptr<edge::responder> responder) {
     auto call = std::make_shared<ingress_call>();
     ++this->in_progress;
@@ -141,7 +148,9 @@
     call->message.caller_service = this->shared.settings.read()->service;
     call->message.headers =
         edge::forwardable_request_headers(this->options.headers, request.headers);
-    call->message.body = std::move(request.body);
+    if (!request.body.empty()) {
+        call->body = edge::make_shared_body(std::move(request.body), std::move(request.held));
+    }
     call->message.may_be_late = call->objective.count() == 0;
     this->count_for_retry_budget(call);
     this->rank_nested_call(call);
@@ -244,11 +253,12 @@
     message.budget_us =
         std::chrono::duration_cast<std::chrono::microseconds>(call->history.deadline - now).count();
     message.objective_us = objective_left_us(call->objective_at(), now);
-    this->local.offer({.instance = this->options.instance,
-                       .incarnation = this->options.incarnation,
-                       .sequence = sequence},
-                      std::move(message), call->history.deadline, 0,
-                      [this](messages::call_result result) { this->on_result(std::move(result)); });
+    this->local.offer(
+        {.instance = this->options.instance,
+         .incarnation = this->options.incarnation,
+         .sequence = sequence},
+        std::move(message), call->history.deadline, 0,
+        [this](messages::call_result result) { this->on_result(std::move(result)); }, call->body);
 }
 
 void ingress::send_remote(std::uint64_t sequence, const call_ptr& call,
@@ -268,7 +278,13 @@
          .not_sent =
              [this, sequence] {
                  this->end_attempt(sequence, routing::attempt_end::not_sent, reasons::no_upstream);
-             }});
+             },
+         .body = call->body,
+         .not_accepted =
+             [this, sequence] {
+                 this->end_attempt(sequence, routing::attempt_end::refused, reasons::overloaded);
+             },
+         .wanted = [this, sequence] { return this->attempts.find(sequence).has_value(); }});
 }
 
 void ingress::on_result(messages::call_result result) {
@@ -418,6 +434,7 @@
 
 void ingress::finish(const call_ptr& call, unsigned status, std::string_view reason) {
     call->ended = true;
+    call->body.reset();
     if (call->message.precedes && !call->nested) {
         this->precedence.end();
     }
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -66,6 +66,7 @@
     void handle(edge::http_request request, std::shared_ptr<edge::responder> responder) override;
     edge::http_response refuse(unsigned status) override;
     edge::http_response refuse_during_shutdown() override;
+    edge::http_response refuse_without_memory() override;
 
     void on_result(messages::call_result result);
     void on_connected(const std::string& instance);
--- a/packages/daemon/ingress_call.h
+++ b/packages/daemon/ingress_call.h
@@ -30,6 +30,7 @@
 // processes a request.
 struct ingress_call : accepted_request {
     std::shared_ptr<edge::responder> responder;
+    edge::shared_body body;  // Null without a body; the message's own body is empty.
     mono_time arrived;
     bool admitted = false;
     bool ended = false;               // Answered, or its caller has disconnected.
--- a/packages/daemon/peer_connections.cc
+++ b/packages/daemon/peer_connections.cc
@@ -17,6 +17,10 @@
 constexpr std::size_t queue_capacity = 64;
 constexpr std::size_t early_call_capacity = 256;
 constexpr std::chrono::milliseconds close_check_interval{5};
+// Largest body in the frame of its call, for a peer that accepts larger ones in parts and for one
+// of an earlier version. The frame has room for the headers besides.
+constexpr std::size_t whole_body_bytes = std::size_t{64} << 10U;
+constexpr std::size_t earlier_whole_body_bytes = std::size_t{3} << 20U;
 // Much shorter than the idle timeout. Checking all connections is the most expensive part of
 // tick().
 constexpr std::chrono::milliseconds idle_check_interval{1000};
@@ -60,6 +64,7 @@
       handler(target),
       clock(time),
       random(entropy_seed()),
+      bodies_received(*this, this->options.memory),
       endpoint(this->options.endpoint, *this, time) {
     this->dial_tokens = this->options.dials_per_second;
     this->dial_tokens_at = time.now();
@@ -246,12 +251,74 @@
     }
 }
 
-// Sets the send time and budget right before sending, so that time in the queue counts against the
-// budget.
 void peer_connections::transmit_call(transport::connection_id id, outgoing_call call) {
+    std::size_t bytes = call.body == nullptr ? 0 : call.body->size();
+    bool in_parts = bytes > whole_body_bytes && this->endpoint.accepts_bodies(id);
+    if (in_parts) {
+        this->transmit_body(id, std::move(call));
+    } else if (bytes > earlier_whole_body_bytes) {
+        call.not_accepted();
+    } else {
+        this->transmit_whole_call(id, std::move(call));
+    }
+}
+
+// The call is claimed and sent once the peer has confirmed its body.
+void peer_connections::transmit_body(transport::connection_id id, outgoing_call call) {
+    if (auto found = this->by_connection.find(id); found.has_value()) {
+        (*found)->expect_result(call.deadline);
+    }
+    auto held = std::make_shared<outgoing_call>(std::move(call));
+    auto arrived = [this, id, held] {
+        if (!held->about_to_send(id)) {
+            this->endpoint.send_body_message(
+                id, messages::body_discard{.sequence = held->call.sequence});
+            return;
+        }
+        this->set_times(id, *held);
+        if (!this->endpoint.send_body_message(
+                id, messages::call_with_body{.total = held->body->size(), .call = held->call})) {
+            held->not_sent();
+        }
+    };
+    auto failed = [held](body_failure why) {
+        if (why == body_failure::refused) {
+            held->not_accepted();
+        } else {
+            held->not_sent();
+        }
+    };
+    this->bodies_sent.start(id, held->call.sequence, held->body,
+                            {.deadline = held->deadline,
+                             .wanted = held->wanted,
+                             .arrived = std::move(arrived),
+                             .failed = std::move(failed)});
+}
+
+void peer_connections::transmit_whole_call(transport::connection_id id, outgoing_call call) {
     if (!call.about_to_send(id)) {
         return;
     }
+    if (call.body != nullptr) {
+        call.call.body = *call.body;
+    }
+    this->set_times(id, call);
+    if (!this->endpoint.send(id, std::move(call.call))) {
+        call.not_sent();
+    }
+}
+
+bool peer_connections::send_body_message(transport::connection_id connection,
+                                         const messages::body_message& message) {
+    if (auto found = this->by_connection.find(connection); found.has_value()) {
+        (*found)->record_use(this->clock.now());
+    }
+    return this->endpoint.send_body_message(connection, message);
+}
+
+// Sets the send time and budget right before sending, so that time in the queue counts against the
+// budget.
+void peer_connections::set_times(transport::connection_id id, outgoing_call& call) {
     mono_time now = this->clock.now();
     if (auto found = this->by_connection.find(id); found.has_value()) {
         (*found)->expect_result(call.deadline);
@@ -260,9 +327,6 @@
     call.call.budget_us =
         std::chrono::duration_cast<std::chrono::microseconds>(call.deadline - now).count();
     call.call.objective_us = objective_left_us(call.objective, now);
-    if (!this->endpoint.send(id, std::move(call.call))) {
-        call.not_sent();
-    }
 }
 
 void peer_connections::on_open(transport::connection_id id, const messages::hello& peer,
@@ -315,6 +379,7 @@
         last = state.connections.empty();
     });
     this->needs_cleanup = true;
+    this->bodies_sent.connection_lost(id);
     this->handler.on_connection_silent(id, peer, last);
 }
 
@@ -330,6 +395,7 @@
                                 bool settled_by_peer) {
     this->finish_dial(id, false);
     auto closed = this->by_connection.take(id);
+    this->bodies_received.connection_lost(id);
     if (peer == nullptr || !closed.has_value()) {
         return;
     }
@@ -339,6 +405,7 @@
         last = state.connections.empty() && !(*closed)->silent;
     });
     this->needs_cleanup = true;
+    this->bodies_sent.connection_lost(id);
     this->handler.on_connection_closed(id, *peer,
                                        {.last = last, .settled_by_peer = settled_by_peer});
 }
@@ -364,6 +431,43 @@
                              std::move(message));
 }
 
+void peer_connections::on_body_message(transport::connection_id id, const messages::hello&,
+                                       messages::body_message message, mono_time received) {
+    auto found = this->by_connection.find(id);
+    if (!found.has_value()) {
+        return;
+    }
+    (*found)->record_use(received);
+    if (const auto* part = std::get_if<messages::body_part>(&message)) {
+        this->bodies_received.on_part(id, *part, received);
+    } else if (const auto* progress = std::get_if<messages::body_progress>(&message)) {
+        this->bodies_sent.on_progress(id, *progress);
+    } else if (const auto* refusal = std::get_if<messages::body_refusal>(&message)) {
+        this->bodies_sent.on_refusal(id, refusal->sequence);
+    } else if (const auto* discarded = std::get_if<messages::body_discard>(&message)) {
+        this->bodies_received.on_discard(id, discarded->sequence);
+    } else {
+        this->on_call_with_body(**found, std::get<messages::call_with_body>(std::move(message)),
+                                received);
+    }
+}
+
+// A call whose body was dropped meanwhile is refused, because it must not run without it.
+void peer_connections::on_call_with_body(peer_connection& from, messages::call_with_body message,
+                                         mono_time received) {
+    auto body = this->bodies_received.take(from.id, message.call.sequence, message.total);
+    if (!body.has_value()) {
+        this->send_on(from.id, messages::call_result{.sequence = message.call.sequence,
+                                                     .outcome = messages::call_outcome::not_run,
+                                                     .reason = "overloaded",
+                                                     .reached_upstream = false});
+        return;
+    }
+    message.call.body = std::move(*body);
+    from.expect_result(received + std::chrono::microseconds(message.call.budget_us));
+    this->on_call_message(from, std::move(message.call), received);
+}
+
 void peer_connections::on_pong(peer_connection& from, const messages::pong& pong,
                                mono_time received) {
     std::vector<std::pair<messages::call, mono_time>> released;
@@ -420,6 +524,8 @@
     }
     if (now >= this->next_idle_check) {
         this->next_idle_check = now + idle_check_interval;
+        this->bodies_sent.expire(now);
+        this->bodies_received.expire(now);
         this->close_idle_connections();
     }
 }
--- a/packages/daemon/peer_connections.h
+++ b/packages/daemon/peer_connections.h
@@ -27,6 +27,7 @@
 #include "base/random.h"
 #include "base/sharded_map.h"
 #include "base/time.h"
+#include "daemon/body_exchange.h"
 #include "messages/messages.h"
 #include "routing/clock_offset.h"
 #include "transport/peer_endpoint.h"
@@ -72,11 +73,16 @@
 // returns false to cancel the call. `not_sent` is invoked if no byte of the call was sent. Each
 // call is either sent, cancelled by `about_to_send` or reported by `not_sent`.
 struct outgoing_call {
-    messages::call call;
+    messages::call call;  // Its own body is empty if `body` is not.
     mono_time deadline;
     std::optional<mono_time> objective;  // End of the latency objective, if the service has one.
     std::function<bool(transport::connection_id)> about_to_send;
     std::function<void()> not_sent;
+    edge::shared_body body = nullptr;
+    // Instead of `not_sent`: the peer has no room for the body, or cannot receive one of this size.
+    std::function<void()> not_accepted = {};
+    // Whether the call is still in progress; asked while a large body is sent.
+    std::function<bool()> wanted = [] { return true; };
 };
 
 // Returns the remaining time of the latency objective as a call message carries it: in
@@ -89,11 +95,12 @@
     std::chrono::milliseconds max_queue_time{1000};  // Of a message without an open connection.
     std::chrono::milliseconds min_backoff{100};
     std::chrono::milliseconds max_backoff{5000};
-    double dials_per_second = 20;  // Limit for all addresses together.
+    double dials_per_second = 20;            // Limit for all addresses together.
+    edge::memory_account* memory = nullptr;  // Counts the bodies that arrive; may be null.
 };
 
 // All members are safe for concurrent use.
-class peer_connections final : private transport::peer_events {
+class peer_connections final : private transport::peer_events, private body_link {
 public:
     peer_connections(peer_connections_options options, peer_event_handler& handler,
                      const time_source& clock);
@@ -172,6 +179,8 @@
     void on_open(transport::connection_id id, const messages::hello& peer, bool outgoing) override;
     void on_message(transport::connection_id id, const messages::hello& peer,
                     messages::peer_message message, mono_time received) override;
+    void on_body_message(transport::connection_id id, const messages::hello& peer,
+                         messages::body_message message, mono_time received) override;
     void on_silent(transport::connection_id id, const messages::hello& peer) override;
     void on_resumed(transport::connection_id id, const messages::hello& peer) override;
     void on_close(transport::connection_id id, const messages::hello* peer,
@@ -184,6 +193,13 @@
     void enqueue(const std::string& instance, const std::string& address, queued_message message);
     void transmit(transport::connection_id id, queued_message message);
     void transmit_call(transport::connection_id id, outgoing_call call);
+    void transmit_body(transport::connection_id id, outgoing_call call);
+    void transmit_whole_call(transport::connection_id id, outgoing_call call);
+    void set_times(transport::connection_id id, outgoing_call& call);
+    bool send_body_message(transport::connection_id connection,
+                           const messages::body_message& message) override;
+    void on_call_with_body(peer_connection& from, messages::call_with_body message,
+                           mono_time received);
     void finish_dial(transport::connection_id id, bool opened);
     bool take_dial_token(mono_time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(dial_mutex);
     bool is_idle(const peer_connection& each) const;
@@ -211,6 +227,9 @@
     mono_time dial_tokens_at;
     seeded_random random;
 
+    outgoing_bodies bodies_sent{*this};
+    incoming_bodies bodies_received;
+
     transport::peer_endpoint endpoint;
 };
 
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -95,6 +95,10 @@
     std::map<std::string, std::string> regions{};  // By failure domain; others have no region.
     stop_settings stop{};
     retry_settings retries{};
+    // Memory of the machine in millions of bytes and the descriptors that the process may open; 0:
+    // as the system states them.
+    std::size_t memory_mb = 0;
+    std::size_t max_descriptors = 0;
     admission::limit_tolerance limits{};  // Used if the configuration counts the instance list.
     std::vector<socket_address> seeds{};
     // At least 16 characters; never logged. Empty if the network is trusted: then any process that
--- a/packages/daemon/state_series.cc
+++ b/packages/daemon/state_series.cc
@@ -112,6 +112,18 @@
             "Connections closed for a wrong proof or a bad frame.");
     all.add("calls_in_progress", gauge(this->sources.local_ingress.calls_in_progress()),
             "Requests of callers without a response.");
+    edge::memory_usage memory = this->sources.memory.usage();
+    all.add("caller_bytes", gauge(memory.held_bytes),
+            "Memory for callers' requests and responses and for calls of peers.");
+    all.add("caller_bytes_limit", gauge(memory.limit_bytes), "Bound of trefoil_caller_bytes.");
+    all.add("caller_requests_dropped_total", memory.dropped_requests,
+            "Incomplete requests that were refused for lack of memory.");
+    all.add("caller_responses_dropped_total", memory.dropped_responses,
+            "Unread responses that were dropped for lack of memory.");
+    all.add("caller_connections_closed_total", memory.closed_connections,
+            "Connections that were closed at the limit, without idle ones.");
+    all.add("peer_bodies_refused_total", memory.refused_bodies,
+            "Bodies of calls of peers that were refused for lack of memory.");
 }
 
 void state_series::add_retry_series(detail::series_list& all) const {
--- a/packages/edge/http_server.cc
+++ b/packages/edge/http_server.cc
@@ -29,6 +29,12 @@
 // How long stop() waits for responses to be written and callers to close their connections.
 constexpr std::chrono::milliseconds flush_timeout{150};
 constexpr std::chrono::milliseconds flush_check_interval{5};
+// Without memory, a request on which nothing has arrived for this time is dropped first.
+constexpr std::chrono::seconds stall_before_drop{1};
+// Without memory, a response of which the caller has read nothing for this time may be dropped.
+constexpr std::chrono::seconds unread_before_drop{5};
+// Shortest time between two log lines about dropped requests.
+constexpr std::chrono::seconds drop_log_interval{1};
 
 }  // namespace
 
@@ -129,6 +135,45 @@
     bool closes_idle_connections() const override { return !this->accepting; }
     std::chrono::milliseconds stall_timeout() const override { return this->options.stall_timeout; }
     bool accepts_requests() const override { return !this->shutting_down; }
+    memory_account* memory() override { return this->options.memory; }
+
+    // The incomplete request that has stalled for the longest time is dropped first, then the one
+    // that holds the most, then a response that its caller does not read.
+    bool make_room(const detail::http_session& asking) override {
+        auto now = detail::http_session::clock::now();
+        std::shared_ptr<detail::http_session> stalled;
+        std::shared_ptr<detail::http_session> largest;
+        std::shared_ptr<detail::http_session> unread;
+        auto earlier = [](const auto& each, const auto& found) {
+            return found == nullptr || each->last_progress() < found->last_progress();
+        };
+        for (const auto& each : this->sessions) {
+            auto waited = now - each->last_progress();
+            std::size_t bytes = each.get() == &asking ? 0 : each->incomplete_bytes();
+            if (bytes > 0 && waited > stall_before_drop && earlier(each, stalled)) {
+                stalled = each;
+            }
+            if (bytes >
+                (largest == nullptr ? asking.incomplete_bytes() : largest->incomplete_bytes())) {
+                largest = each;
+            }
+            if (each.get() != &asking && each->writing() && waited > unread_before_drop &&
+                earlier(each, unread)) {
+                unread = each;
+            }
+        }
+        if (stalled != nullptr || largest != nullptr) {
+            (stalled != nullptr ? stalled : largest)->drop_request();
+            return true;
+        }
+        if (unread != nullptr) {
+            this->options.memory->count_dropped_response();
+            unread->close();
+            return true;
+        }
+        return false;
+    }
+
     void on_closed(const std::shared_ptr<detail::http_session>& session) override {
         this->sessions.erase(session);
         this->connections = this->sessions.size();
@@ -192,8 +237,9 @@
     }
 
     void add_session(asio::ip::tcp::socket accepted) {
-        if (this->sessions.size() >= this->options.max_connections) {
-            this->close_longest_idle();
+        if (this->sessions.size() >= this->options.max_connections && !this->close_one()) {
+            this->count_closed_connection();
+            return;  // Closes the new connection.
         }
         auto session = std::make_shared<detail::http_session>(std::move(accepted), *this);
         this->sessions.insert(session);
@@ -227,15 +273,52 @@
         }
     }
 
-    void close_longest_idle() {
-        std::shared_ptr<detail::http_session> oldest;
+    // Closes the connection that has been idle for the longest time, or else the one whose
+    // incomplete request has stalled for the longest time. Returns false if there is neither.
+    bool close_one() {
+        std::shared_ptr<detail::http_session> idle;
+        std::shared_ptr<detail::http_session> stalled;
         for (const auto& each : this->sessions) {
-            if (each->idle() && (oldest == nullptr || each->idle_since() < oldest->idle_since())) {
-                oldest = each;
+            if (each->idle() && (idle == nullptr || each->idle_since() < idle->idle_since())) {
+                idle = each;
+            }
+            if (each->incomplete_bytes() > 0 &&
+                (stalled == nullptr || each->last_progress() < stalled->last_progress())) {
+                stalled = each;
             }
         }
-        if (oldest != nullptr) {
-            oldest->close_gracefully();
+        if (idle != nullptr) {
+            idle->close_gracefully();
+        } else if (stalled != nullptr) {
+            this->count_closed_connection();
+            stalled->close();
+        }
+        return idle != nullptr || stalled != nullptr;
+    }
+
+    void count_closed_connection() {
+        if (this->options.memory != nullptr) {
+            this->options.memory->count_closed_connection();
+        }
+    }
+
+    void log_drops() {
+        auto now = detail::http_session::clock::now();
+        if (this->options.memory == nullptr || now - this->drops_logged < drop_log_interval) {
+            return;
+        }
+        memory_usage usage = this->options.memory->usage();
+        std::uint64_t drops = usage.dropped_requests + usage.dropped_responses +
+                              usage.refused_bodies + usage.closed_connections;
+        if (drops != std::exchange(this->known_drops, drops)) {
+            this->drops_logged = now;
+            log(log_level::warning, "callers_dropped",
+                {{"held_bytes", std::to_string(usage.held_bytes)},
+                 {"limit_bytes", std::to_string(usage.limit_bytes)},
+                 {"requests", std::to_string(usage.dropped_requests)},
+                 {"responses", std::to_string(usage.dropped_responses)},
+                 {"peer_bodies", std::to_string(usage.refused_bodies)},
+                 {"connections", std::to_string(usage.closed_connections)}});
         }
     }
 
@@ -248,6 +331,7 @@
 
     void on_check_timer() {
         this->enforce_session_timeouts();
+        this->log_drops();
         this->check_timer->arm(check_interval);
     }
 
@@ -266,6 +350,8 @@
     bool shutting_down = false;
     server_limits current_limits;
     session_set sessions;
+    std::uint64_t known_drops = 0;  // As last logged.
+    detail::http_session::clock::time_point drops_logged;
     std::optional<io::loop_timer> check_timer;
     std::optional<io::loop_timer> accept_retry_timer;
 };
@@ -274,6 +360,10 @@
     return this->refuse(status_unavailable);
 }
 
+http_response request_handler::refuse_without_memory() {
+    return this->refuse(status_unavailable);
+}
+
 http_server::http_server(http_server_options options, request_handler& handler)
     : self(std::make_shared<implementation>(std::move(options), handler)) {}
 
--- a/packages/edge/http_server.h
+++ b/packages/edge/http_server.h
@@ -18,6 +18,7 @@
 
 #include "base/result.h"
 #include "edge/http_types.h"
+#include "edge/memory_account.h"
 #include "io/event_loop.h"
 
 namespace trefoil::edge {
@@ -46,6 +47,9 @@
     // Builds the response to a request that arrives while the server stops. It has not been
     // handled.
     virtual http_response refuse_during_shutdown();
+    // Builds the response to a request that was dropped before it was complete, because there is no
+    // memory for it.
+    virtual http_response refuse_without_memory();
 };
 
 // Limits on what callers may send and on the time that they may take. They may change while the
@@ -54,7 +58,8 @@
     std::size_t header_bytes = max_header_bytes;
     std::size_t body_bytes = max_body_bytes;
     // From the first byte of a request to the end of its headers. The whole request may take
-    // header_timeout + idle_timeout.
+    // header_timeout + idle_timeout, and no byte of its body may be missing for longer than
+    // idle_timeout.
     std::chrono::milliseconds header_timeout{75'000};
     // For a connection without a request, and for a caller that reads no part of a response.
     std::chrono::milliseconds idle_timeout{75'000};
@@ -67,8 +72,11 @@
     std::uint16_t port = 0;
     server_limits limits = {};
     // At this limit, a new connection makes the server close the one that has been idle for the
-    // longest time. A connection on which a request has arrived is not closed.
+    // longest time, or else the one whose incomplete request has stalled for the longest time. If
+    // there is neither, the new one is closed.
     std::size_t max_connections = 4096;
+    // Counts and bounds the memory for requests and responses; null: not bounded.
+    memory_account* memory = nullptr;
     // After stop_accepting(): how long a caller may make no progress in sending or receiving before
     // its request is refused or its response is dropped. Longer than several TCP retransmissions of
     // a lost segment take.
--- a/packages/edge/http_session.cc
+++ b/packages/edge/http_session.cc
@@ -27,6 +27,15 @@
 // Bytes that a request may take per byte of its body limit. A chunk of one byte takes six.
 constexpr std::size_t framing_factor = 8;
 constexpr std::chrono::seconds linger_timeout{1};
+// Bytes that are read and discarded after a response that closes the connection.
+constexpr std::size_t max_discarded_bytes = std::size_t{4} << 20U;
+// Capacity that an empty receive buffer keeps.
+constexpr std::size_t kept_buffer_bytes = std::size_t{4} << 10U;
+// Size from which on the capacity for a body in chunks is reserved at once. Its untouched pages are
+// not resident, and a body that grows by doubling exists twice while it is copied.
+constexpr std::size_t large_body_bytes = std::size_t{64} << 10U;
+// Memory of a request besides its body and the receive buffer.
+constexpr std::size_t request_overhead_bytes = std::size_t{8} << 10U;
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_request_timeout = 408;
 constexpr unsigned status_too_large = 413;
@@ -141,7 +150,9 @@
 
 void http_session::read() {
     bool answering = this->state == phase::handling || this->state == phase::responding;
-    bool full = answering && this->buffer.size() >= max_read_ahead_bytes;
+    memory_account* memory = this->owner.memory();
+    bool no_memory = this->buffer.size() > 0 && memory != nullptr && memory->exceeded();
+    bool full = answering && (this->buffer.size() >= max_read_ahead_bytes || no_memory);
     if (this->wait_in_progress || this->state == phase::closed || full) {
         return;
     }
@@ -185,9 +196,16 @@
         return;
     }
     if (this->state == phase::lingering) {
+        this->discarded_bytes += this->buffer.size();
         this->buffer.consume(this->buffer.size());
+        if (this->discarded_bytes > max_discarded_bytes) {
+            this->close();
+            return;
+        }
     } else if (this->state == phase::idle || this->state == phase::receiving) {
         this->parse();
+    } else {
+        this->account_buffer();
     }
     this->read();
 }
@@ -248,7 +266,8 @@
         this->refuse(status_of(error));
         return;
     }
-    if (this->parser->is_header_done() && !had_header && !this->check_header()) {
+    if (!this->account_received() ||
+        (this->parser->is_header_done() && !had_header && !this->check_header())) {
         return;
     }
     if (this->parser->is_done()) {
@@ -270,6 +289,46 @@
                limits.header_bytes + session_owner::read_bytes + framing_factor * limits.body_bytes;
 }
 
+// Counts the bytes of the request that is being received. Returns false when there is no room, and
+// the request was refused.
+bool http_session::account_received() {
+    std::string& body = this->parser->get().body();
+    if (body.size() >= large_body_bytes) {
+        body.reserve(this->owner.limits().body_bytes);
+    }
+    if (this->held == nullptr) {
+        this->held = std::make_shared<memory_reservation>(this->owner.memory());
+    }
+    std::size_t total = request_overhead_bytes + this->buffer.capacity() + body.size();
+    while (!this->held->resize(total)) {
+        if (!this->owner.make_room(*this)) {
+            this->drop_request();
+            return false;
+        }
+    }
+    return true;
+}
+
+// Counts the bytes that were read ahead, which are in memory already.
+void http_session::account_buffer() {
+    if (this->held == nullptr) {
+        this->held = std::make_shared<memory_reservation>(this->owner.memory());
+    }
+    this->held->resize_unchecked(this->buffer.capacity());
+}
+
+std::size_t http_session::incomplete_bytes() const {
+    return this->state == phase::receiving && this->held != nullptr ? this->held->size() : 0;
+}
+
+void http_session::drop_request() {
+    if (this->owner.memory() != nullptr) {
+        this->owner.memory()->count_dropped_request();
+    }
+    this->head_request = false;
+    this->write(this->owner.handler().refuse_without_memory(), false);
+}
+
 // Checks a request whose headers are complete. Returns false when it was refused.
 bool http_session::check_header() {
     const auto& message = this->parser->get();
@@ -306,6 +365,12 @@
     }
     auto message = this->parser->release();
     this->parser.reset();
+    this->held->resize(request_overhead_bytes + message.body().size());
+    auto request_memory = std::exchange(this->held, nullptr);
+    this->release_buffer();
+    if (this->buffer.size() > 0) {
+        this->account_buffer();
+    }
     this->keep_alive = message.keep_alive();
     this->head_request = message.method() == http::verb::head;
     this->enter(phase::handling);
@@ -314,7 +379,9 @@
         return;
     }
     this->pending = std::make_shared<pending_response>(this->weak_from_this(), this->owner.loop());
-    this->owner.handler().handle(make_request(std::move(message)), this->pending);
+    http_request request = make_request(std::move(message));
+    request.held = std::move(request_memory);
+    this->owner.handler().handle(std::move(request), this->pending);
 }
 
 void http_session::deliver(const pending_response* from, http_response response) {
@@ -325,6 +392,9 @@
     bool keep = this->keep_alive && !this->close_requested && !response.close_connection &&
                 !this->owner.keep_alive_disabled();
     this->write(std::move(response), keep);
+    if (this->owner.memory() != nullptr && this->owner.memory()->exceeded()) {
+        this->owner.make_room(*this);
+    }
 }
 
 void http_session::refuse_pending(unsigned status) {
@@ -337,12 +407,18 @@
 
 // A response that is being written.
 struct http_session::outgoing_response {
-    outgoing_response(http::response<http::string_body> given, bool keep)
-        : message(std::move(given)), serializer(this->message), keep_connection(keep) {}
+    outgoing_response(http::response<http::string_body> given, bool keep, memory_account* account)
+        : message(std::move(given)),
+          serializer(this->message),
+          keep_connection(keep),
+          held(account) {
+        this->held.resize_unchecked(this->message.body().size());
+    }
 
     http::response<http::string_body> message;
     http::response_serializer<http::string_body> serializer;
     const bool keep_connection;
+    memory_reservation held;
 };
 
 void http_session::write(http_response response, bool keep_connection) {
@@ -359,7 +435,19 @@
         message.body() = std::move(response.body);
         message.prepare_payload();
     }
-    this->write_some(std::make_shared<outgoing_response>(std::move(message), keep_connection));
+    if (!keep_connection) {
+        this->discard_received();
+    }
+    this->write_some(std::make_shared<outgoing_response>(std::move(message), keep_connection,
+                                                         this->owner.memory()));
+}
+
+// Frees what was received on a connection that is to be closed.
+void http_session::discard_received() {
+    this->parser.reset();
+    this->buffer.clear();
+    this->buffer.shrink_to_fit();
+    this->held.reset();
 }
 
 // Writes in steps, so that the time limit restarts with each step.
@@ -399,6 +487,7 @@
         this->linger();
     } else {
         this->enter(phase::idle);
+        this->release_buffer();
         this->parse();
         this->read();
         if (this->close_requested && this->state == phase::idle) {
@@ -407,6 +496,16 @@
     }
 }
 
+// Frees the memory of an empty buffer, except a little that saves most requests an allocation.
+void http_session::release_buffer() {
+    if (this->buffer.size() == 0 && this->buffer.capacity() > kept_buffer_bytes) {
+        this->buffer.shrink_to_fit();
+    }
+    if (this->buffer.size() == 0) {
+        this->held.reset();
+    }
+}
+
 // Closing a socket with unread bytes would reset the connection, and the caller could lose the
 // response. So received bytes are discarded until the caller closes its side.
 void http_session::linger() {
@@ -420,9 +519,8 @@
 // Whether the caller makes no progress while the server stops. The regular time limits can be much
 // longer than the time allowed for a stop.
 bool http_session::stalls_shutdown(clock::time_point now) const {
-    auto last_progress = std::max(this->phase_start, this->last_read);
     return this->owner.closes_idle_connections() &&
-           now - last_progress > this->owner.stall_timeout();
+           now - this->last_progress() > this->owner.stall_timeout();
 }
 
 void http_session::enforce_timeouts(clock::time_point now) {
@@ -444,7 +542,8 @@
             bool in_body = this->parser.has_value() && this->parser->is_header_done();
             auto allowed =
                 in_body ? limits.header_timeout + limits.idle_timeout : limits.header_timeout;
-            if (waited > allowed || this->stalls_shutdown(now)) {
+            bool stopped = in_body && now - this->last_progress() > limits.idle_timeout;
+            if (waited > allowed || stopped || this->stalls_shutdown(now)) {
                 this->refuse(status_request_timeout);
             }
             break;
@@ -467,6 +566,7 @@
     auto kept = this->shared_from_this();
     auto abandoned = std::exchange(this->pending, nullptr);
     this->enter(phase::closed);
+    this->discard_received();
     error_code ignored;
     this->socket.close(ignored);
     this->owner.on_closed(kept);
--- a/packages/edge/http_session.h
+++ b/packages/edge/http_session.h
@@ -4,6 +4,7 @@
 #ifndef TREFOIL_EDGE_HTTP_SESSION_H_
 #define TREFOIL_EDGE_HTTP_SESSION_H_
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -43,6 +44,11 @@
     // Whether requests are still passed to the handler. Otherwise they are refused with
     // request_handler::refuse_during_shutdown().
     virtual bool accepts_requests() const = 0;
+    // Null: memory is not bounded.
+    virtual memory_account* memory() = 0;
+    // Drops another connection's request or response to make room for `asking`. Returns false if
+    // `asking` itself has to yield.
+    virtual bool make_room(const http_session& asking) = 0;
     virtual void on_closed(const std::shared_ptr<http_session>& session) = 0;
 };
 
@@ -75,6 +81,15 @@
     void refuse_pending(unsigned status);
     void close();
 
+    // Bytes of an incomplete request in memory; 0 if there is none.
+    std::size_t incomplete_bytes() const;
+    // A response is being written of which the caller reads nothing.
+    bool writing() const { return this->state == phase::responding; }
+    // When the last bytes arrived or the caller took the last bytes of its response.
+    clock::time_point last_progress() const { return std::max(this->phase_start, this->last_read); }
+    // Refuses the incomplete request, which frees its memory.
+    void drop_request();
+
     // Writes the response to the request that `from` represents.
     void deliver(const pending_response* from, http_response response);
 
@@ -90,6 +105,10 @@
     void read_available();
     void parse();
     bool check_header();
+    bool account_received();
+    void account_buffer();
+    void release_buffer();
+    void discard_received();
     bool exceeds_limit() const;
     void refuse(unsigned status);
     void refuse_during_shutdown();
@@ -111,6 +130,9 @@
     std::optional<parser_type> parser;          // Parses the request that is being received.
     std::size_t parsed_bytes = 0;               // Bytes of that request parsed so far.
     std::shared_ptr<pending_response> pending;  // Set in phase handling.
+    // Counts the buffer and the body of the request that is being received.
+    std::shared_ptr<memory_reservation> held;
+    std::size_t discarded_bytes = 0;  // In phase lingering.
     phase state = phase::idle;
     clock::time_point phase_start;  // When the phase began.
     clock::time_point last_read;    // When the last bytes arrived.
--- a/packages/edge/http_types.h
+++ b/packages/edge/http_types.h
@@ -8,6 +8,7 @@
 #define TREFOIL_EDGE_HTTP_TYPES_H_
 
 #include <cstddef>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -17,6 +18,8 @@
 
 namespace trefoil::edge {
 
+class memory_reservation;
+
 constexpr std::size_t max_body_bytes = std::size_t{1} << 20U;
 constexpr std::size_t max_header_bytes = std::size_t{16} << 10U;
 
@@ -26,6 +29,7 @@
     std::string query;  // As received, without the question mark.
     std::vector<messages::header> headers;
     std::string body;
+    std::shared_ptr<memory_reservation> held = nullptr;  // Counts the body; may be null.
 
     friend bool operator==(const http_request&, const http_request&) = default;
 };
--- a/packages/edge/testing/edge_http_test.cc
+++ b/packages/edge/testing/edge_http_test.cc
@@ -79,7 +79,7 @@
 BOOST_FIXTURE_TEST_CASE(request_and_response_arrive_complete, fixture) {
     auto result = this->run({.method = "POST",
                              .target = "/a/b?x=1%202",
-                             .body = std::string(100000, 'z'),
+                             .body = make_shared_body(std::string(100000, 'z'), nullptr),
                              .deadline = this->soon(5000)});
     auto& response = std::get<http_response>(result);
     BOOST_TEST(response.status == 200U);
@@ -89,10 +89,11 @@
 
 // Guards against unbounded memory for a request body.
 BOOST_FIXTURE_TEST_CASE(body_above_the_limit_is_refused, fixture) {
-    auto result = this->run({.method = "POST",
-                             .target = "/",
-                             .body = std::string(max_body_bytes + 1, 'z'),
-                             .deadline = this->soon(5000)});
+    auto result =
+        this->run({.method = "POST",
+                   .target = "/",
+                   .body = make_shared_body(std::string(max_body_bytes + 1, 'z'), nullptr),
+                   .deadline = this->soon(5000)});
     BOOST_TEST(std::get<http_response>(result).status == 413U);
     BOOST_TEST(this->handler.handled == 0);
 }
--- a/packages/edge/upstream_client.cc
+++ b/packages/edge/upstream_client.cc
@@ -105,11 +105,11 @@
 }
 
 void set_method(CURL* handle, const upstream_request& request) {
-    if (!request.body.empty() || request.method == "POST" || request.method == "PUT" ||
+    std::string_view body = request.body == nullptr ? std::string_view("") : *request.body;
+    if (!body.empty() || request.method == "POST" || request.method == "PUT" ||
         request.method == "PATCH") {
-        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
-                         static_cast<curl_off_t>(request.body.size()));
-        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.c_str());
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(body.size()));
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, body.data());
     } else if (request.method == "HEAD") {
         curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
     }
--- a/packages/edge/upstream_client.h
+++ b/packages/edge/upstream_client.h
@@ -20,6 +20,7 @@
 
 #include "base/time.h"
 #include "edge/http_types.h"
+#include "edge/memory_account.h"
 #include "edge/response_builder.h"
 #include "io/event_loop.h"
 
@@ -29,7 +30,7 @@
     std::string method;
     std::string target;  // Path and query.
     std::vector<messages::header> headers;
-    std::string body;
+    shared_body body = nullptr;  // Null: no body.
     mono_time deadline;
 };
 
--- a/packages/transport/peer_endpoint.cc
+++ b/packages/transport/peer_endpoint.cc
@@ -65,6 +65,7 @@
     bool outgoing = false;
     messages::hello own_hello;  // With the nonce of this connection.
     std::optional<messages::hello> peer_hello;
+    bool accepts_bodies = false;      // Set before `opened`.
     std::atomic<bool> opened{false};  // Set once, after the peer's proof was verified.
     // Used only on the loop.
     bool silent = false;   // on_silent was called, and on_resumed not since.
@@ -152,6 +153,28 @@
     return true;
 }
 
+bool peer_endpoint::accepts_bodies(connection_id id) const {
+    auto found = this->sessions.find(id);
+    return found.has_value() && (*found)->opened && (*found)->accepts_bodies;
+}
+
+bool peer_endpoint::send_body_message(connection_id id, const messages::body_message& message) {
+    auto found = this->sessions.find(id);
+    if (!found.has_value() || !(*found)->opened) {
+        return false;
+    }
+    std::string frame = messages::encode_body_frame(message);
+    if (!this->socket.send(id, frame)) {
+        return false;
+    }
+    if (const auto* call = std::get_if<messages::call_with_body>(&message)) {
+        (*found)->liveness.on_sent(call->call, this->clock.now());
+    }
+    ++this->frames_sent;
+    this->bytes_sent += frame.size();
+    return true;
+}
+
 void peer_endpoint::drop(connection_id id) {
     this->socket.drop(id);
 }
@@ -206,6 +229,10 @@
         return;
     }
     session& peer = **found;
+    if (messages::is_body_frame(frame)) {
+        this->on_body_frame(id, peer, frame, received);
+        return;
+    }
     auto decoded = messages::decode(frame);
     auto* message = std::get_if<messages::peer_message>(&decoded);
     if (message == nullptr) {
@@ -214,12 +241,9 @@
     }
     peer.liveness.on_received(*message, received);
     this->count_received(*message, frame.size());
-    if (peer.silent) {
-        peer.silent = false;
-        log(log_level::info, "peer_connection_heard", {{"connection", std::to_string(id)}});
-        this->events.on_resumed(id, *peer.peer_hello);
-    }
+    this->report_heard(id, peer);
     if (auto* hello = std::get_if<messages::hello>(message)) {
+        peer.accepts_bodies = messages::announces_bodies(frame);
         this->on_hello(id, peer, *hello);
     } else if (auto* proof = std::get_if<messages::proof>(message)) {
         this->on_proof(id, peer, *proof);
@@ -232,6 +256,36 @@
     }
 }
 
+void peer_endpoint::on_body_frame(connection_id id, session& peer, const std::string& frame,
+                                  mono_time received) {
+    if (!peer.opened) {
+        this->reject(id, "message_before_proof");
+        return;
+    }
+    auto decoded = messages::decode_body_frame(frame);
+    auto* message = std::get_if<messages::body_message>(&decoded);
+    if (message == nullptr) {
+        this->reject(id, "undecodable_frame");
+        return;
+    }
+    const auto* call = std::get_if<messages::call_with_body>(message);
+    // Other messages than the call only show that the peer is alive, as a cancel of no call does.
+    peer.liveness.on_received(call == nullptr ? messages::peer_message(messages::cancel{})
+                                              : messages::peer_message(call->call),
+                              received);
+    this->bytes_received += frame.size();
+    this->report_heard(id, peer);
+    this->events.on_body_message(id, *peer.peer_hello, std::move(*message), received);
+}
+
+void peer_endpoint::report_heard(connection_id id, session& peer) {
+    if (peer.silent) {
+        peer.silent = false;
+        log(log_level::info, "peer_connection_heard", {{"connection", std::to_string(id)}});
+        this->events.on_resumed(id, *peer.peer_hello);
+    }
+}
+
 void peer_endpoint::on_hello(connection_id id, session& peer, const messages::hello& hello) {
     bool acceptable = !peer.peer_hello.has_value() && !hello.instance.empty() &&
                       hello.fleet_protocol == this->options.self.fleet_protocol;
@@ -302,6 +356,9 @@
 // Sends a handshake message; send() would refuse it, because the connection is not open yet.
 void peer_endpoint::send_handshake(connection_id id, const messages::peer_message& message) {
     std::string frame = messages::encode(message);
+    if (std::holds_alternative<messages::hello>(message)) {
+        frame = messages::announce_bodies(frame);
+    }
     this->socket.send(id, frame);
     ++this->frames_sent;
     this->bytes_sent += frame.size();
--- a/packages/transport/peer_endpoint.h
+++ b/packages/transport/peer_endpoint.h
@@ -32,6 +32,7 @@
 #include "base/stall_detector.h"
 #include "base/time.h"
 #include "io/event_loop.h"
+#include "messages/body_part.h"
 #include "messages/messages.h"
 #include "transport/connection_liveness.h"
 #include "transport/frame_socket.h"
@@ -52,6 +53,9 @@
     virtual void on_silent(connection_id id, const messages::hello& peer) = 0;
     // A frame has arrived on a silent connection. Called before the frame's message is delivered.
     virtual void on_resumed(connection_id id, const messages::hello& peer) = 0;
+    // A message that carries a part of a large body, or the call that follows it.
+    virtual void on_body_message(connection_id, const messages::hello&, messages::body_message,
+                                 mono_time) {}
     // `peer` is null if the connection was never open. `settled_by_peer`: the peer closed the
     // connection and stated that it is settled.
     virtual void on_close(connection_id id, const messages::hello* peer, bool settled_by_peer) = 0;
@@ -115,6 +119,11 @@
     // sent in this case.
     bool send(connection_id id, const messages::peer_message& message);
 
+    // Whether the connection is open and its peer accepts messages that carry bodies.
+    bool accepts_bodies(connection_id id) const;
+    // Like send().
+    bool send_body_message(connection_id id, const messages::body_message& message);
+
     // Closes the connection immediately. The peer cannot distinguish this from a failure.
     void drop(connection_id id);
 
@@ -140,6 +149,9 @@
     void on_disconnected(connection_id id, bool settled_by_peer) override;
 
     void on_hello(connection_id id, session& peer, const messages::hello& hello);
+    void on_body_frame(connection_id id, session& peer, const std::string& frame,
+                       mono_time received);
+    void report_heard(connection_id id, session& peer);
     void on_ping(connection_id id, session& peer, const messages::ping& ping, mono_time received);
     void on_proof(connection_id id, session& peer, const messages::proof& proof);
     void reject(connection_id id, const char* cause);
