--- a/packages/daemon/process_limits.cc
+++ b/packages/daemon/process_limits.cc
@@ -48,7 +48,10 @@
 }
 
 std::size_t max_caller_connections(std::size_t max_descriptors) {
-    std::size_t all = max_descriptors == 0 ? descriptors_of_process() : max_descriptors;
+    std::size_t all = descriptors_of_process();
+    if (max_descriptors > 0) {
+        all = std::min(all, max_descriptors);
+    }
     std::size_t sockets = all - std::min(all, file_descriptors);
     return std::max(fewest_connections, sockets / 4 * 3);
 }
--- a/packages/daemon/process_limits.h
+++ b/packages/daemon/process_limits.h
@@ -17,7 +17,8 @@
 // system states, because the daemon runs beside an upstream.
 edge::memory_account_options caller_memory(std::size_t memory_mb);
 
-// The number of connections of callers. `max_descriptors` 0: the limit of the process.
+// The number of connections of callers. `max_descriptors` 0: as the limit of the process allows,
+// which is never exceeded.
 std::size_t max_caller_connections(std::size_t max_descriptors);
 
 // Connections to the admin address.
--- a/packages/daemon/settings.cc
+++ b/packages/daemon/settings.cc
@@ -29,9 +29,7 @@
 constexpr std::uint32_t value_bytes_min = 1'024;
 constexpr std::uint32_t value_bytes_max = 1U << 28U;
 constexpr std::uint32_t min_domain_max = 100'000;
-constexpr std::uint32_t memory_mb_min = 32;
-constexpr std::uint32_t memory_mb_max = 16'777'216;
-constexpr std::uint32_t descriptors_min = 256;
+constexpr double memory_mb_max = 1e7;
 constexpr std::uint32_t descriptors_max = 16'777'216;
 constexpr double seconds_max = 600;
 constexpr double requests_max = 1e6;
@@ -85,12 +83,12 @@
             config::read_integer(optional(this->fields, "platform_followers_min_domain"), 0,
                                  min_domain_max, this->invalid)
                 .value_or(this->parsed.platform_followers_min_domain);
-        this->parsed.memory_mb = config::read_integer(optional(this->fields, "memory_mb"),
-                                                      memory_mb_min, memory_mb_max, this->invalid)
-                                     .value_or(this->parsed.memory_mb);
+        auto memory = config::read_number(optional(this->fields, "memory_mb"), 1, memory_mb_max,
+                                          this->invalid);
+        this->parsed.memory_mb = memory ? static_cast<std::size_t>(*memory) : 0;
         this->parsed.max_descriptors =
-            config::read_integer(optional(this->fields, "max_descriptors"), descriptors_min,
-                                 descriptors_max, this->invalid)
+            config::read_integer(optional(this->fields, "max_descriptors"), 1, descriptors_max,
+                                 this->invalid)
                 .value_or(this->parsed.max_descriptors);
         this->read_regions();
         this->read_stop();
--- a/packages/edge/testing/http_server_test.cc
+++ b/packages/edge/testing/http_server_test.cc
@@ -250,6 +250,66 @@
     BOOST_TEST(idle[0].closed_by_peer(1000));
     BOOST_TEST(!idle[2].closed_by_peer(50));
 }
+// Guards against incomplete requests that use up the memory: the largest one must yield, and small
+// requests must always be served.
+BOOST_FIXTURE_TEST_CASE(incomplete_requests_yield_without_memory, fixture) {
+    memory_account account({.limit_bytes = 400'000, .reserve_bytes = 100'000});
+    this->start({.memory = &account});
+    auto held = [&](std::size_t bytes) {
+        return eventually([&] { return account.usage().held_bytes >= bytes; }, milliseconds(1000));
+    };
+    const std::string head = "POST /big HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n";
+    raw_socket large = this->connect();
+    large.write(head + std::string(140'000, 'b'));
+    BOOST_TEST(held(140'000));
+    raw_socket other = this->connect();
+    other.write(head + std::string(50'000, 'b'));
+    BOOST_TEST(held(190'000));
+    this->connect_idle();
+    BOOST_TEST(account.usage().dropped_requests == 0U);
+    other.write(std::string(150'000, 'b'));
+    BOOST_TEST(other.read_until("/big|").find("200 OK") != std::string::npos);
+    BOOST_TEST(large.read_until("\r\n\r\n").find(" 503 ") != std::string::npos);
+    BOOST_TEST(account.usage().dropped_requests == 1U);
+    large.close();
+    other.close();
+    BOOST_TEST(eventually([&] { return account.usage().held_bytes == 0; }, milliseconds(1000)));
+    this->server.reset();
+}
+
+// Guards against a caller that keeps an incomplete body, and against a refusal of a slow one.
+BOOST_FIXTURE_TEST_CASE(a_body_that_stops_is_refused, fixture) {
+    this->start({.limits = {.idle_timeout = milliseconds(500)}});
+    const std::string head = "POST /slow HTTP/1.1\r\nHost: a\r\nContent-Length: 8\r\n\r\n";
+    raw_socket slow = this->connect();
+    slow.write(head);
+    for (int i = 0; i < 8; ++i) {
+        std::this_thread::sleep_for(milliseconds(100));
+        slow.write("b");
+    }
+    BOOST_TEST(slow.read_until("/slow|").find("200 OK") != std::string::npos);
+    BOOST_TEST(this->exchange(head + "bbbbbbb").find(" 408 ") != std::string::npos);
+}
+
+// Guards against connections beyond the limit when none is idle: an incomplete request yields, a
+// complete one does not.
+BOOST_FIXTURE_TEST_CASE(incomplete_requests_yield_at_the_connection_limit, fixture) {
+    this->start({.max_connections = 1});
+    raw_socket incomplete = this->connect();
+    incomplete.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 8\r\n\r\n");
+    BOOST_TEST(
+        eventually([&] { return this->server->pending_requests() == 1; }, milliseconds(1000)));
+    raw_socket held = this->connect();
+    held.write("GET /held HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(incomplete.closed_by_peer(1000));
+    BOOST_TEST(eventually([&] { return this->handler.handled == 1; }, milliseconds(1000)));
+    BOOST_TEST(this->connect().closed_by_peer(1000));
+    {
+        absl::MutexLock lock(&this->handler.mutex);
+        this->handler.held.front()->respond({.status = 200, .body = "served"});
+    }
+    BOOST_TEST(held.read_until("served").find("200 OK") != std::string::npos);
+}
 
 // Guards against changed limits that apply to new connections only.
 BOOST_FIXTURE_TEST_CASE(changed_limits_apply_to_open_connections, fixture) {
