--- a/packages/daemon/admin_sources.h
+++ b/packages/daemon/admin_sources.h
@@ -26,6 +26,7 @@
     request_metrics& metrics;
     const source::configuration_service& platform;
     const edge::http_server& callers;
+    const edge::memory_account& memory;
 };
 
 }  // namespace trefoil::daemon
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -67,6 +67,7 @@
     bool may_run_ahead(const edge::http_request& request) const override;
     edge::http_response refuse(unsigned status) override;
     edge::http_response refuse_during_shutdown() override;
+    edge::http_response refuse_without_memory() override;
 
     void on_result(messages::call_result result);
     void on_connected(const std::string& instance);
--- a/packages/edge/http_session.h
+++ b/packages/edge/http_session.h
@@ -4,6 +4,7 @@
 #ifndef TREFOIL_EDGE_HTTP_SESSION_H_
 #define TREFOIL_EDGE_HTTP_SESSION_H_
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -46,6 +47,11 @@
     // Count requests for http_server::pipelining().
     virtual void count_ran_ahead() = 0;
     virtual void count_dropped(std::size_t requests) = 0;
+    // Null: memory is not bounded.
+    virtual memory_account* memory() = 0;
+    // Drops another connection's request or response to make room for `asking`. Returns false if
+    // `asking` itself has to yield.
+    virtual bool make_room(const http_session& asking) = 0;
     virtual void on_closed(const std::shared_ptr<http_session>& session) = 0;
 };
 
@@ -78,6 +84,15 @@
     void refuse_pending(unsigned status);
     void close();
 
+    // Bytes of an incomplete request in memory; 0 if there is none.
+    std::size_t incomplete_bytes() const;
+    // A response is being written of which the caller reads nothing.
+    bool writing() const { return this->state == phase::responding; }
+    // When the last bytes arrived or the caller took the last bytes of its response.
+    clock::time_point last_progress() const { return std::max(this->phase_start, this->last_read); }
+    // Refuses the incomplete request, which frees its memory.
+    void drop_request();
+
     // Writes the response to the request that `from` represents, once it is due.
     void deliver(const caller_link* from, http_response response);
 
@@ -97,6 +112,10 @@
     bool parse_request();
     bool check_header();
     void send_due_continue();
+    bool account_received();
+    void account_buffer();
+    void release_buffer();
+    void discard_received();
     bool exceeds_limit() const;
     void refuse(unsigned status);
     void refuse_during_shutdown();
@@ -127,6 +146,10 @@
     // The requests that were received and whose responses are not written. Empty in the phases idle
     // and receiving.
     request_line line;
+    // Counts the buffer and the body of the request that is being received.
+    std::shared_ptr<memory_reservation> held;
+    std::size_t discarded_bytes = 0;       // In phase lingering.
+    memory_reservation waiting_responses;  // Counts the responses in the line.
     phase state = phase::idle;
     clock::time_point phase_start;  // When the phase began.
     clock::time_point last_read;    // When the last bytes arrived.
--- a/packages/edge/http_types.h
+++ b/packages/edge/http_types.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -18,6 +19,8 @@
 
 namespace trefoil::edge {
 
+class memory_reservation;
+
 constexpr std::size_t max_body_bytes = std::size_t{1} << 20U;
 constexpr std::size_t max_header_bytes = std::size_t{16} << 10U;
 
@@ -29,6 +32,7 @@
     std::string body;
     // How long it waited on its connection for earlier requests to be answered.
     std::chrono::steady_clock::duration waited{0};
+    std::shared_ptr<memory_reservation> held = nullptr;  // Counts the body; may be null.
 
     friend bool operator==(const http_request&, const http_request&) = default;
 };
--- a/packages/edge/request_line.cc
+++ b/packages/edge/request_line.cc
@@ -16,9 +16,9 @@
 }  // namespace
 
 std::size_t request_line::held_bytes() const {
-    return this->empty()
-               ? 0
-               : this->request_bytes - this->entries.front().received.bytes + this->response_bytes;
+    return this->empty() ? 0
+                         : this->request_bytes - this->entries.front().received.bytes +
+                               this->waiting_response_bytes;
 }
 
 bool request_line::accepts(std::size_t partial_bytes) const {
@@ -35,7 +35,7 @@
 
 void request_line::add_refused(http_response response) {
     this->add({.keep_alive = false});
-    this->response_bytes += response.body.size();
+    this->waiting_response_bytes += response.body.size();
     this->entries.back().response = std::move(response);
 }
 
@@ -54,7 +54,7 @@
         return true;
     }
     return candidate->received.may_run_ahead && this->started < this->limits.running &&
-           this->response_bytes < this->limits.bytes &&
+           this->waiting_response_bytes < this->limits.bytes &&
            std::all_of(
                this->entries.begin(), candidate,
                [](const entry& each) { return each.received.may_run_ahead; });
@@ -71,7 +71,7 @@
 
 void request_line::refuse_next(http_response response) {
     auto refused = std::next(this->entries.begin(), static_cast<std::ptrdiff_t>(this->started));
-    this->response_bytes += response.body.size();
+    this->waiting_response_bytes += response.body.size();
     refused->response = std::move(response);
     this->close_after(refused);
 }
@@ -84,7 +84,7 @@
     }
     found->link.reset();
     bool closes = response.close_connection;
-    this->response_bytes += response.body.size();
+    this->waiting_response_bytes += response.body.size();
     found->response = std::move(response);
     if (closes) {
         this->close_after(found);
@@ -99,7 +99,7 @@
 ready_response request_line::take_ready() {
     entry& first = this->entries.front();
     this->taken = true;
-    this->response_bytes -= first.response->body.size();
+    this->waiting_response_bytes -= first.response->body.size();
     return {.response = std::move(*first.response),
             .head = first.received.head,
             .keep_connection = !this->closed || this->size() > 1};
@@ -135,7 +135,7 @@
     for (auto each = first; each != this->entries.end(); ++each) {
         this->request_bytes -= each->received.bytes;
         if (each->response.has_value()) {
-            this->response_bytes -= each->response->body.size();
+            this->waiting_response_bytes -= each->response->body.size();
         }
         if (each->link != nullptr) {
             this->dropped.push_back(std::move(each->link));
--- a/packages/edge/request_line.h
+++ b/packages/edge/request_line.h
@@ -74,6 +74,8 @@
     std::size_t size() const { return this->entries.size(); }
     // No further request is added, and the last response closes the connection.
     bool closing() const { return this->closed; }
+    // Bytes of the responses that are not taken.
+    std::size_t response_bytes() const { return this->waiting_response_bytes; }
     // Bytes that count toward the limit.
     std::size_t held_bytes() const;
     // Whether a further request may be read. `partial_bytes` of it have been read.
@@ -133,8 +135,8 @@
     line_limits limits;
     entry_list entries;
     std::size_t started = 0;  // The first `started` entries were passed on, all others were not.
-    std::size_t request_bytes = 0;   // Of all entries.
-    std::size_t response_bytes = 0;  // Of the responses that are not taken.
+    std::size_t request_bytes = 0;           // Of all entries.
+    std::size_t waiting_response_bytes = 0;  // Of the responses that are not taken.
     bool closed = false;
     bool taken = false;  // The first response was taken and is not written yet.
     links dropped;
