--- a/packages/daemon/body_exchange.cc
+++ b/packages/daemon/body_exchange.cc
@@ -3,6 +3,7 @@
 #include "daemon/body_exchange.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace trefoil::daemon {
 
@@ -40,7 +41,8 @@
                 return;
             }
             transfer& state = found->second;
-            if (state.sent == state.body->size() || state.sent - state.confirmed >= window_bytes) {
+            if (state.sent == state.body->size() ||
+                state.sent - state.confirmed >= this->window(id.first)) {
                 return;
             }
             part.offset = state.sent;
@@ -57,6 +59,13 @@
     }
 }
 
+// The bodies on one connection share the window, so that other messages wait for few bytes.
+std::size_t outgoing_bodies::window(transport::connection_id connection) const {
+    auto sharing = std::distance(this->transfers.lower_bound({connection, 0}),
+                                 this->transfers.lower_bound({connection + 1, 0}));
+    return std::max(part_bytes, window_bytes / static_cast<std::size_t>(sharing));
+}
+
 void outgoing_bodies::on_progress(transport::connection_id connection,
                                   const messages::body_progress& progress) {
     key id{connection, progress.sequence};
--- a/packages/daemon/body_exchange.h
+++ b/packages/daemon/body_exchange.h
@@ -58,7 +58,7 @@
     explicit outgoing_bodies(body_link& target) : link(target) {}
 
     static constexpr std::size_t part_bytes = std::size_t{64} << 10U;
-    // Unconfirmed bytes of one body.
+    // Unconfirmed bytes of all bodies on one connection, or one part of each.
     static constexpr std::size_t window_bytes = 4 * part_bytes;
 
     // `body` is not empty.
@@ -81,6 +81,7 @@
 
     std::optional<transfer> take(const key& id);
     void send_parts(const key& id);
+    std::size_t window(transport::connection_id connection) const;  // Called with the lock held.
     void discard(const key& id, bool failed);
 
     body_link& link;
--- a/packages/edge/http_session.cc
+++ b/packages/edge/http_session.cc
@@ -163,10 +163,13 @@
 }
 
 // Appends the bytes that can be read without waiting to the buffer and returns their number.
+// Discards them while the connection only waits for its end.
 std::size_t http_session::receive(error_code& error) {
     asio::mutable_buffer space = this->owner.read_buffer();
     std::size_t bytes = this->socket.read_some(space, error);
-    if (bytes > 0) {
+    if (bytes > 0 && this->state == phase::lingering) {
+        this->discarded_bytes += bytes;
+    } else if (bytes > 0) {
         this->buffer.commit(asio::buffer_copy(this->buffer.prepare(bytes), space, bytes));
         this->last_read = clock::now();
     }
@@ -196,8 +199,6 @@
         return;
     }
     if (this->state == phase::lingering) {
-        this->discarded_bytes += this->buffer.size();
-        this->buffer.consume(this->buffer.size());
         if (this->discarded_bytes > max_discarded_bytes) {
             this->close();
             return;
@@ -510,7 +511,7 @@
 // response. So received bytes are discarded until the caller closes its side.
 void http_session::linger() {
     this->enter(phase::lingering);
-    this->buffer.consume(this->buffer.size());
+    this->discard_received();
     error_code ignored;
     this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     this->read();
