Learn which routes upstreams call where no key tells

Cause: in a configuration without workspaces every request has an empty workspace, which was taken for the sign of a nested call. All requests preceded at the gates with priority 0 and without an objective, so the routes' priorities had no effect, and all were charged to the retry budgets as calls that a retried request may have made.

Change: the gate compares which services call each route (call_origins). Callers connect to the instances of every service; upstreams of some services only make nested calls. A call precedes when its route is known to be called by upstreams; in doubt it does not. One in four results tells the ingress, which counts calls of routes that callers use as ordinary calls for the retry budgets. With workspaces nothing changes.

Ruled out: arrivals while the local upstream runs nothing (at a mean of 8 running requests this hardly happens); routes' deadlines and objectives (callers' retries look the same).

--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -21,6 +21,8 @@
 constexpr unsigned status_misdirected = 421;
 // The only key in the failure statistics, because a daemon has one upstream.
 const std::string upstream_key = "upstream";
+// One in so many results tells the ingress the origin of the route's calls.
+constexpr std::uint64_t results_per_origin = 4;
 
 gate::call_result_kind kind_of_status(unsigned status) {
     if (status == status_unavailable || status == status_rate_limited) {
@@ -172,6 +174,7 @@
             return;
         }
     }
+    this->learn_origin(*held);
     gate::offer_result offered = this->gate.offer(this->gate_offer_of(id, *held), held->arrived);
     if (std::holds_alternative<gate::start_now>(offered.decision)) {
         this->start(id);
@@ -181,6 +184,24 @@
     this->apply(offered.changes);
 }
 
+// Without workspaces, a call states neither a key nor whether an upstream makes it.
+void egress::learn_origin(pending_call& held) {
+    auto snapshot = this->shared.snapshot.read();
+    if (snapshot == nullptr || !snapshot->contents().workspaces.empty()) {
+        return;
+    }
+    auto found = this->origins.record(held.call.route, held.call.caller_service,
+                                      snapshot->contents().services.size(), held.arrived);
+    held.origin = found.origin;
+    if (held.origin == routing::call_origin::upstreams) {
+        held.call.precedes = true;
+        ++this->nested_offered;
+    }
+    if (found.changed) {
+        log_call_origin(held.call.route, to_string(found.origin));
+    }
+}
+
 // Returns the properties of a call by which the gate decides on it.
 gate::offered_call egress::gate_offer_of(const gate::call_id& id, const pending_call& held) const {
     gate::offered_call offered{.id = id,
@@ -297,6 +318,10 @@
     this->fill_in_report(answer, call, now);
     if (answer.outcome == messages::call_outcome::answered) {
         ++this->answered;
+        if (id.sequence % results_per_origin == 0 && call.origin != routing::call_origin::unknown) {
+            answer.headers.push_back({.name = std::string(routing::origin_header),
+                                      .value = std::string(to_string(call.origin))});
+        }
     } else if (answer.outcome == messages::call_outcome::not_run) {
         ++this->refused;
     } else {
@@ -426,7 +451,8 @@
             .upstream_busy_us = this->upstream_busy_us,
             .retries_started = this->retries_started,
             .requests_sent = this->client.totals().requests_sent,
-            .retries_refused = this->retries_refused};
+            .retries_refused = this->retries_refused,
+            .nested_offered = this->nested_offered};
 }
 
 }  // namespace trefoil::daemon
--- a/packages/daemon/egress.h
+++ b/packages/daemon/egress.h
@@ -28,6 +28,7 @@
 #include "edge/upstream_client.h"
 #include "gate/upstream_gate.h"
 #include "messages/messages.h"
+#include "routing/call_origins.h"
 #include "routing/recent_refusals.h"
 
 namespace trefoil::daemon {
@@ -51,6 +52,8 @@
     std::uint64_t requests_sent = 0;    // Exceeds `started` if the client sends one again.
     // Retries refused because the services that they would call have no retry budget left.
     std::uint64_t retries_refused = 0;
+    // Calls that precede others because only upstreams call their route.
+    std::uint64_t nested_offered = 0;
 
     friend bool operator==(const egress_totals&, const egress_totals&) = default;
 };
@@ -98,6 +101,7 @@
     void set_cold(const gate::cold_period& period);
     messages::load_report load() const { return this->gate.load(); }
     egress_totals totals() const;
+    const routing::call_origins& call_origins() const { return this->origins; }
 
 private:
     // A call from offer() to its reply.
@@ -108,6 +112,7 @@
         std::uint64_t connection = 0;
         mono_time started;
         result_callback reply;
+        routing::call_origin origin = routing::call_origin::unknown;
         edge::request_number request = 0;  // At the upstream client; 0 before the start.
         std::string handle;                // Context handle for nested calls, while the call runs.
         routing::nested_call_attribution::run_id run = 0;  // 0 before the start.
@@ -115,6 +120,7 @@
         std::unique_ptr<nested_retry_tracker::reservation> reserved = {};
     };
 
+    void learn_origin(pending_call& held);
     gate::offered_call gate_offer_of(const gate::call_id& id, const pending_call& held) const;
     void record_result(const edge::upstream_result& result, mono_time now);
     void fill_in_report(messages::call_result& answer, const pending_call& call,
@@ -148,6 +154,8 @@
     std::atomic<std::uint64_t> upstream_busy_us{0};
     std::atomic<std::uint64_t> retries_started{0};
     std::atomic<std::uint64_t> retries_refused{0};
+    std::atomic<std::uint64_t> nested_offered{0};
+    routing::call_origins origins;  // Used while the configuration has no workspaces.
     // Rate of requests that the upstream did not answer, under one key.
     routing::recent_refusals upstream_failures;
     // The last member, so that its threads end before the members that they use are destroyed.
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -143,6 +143,9 @@
         edge::forwardable_request_headers(this->options.headers, request.headers);
     call->message.body = std::move(request.body);
     call->message.may_be_late = call->objective.count() == 0;
+    if (!call->has_workspaces) {
+        call->origin = this->origins.origin_of(call->message.route, call->arrived);
+    }
     this->count_for_retry_budget(call);
     this->rank_nested_call(call);
     if (call->nested || call->message.workspace.empty()) {
@@ -163,21 +166,28 @@
     });
 }
 
-// Lets a nested call precede new requests. A request without a workspace may be a nested call.
+// Lets a nested call precede new requests. A request without a workspace may be a nested call. In a
+// configuration without workspaces that sign is missing, and the route's origin decides.
 void ingress::rank_nested_call(const call_ptr& call) {
+    if (call->origin.has_value()) {
+        call->message.precedes = call->nested || *call->origin == routing::call_origin::upstreams;
+        return;
+    }
     bool may_be_nested = !call->nested && call->message.workspace.empty();
-    call->message.precedes =
-        call->nested || (may_be_nested && this->precedence.begin(this->local.load().running));
+    call->holds_precedence = may_be_nested && this->precedence.begin(this->local.load().running);
+    call->message.precedes = call->nested || call->holds_precedence;
 }
 
 // Counts the call for the retry budget of its service. A request without a workspace may be a
 // nested call of the local upstream that carries no context handle, so the probability that a
-// retried request makes it is estimated.
+// retried request makes it is estimated, unless its route is known to be called by callers.
 void ingress::count_for_retry_budget(const call_ptr& call) const {
     const std::string& service = call->message.service;
     if (call->nested) {
         this->nested_retries.count_nested_call(service, call->message.retry_probability,
                                                call->arrived);
+    } else if (call->origin == routing::call_origin::callers) {
+        this->budgets.budget_for(service, call->arrived)->count_call(call->arrived);
     } else if (call->message.workspace.empty()) {
         call->message.retry_probability =
             this->nested_retries.count_nested_call(service, std::nullopt, call->arrived);
@@ -375,8 +385,19 @@
     return decision;
 }
 
+// An egress adds the header last, and it is no header of the response.
+void ingress::record_origin(const ingress_call& call, const messages::call_result& result) {
+    if (!call.origin.has_value() || result.headers.empty() ||
+        result.headers.back().name != routing::origin_header) {
+        return;
+    }
+    this->origins.add(call.message.route, routing::call_origin_named(result.headers.back().value),
+                      this->clock.now());
+}
+
 void ingress::deliver(const call_ptr& call, messages::call_result result) {
     this->selector.record_response_size(call->message.route, result.body.size());
+    this->record_origin(*call, result);
     edge::http_response response{.status = result.status,
                                  .headers = edge::forwardable_headers(result.headers),
                                  .body = std::move(result.body)};
@@ -418,7 +439,7 @@
 
 void ingress::finish(const call_ptr& call, unsigned status, std::string_view reason) {
     call->ended = true;
-    if (call->message.precedes && !call->nested) {
+    if (call->holds_precedence) {
         this->precedence.end();
     }
     finished_request finished{.service = call->message.service,
@@ -504,6 +525,7 @@
     if (now >= this->next_expiry) {
         this->next_expiry = now + expiry_interval;
         this->selector.expire(now);
+        this->origins.expire(now);
     }
     this->preconnect_peers(now);
     std::vector<std::pair<std::uint64_t, std::shared_ptr<attempt>>> expired;
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -39,6 +39,7 @@
 #include "edge/header_profile.h"
 #include "edge/http_server.h"
 #include "routing/nested_call_precedence.h"
+#include "routing/reported_origins.h"
 #include "routing/retry_policy.h"
 #include "routing/traffic_split.h"
 #include "routing/upstream_picker.h"
@@ -113,6 +114,7 @@
     void handle_failure(const call_ptr& call, routing::attempt_end end, std::string_view reason);
     routing::retry_decision decide_retry(const ingress_call& call, routing::call_attempts& history,
                                          routing::attempt_end end, std::string_view reason);
+    void record_origin(const ingress_call& call, const messages::call_result& result);
     void deliver(const call_ptr& call, messages::call_result result);
     void respond(const call_ptr& call, edge::http_response response, std::string_view reason);
     void respond_refused(const call_ptr& call, call_refusal refusal);
@@ -122,6 +124,7 @@
     limit_service& limits;
     routing::traffic_split splits;
     routing::nested_call_precedence precedence;
+    routing::reported_origins origins;
     const request_acceptance acceptance;
     egress& local;
     service_retry_budgets& budgets;
--- a/packages/daemon/ingress_call.h
+++ b/packages/daemon/ingress_call.h
@@ -22,6 +22,7 @@
 #include "daemon/refusal.h"
 #include "daemon/request_acceptance.h"
 #include "edge/http_server.h"
+#include "routing/call_origins.h"
 #include "transport/peer_endpoint.h"
 
 namespace trefoil::daemon::detail {
@@ -32,6 +33,7 @@
     std::shared_ptr<edge::responder> responder;
     mono_time arrived;
     bool admitted = false;
+    bool holds_precedence = false;    // Counted by nested_call_precedence until it ends.
     bool ended = false;               // Answered, or its caller has disconnected.
     std::uint64_t last_sequence = 0;  // Of the latest attempt; 0 before the first.
     std::size_t attempts_sent = 0;
@@ -40,6 +42,8 @@
     std::vector<std::string> tried;  // Instances that are not picked again.
     // Subset of `tried`: instances that refused the call before it reached their upstreams.
     std::vector<std::string> refused;
+    // Who calls the route; absent if the configuration has workspaces, which tell.
+    std::optional<routing::call_origin> origin;
     std::size_t overload_refusals = 0;  // Number of refusals with the reason "overloaded".
     // Shortest wait that a refusing instance announced.
     std::optional<std::chrono::milliseconds> retry_after;
--- a/packages/daemon/request_acceptance.cc
+++ b/packages/daemon/request_acceptance.cc
@@ -84,6 +84,7 @@
         return call_refusal{.reason = reasons::method_not_allowed};
     }
     const config::route& route = *std::get<const config::route*>(found);
+    accepted.has_workspaces = !snapshot->contents().workspaces.empty();
     accepted.message.method = request.method;
     accepted.message.target =
         request.query.empty() ? request.path : request.path + "?" + request.query;
--- a/packages/daemon/request_acceptance.h
+++ b/packages/daemon/request_acceptance.h
@@ -27,8 +27,9 @@
 
 // Properties of an accepted request. After a refusal, those that were determined before it.
 struct accepted_request {
-    bool nested = false;     // Sent by the local upstream with a valid context handle.
-    messages::call message;  // Without headers, body, sequence number and timestamps.
+    bool nested = false;         // Sent by the local upstream with a valid context handle.
+    bool has_workspaces = true;  // The configuration has workspaces.
+    messages::call message;      // Without headers, body, sequence number and timestamps.
     routing::call_attempts history;
     std::chrono::milliseconds objective{0};  // Latency objective; 0 if the route has none.
 };
--- a/packages/daemon/request_log.cc
+++ b/packages/daemon/request_log.cc
@@ -40,6 +40,10 @@
     return "unknown";
 }
 
+void log_call_origin(std::string_view route, std::string_view origin) {
+    log(log_level::info, "call_origin", {{"route", text(route)}, {"from", text(origin)}});
+}
+
 void log_request(const request_log_entry& entry) {
     bool late = entry.objective.count() > 0 && entry.duration > entry.objective;
     bool ordinary = entry.status < first_error_status && !late;
--- a/packages/daemon/request_log.h
+++ b/packages/daemon/request_log.h
@@ -65,6 +65,9 @@
 };
 void log_limit(const limit_log_entry& entry);
 
+// The egress has changed what it knows about the origin of a route's calls.
+void log_call_origin(std::string_view route, std::string_view origin);
+
 // A call that ended at the egress.
 struct call_log_entry {
     std::string_view id;
--- a/packages/daemon/state_series.cc
+++ b/packages/daemon/state_series.cc
@@ -155,6 +155,13 @@
     all.add("egress_answered_total", egress.answered, "Calls with a whole response.");
     all.add("egress_refused_total", egress.refused, "Calls that the gate refused.");
     all.add("egress_unknown_total", egress.unknown, "Calls with an unknown outcome.");
+    all.add("egress_nested_total", egress.nested_offered,
+            "Calls that precede others, since only upstreams call their route.");
+    for (const auto& [route, origin] : this->sources.local_egress.call_origins().known()) {
+        all.add("gate_route_nested", origin == routing::call_origin::upstreams ? 1 : 0,
+                "Whether only upstreams call the route: 1 yes, 0 callers do; absent if unknown.",
+                {{"route", route}});
+    }
     all.add("egress_upstream_busy_us_total", egress.upstream_busy_us,
             "Time spent at the upstream.");
 }
--- a/packages/gate/testing/nested_calls_test.cc
+++ b/packages/gate/testing/nested_calls_test.cc
@@ -3,14 +3,10 @@
 #define BOOST_TEST_MODULE gate_nested_calls
 #include <boost/test/unit_test.hpp>
 #include <chrono>
-#include <cmath>
-#include <functional>
-#include <map>
 #include <memory>
-#include <string>
 
-#include "base/random.h"
 #include "gate/slot_limit.h"
+#include "gate/testing/shared_upstream.h"
 #include "gate/upstream_gate.h"
 
 namespace trefoil::gate {
@@ -21,129 +17,8 @@
 using std::chrono::seconds;
 
 constexpr std::uint32_t slots = 9;
-constexpr std::uint32_t workspaces = 8;
 constexpr std::uint32_t request_priority = 1002;
 
-// A kind of calls with random arrivals.
-struct call_kind {
-    std::string route;
-    std::uint32_t priority = 0;
-    double per_second = 0;
-    milliseconds service_time{0};
-    milliseconds objective{0};
-    milliseconds time_limit{0};
-    bool has_workspace = true;
-    bool precedes = false;
-    int offered = 0;
-    int served = 0;
-
-    double served_share() const { return static_cast<double>(this->served) / this->offered; }
-};
-
-// One upstream. A call that was refused because it cannot meet its objective is offered a second
-// time with `may_be_late` set, as an ingress does.
-class shared_upstream {
-public:
-    explicit shared_upstream(std::uint64_t seed)
-        : random(seed),
-          gate({.queue = 36}, std::make_unique<slot_limit>(slot_limit_options{.slots = slots})) {}
-
-    void run(call_kind& requests, call_kind& nested, seconds length) {
-        this->arrive(requests);
-        this->arrive(nested);
-        mono_time end = this->now + length;
-        while (this->now < end) {
-            this->now += milliseconds(1);
-            while (!this->events.empty() && this->events.begin()->first <= this->now) {
-                auto next = this->events.extract(this->events.begin());
-                next.mapped()();
-            }
-            this->apply(this->gate.expire(this->now));
-        }
-    }
-
-private:
-    struct offered_entry {
-        call_kind* kind = nullptr;
-        mono_time arrived;
-        bool late = false;
-    };
-
-    void after(double wait_s, std::function<void()> event) {
-        auto wait =
-            std::chrono::duration_cast<mono_duration>(std::chrono::duration<double>(wait_s));
-        this->events.emplace(this->now + wait, std::move(event));
-    }
-
-    void arrive(call_kind& kind) {
-        double gap_s = -std::log(1.0 - this->random.uniform()) / kind.per_second;
-        this->after(gap_s, [this, &kind] {
-            ++kind.offered;
-            this->offer({.kind = &kind, .arrived = this->now});
-            this->arrive(kind);
-        });
-    }
-
-    void offer(const offered_entry& entry) {
-        const call_kind& kind = *entry.kind;
-        call_id id{.instance = "i", .incarnation = 1, .sequence = ++this->last_sequence};
-        this->entries[id.sequence] = entry;
-        std::string workspace =
-            kind.has_workspace ? "w" + std::to_string(this->random.below(workspaces)) : "";
-        offer_result offered = this->gate.offer({.id = id,
-                                                 .workspace = workspace,
-                                                 .deadline = entry.arrived + kind.time_limit,
-                                                 .route = kind.route,
-                                                 .priority = kind.priority,
-                                                 .objective_at = entry.arrived + kind.objective,
-                                                 .may_be_late = entry.late,
-                                                 .precedes = kind.precedes},
-                                                this->now);
-        if (std::holds_alternative<start_now>(offered.decision)) {
-            this->start(id);
-        } else if (std::holds_alternative<refusal>(offered.decision)) {
-            this->refuse(id);
-        }
-        this->apply(offered.changes);
-    }
-
-    void start(const call_id& id) {
-        call_kind& kind = *this->entries.at(id.sequence).kind;
-        double spread = std::exp2(2.0 * this->random.uniform() - 1.0);
-        double service_s = spread * std::chrono::duration<double>(kind.service_time).count();
-        mono_time started = this->now;
-        this->after(service_s, [this, id, started, &kind] {
-            ++kind.served;
-            this->apply(
-                this->gate.finish(id, call_result_kind::good, this->now - started, this->now));
-        });
-    }
-
-    void refuse(const call_id& id) {
-        offered_entry entry = this->entries.at(id.sequence);
-        if (!entry.late) {
-            entry.late = true;
-            this->offer(entry);
-        }
-    }
-
-    void apply(const gate_changes& changes) {
-        for (const call_id& id : changes.start) {
-            this->start(id);
-        }
-        for (const refused_call& each : changes.refused) {
-            this->refuse(each.id);
-        }
-    }
-
-    seeded_random random;
-    upstream_gate gate;
-    mono_time now{std::chrono::hours(1)};
-    std::multimap<mono_time, std::function<void()>> events;
-    std::map<std::uint64_t, offered_entry> entries;  // By sequence.
-    std::uint64_t last_sequence = 0;
-};
-
 // Returns by how much the share of nested calls that are served exceeds that of the requests.
 double advantage_of_nested_calls(bool precede, std::uint64_t seed) {
     call_kind requests{.route = "balance",
@@ -160,8 +35,8 @@
                      .time_limit = milliseconds(200),
                      .has_workspace = false,
                      .precedes = precede};
-    shared_upstream upstream(seed);
-    upstream.run(requests, nested, seconds(30));
+    shared_upstream upstream(seed, slots);
+    upstream.run({&requests, &nested}, seconds(30));
     BOOST_TEST_MESSAGE((precede ? "precede" : "do not precede")
                        << ": served " << nested.served_share() << " of the nested calls, "
                        << requests.served_share() << " of the requests");
