--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -163,7 +163,6 @@
                           .outcome = messages::call_outcome::not_run});
         return;
     }
-    this->learn_origin(*held);
     // Only calls that are certainly retries need a reservation. A nested call that a retried
     // request made with a probability below 1 is not refused for lack of retry budget.
     if (held->call.retry_probability >= 1) {
@@ -175,6 +174,7 @@
             return;
         }
     }
+    this->learn_origin(*held);
     gate::offer_result offered = this->gate.offer(this->gate_offer_of(id, *held), held->arrived);
     if (std::holds_alternative<gate::start_now>(offered.decision)) {
         this->start(id);
@@ -197,7 +197,6 @@
         held.call.precedes = true;
         ++this->nested_offered;
     }
-    held.excess = !held.call.precedes && !this->throttle.admit(held.call.route);
     if (found.changed) {
         log_call_origin(held.call.route, to_string(found.origin));
     }
@@ -211,8 +210,7 @@
                                .route = held.call.route,
                                .priority = held.call.priority,
                                .may_be_late = held.call.may_be_late,
-                               .precedes = held.call.precedes,
-                               .excess = held.excess};
+                               .precedes = held.call.precedes};
     if (held.call.objective_us > 0) {
         mono_time sent = held.deadline - std::chrono::microseconds(held.call.budget_us);
         offered.objective_at = sent + std::chrono::microseconds(held.call.objective_us);
@@ -318,13 +316,11 @@
         answer.retry_after_ms = milliseconds_of(this->gate.pause_left(now));
     }
     this->fill_in_report(answer, call, now);
-    this->record_run(call, answer, now);
     if (answer.outcome == messages::call_outcome::answered) {
         ++this->answered;
-        if (id.sequence % results_per_origin == 0 &&
-            call.origin.value_or(routing::call_origin::unknown) != routing::call_origin::unknown) {
+        if (id.sequence % results_per_origin == 0 && call.origin != routing::call_origin::unknown) {
             answer.headers.push_back({.name = std::string(routing::origin_header),
-                                      .value = std::string(to_string(*call.origin))});
+                                      .value = std::string(to_string(call.origin))});
         }
     } else if (answer.outcome == messages::call_outcome::not_run) {
         ++this->refused;
@@ -336,21 +332,6 @@
     this->apply(changes);
 }
 
-void egress::record_run(const pending_call& call, const messages::call_result& answer,
-                        mono_time now) {
-    if (!call.origin.has_value() || call.call.precedes ||
-        answer.outcome == messages::call_outcome::not_run) {
-        return;
-    }
-    bool failed =
-        answer.outcome == messages::call_outcome::unknown || answer.status >= status_server_error;
-    auto share = this->throttle.on_run_ended(call.call.route,
-                                             {.started = call.started, .failed = failed}, now);
-    if (share.has_value()) {
-        log_throttle(call.call.route, *share);
-    }
-}
-
 void egress::refuse(const gate::call_id& id, const gate::refusal& why) {
     auto held = this->calls.take(id);
     if (!held.has_value()) {
--- a/packages/daemon/egress.h
+++ b/packages/daemon/egress.h
@@ -26,7 +26,6 @@
 #include "daemon/shared_state.h"
 #include "edge/header_profile.h"
 #include "edge/upstream_client.h"
-#include "gate/nested_call_throttle.h"
 #include "gate/upstream_gate.h"
 #include "messages/messages.h"
 #include "routing/call_origins.h"
@@ -80,9 +79,6 @@
     // The ingress no longer waits for the call. Same effect as connection_lost() for one call.
     void cancel(const gate::call_id& id);
 
-    // A call that the local upstream made while it served a request has failed.
-    void on_nested_call_failed(mono_time now) { this->throttle.on_nested_call_failed(now); }
-
     // Starts or refuses queued calls that are due. Must be called every few milliseconds.
     void tick();
     // The next time at which tick() has work; absent if only another event can create some.
@@ -106,7 +102,6 @@
     messages::load_report load() const { return this->gate.load(); }
     egress_totals totals() const;
     const routing::call_origins& call_origins() const { return this->origins; }
-    const gate::nested_call_throttle& nested_throttle() const { return this->throttle; }
 
 private:
     // A call from offer() to its reply.
@@ -117,9 +112,7 @@
         std::uint64_t connection = 0;
         mono_time started;
         result_callback reply;
-        // Who calls the route; absent if the configuration has workspaces.
-        std::optional<routing::call_origin> origin = std::nullopt;
-        bool excess = false;               // See nested_call_throttle.
+        routing::call_origin origin = routing::call_origin::unknown;
         edge::request_number request = 0;  // At the upstream client; 0 before the start.
         std::string handle;                // Context handle for nested calls, while the call runs.
         routing::nested_call_attribution::run_id run = 0;  // 0 before the start.
@@ -128,7 +121,6 @@
     };
 
     void learn_origin(pending_call& held);
-    void record_run(const pending_call& call, const messages::call_result& answer, mono_time now);
     gate::offered_call gate_offer_of(const gate::call_id& id, const pending_call& held) const;
     void record_result(const edge::upstream_result& result, mono_time now);
     void fill_in_report(messages::call_result& answer, const pending_call& call,
@@ -163,8 +155,7 @@
     std::atomic<std::uint64_t> retries_started{0};
     std::atomic<std::uint64_t> retries_refused{0};
     std::atomic<std::uint64_t> nested_offered{0};
-    gate::nested_call_throttle throttle;  // Used while the configuration has no workspaces.
-    routing::call_origins origins;        // Used while the configuration has no workspaces.
+    routing::call_origins origins;  // Used while the configuration has no workspaces.
     // Rate of requests that the upstream did not answer, under one key.
     routing::recent_refusals upstream_failures;
     // The last member, so that its threads end before the members that they use are destroyed.
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -20,7 +20,6 @@
 constexpr std::chrono::milliseconds preconnect_interval{250};
 // Interval for freeing expired entries of the selector, which ignores them in the meantime.
 constexpr std::chrono::milliseconds expiry_interval{500};
-constexpr unsigned status_first_error = 400;
 constexpr unsigned status_too_large = 413;
 constexpr unsigned status_request_timeout = 408;
 // Used in metrics and logs only, because no response is sent.
@@ -43,7 +42,7 @@
     constexpr std::chrono::milliseconds shortest{50};
     // For conditions that end with a change of the fleet or of its configuration.
     constexpr std::chrono::milliseconds after_change{250};
-    if (reason == reasons::overloaded || reason == reasons::nested_overloaded) {
+    if (reason == reasons::overloaded) {
         return std::max(shortest, free_after.value_or(after_change));
     }
     if (reason == reasons::not_ready || reason == reasons::stopping ||
@@ -443,10 +442,6 @@
     if (call->holds_precedence) {
         this->precedence.end();
     }
-    bool nested = call->origin == routing::call_origin::upstreams;
-    if (nested && status >= status_first_error && status != status_caller_gone) {
-        this->local.on_nested_call_failed(this->clock.now());
-    }
     finished_request finished{.service = call->message.service,
                               .route = call->message.route,
                               .workspace = call->message.workspace,
--- a/packages/daemon/refusal.cc
+++ b/packages/daemon/refusal.cc
@@ -18,7 +18,7 @@
     unsigned status;
 };
 
-constexpr std::array<reason_status, 22> reason_statuses = {{
+constexpr std::array<reason_status, 21> reason_statuses = {{
     {reasons::bad_request, 400},        {reasons::payload_too_large, 413},
     {reasons::headers_too_large, 431},  {reasons::request_timeout, 408},
     {reasons::caller_gone, 499},        {reasons::no_route, 404},
@@ -29,7 +29,7 @@
     {reasons::overloaded, 503},         {reasons::depth_exceeded, 508},
     {reasons::deadline_exceeded, 504},  {reasons::upstream_failed, 502},
     {reasons::connection_lost, 502},    {reasons::duplicate, 502},
-    {reasons::retry_budget, 503},       {reasons::nested_overloaded, 503},
+    {reasons::retry_budget, 503},
 }};
 
 const reason_status* find_reason(std::string_view text) {
--- a/packages/daemon/refusal.h
+++ b/packages/daemon/refusal.h
@@ -36,7 +36,6 @@
 inline constexpr std::string_view stopping = "stopping";
 inline constexpr std::string_view no_upstream = "no_upstream";
 inline constexpr std::string_view overloaded = "overloaded";
-inline constexpr std::string_view nested_overloaded = "nested_overloaded";
 inline constexpr std::string_view depth_exceeded = "depth_exceeded";
 inline constexpr std::string_view deadline_exceeded = "deadline_exceeded";
 inline constexpr std::string_view upstream_failed = "upstream_failed";
--- a/packages/daemon/request_log.cc
+++ b/packages/daemon/request_log.cc
@@ -44,11 +44,6 @@
     log(log_level::info, "call_origin", {{"route", text(route)}, {"from", text(origin)}});
 }
 
-void log_throttle(std::string_view route, double share) {
-    log(log_level::info, "nested_throttle",
-        {{"route", text(route)}, {"share", fmt::format("{:.2f}", share)}});
-}
-
 void log_request(const request_log_entry& entry) {
     bool late = entry.objective.count() > 0 && entry.duration > entry.objective;
     bool ordinary = entry.status < first_error_status && !late;
--- a/packages/daemon/request_log.h
+++ b/packages/daemon/request_log.h
@@ -68,10 +68,6 @@
 // The egress has changed what it knows about the origin of a route's calls.
 void log_call_origin(std::string_view route, std::string_view origin);
 
-// The share of a route's requests that the egress admits has changed, because of their nested
-// calls.
-void log_throttle(std::string_view route, double share);
-
 // A call that ended at the egress.
 struct call_log_entry {
     std::string_view id;
--- a/packages/daemon/state_series.cc
+++ b/packages/daemon/state_series.cc
@@ -157,16 +157,6 @@
     all.add("egress_unknown_total", egress.unknown, "Calls with an unknown outcome.");
     all.add("egress_nested_total", egress.nested_offered,
             "Calls that precede others, since only upstreams call their route.");
-    const gate::nested_call_throttle& throttle = this->sources.local_egress.nested_throttle();
-    all.add("gate_nested_excess_total", throttle.totals().excess,
-            "Calls that start only in a free slot, as their nested calls would probably fail.");
-    all.add("gate_nested_failed_total", throttle.totals().failed_runs,
-            "Calls that failed together with one of their nested calls.");
-    for (const auto& [route, share] : throttle.shares()) {
-        all.add("gate_admitted_percent", gauge(100 * share),
-                "Share of the route's calls that may wait, in view of their nested calls.",
-                {{"route", route}});
-    }
     for (const auto& [route, origin] : this->sources.local_egress.call_origins().known()) {
         all.add("gate_route_nested", origin == routing::call_origin::upstreams ? 1 : 0,
                 "Whether only upstreams call the route: 1 yes, 0 callers do; absent if unknown.",
--- a/packages/daemon/upstream_selector.cc
+++ b/packages/daemon/upstream_selector.cc
@@ -200,10 +200,6 @@
         return;
     }
     call.refused.push_back(instance);
-    if (result.reason == reasons::nested_overloaded) {
-        // The upstreams of the other instances make the same nested calls.
-        call.overload_refusals += max_refusals;
-    }
     if (result.reason == reasons::overloaded) {
         ++call.overload_refusals;
         this->refusals_for(call).on_refused(call.message.route, now);
--- a/packages/gate/gate_types.cc
+++ b/packages/gate/gate_types.cc
@@ -16,8 +16,6 @@
             return "deadline_exceeded";
         case refusal_reason::duplicate:
             return "duplicate";
-        case refusal_reason::nested_calls:
-            return "nested_overloaded";
         case refusal_reason::retry_budget:
             return "retry_budget";
     }
--- a/packages/gate/gate_types.h
+++ b/packages/gate/gate_types.h
@@ -58,9 +58,6 @@
     // when it is refused, that request fails and the work spent on it is lost. While the start rate
     // is limited, the call takes as much of that rate as any other and does not precede.
     bool precedes = false;
-    // Whether the call is refused while others wait that are not less urgent, because its nested
-    // calls would probably fail.
-    bool excess = false;
 
     friend bool operator==(const offered_call&, const offered_call&) = default;
 };
@@ -81,7 +78,6 @@
     no_upstream,        // The upstream is leaving or taken out.
     deadline_exceeded,  // The deadline passed before the call started.
     duplicate,          // The sequence was seen before, or may have been.
-    nested_calls,       // The nested calls of the call would not be served.
     retry_budget,       // A retry, and the retry budget of a service that it calls is used up.
 };
 
--- a/packages/gate/testing/shared_upstream.h
+++ b/packages/gate/testing/shared_upstream.h
@@ -38,17 +38,11 @@
     bool precedes = false;
     // Decides instead of `precedes`, if set.
     std::function<bool(mono_time now, random_source& random)> decide_precedence = nullptr;
-    // Whether a request may wait; all may if not set.
-    std::function<bool()> may_wait = nullptr;
-    // Whether a run fails after half of its time; none does if not set.
-    std::function<bool(mono_time started, mono_time now, random_source& random)> fails = nullptr;
     int offered = 0;
     int served = 0;
     int in_time = 0;
-    int failed = 0;
 
     double served_share() const { return static_cast<double>(this->served) / this->offered; }
-    double failed_share() const { return static_cast<double>(this->failed) / this->offered; }
     double in_time_share() const { return static_cast<double>(this->in_time) / this->offered; }
 };
 
@@ -81,7 +75,6 @@
         call_kind* kind = nullptr;
         mono_time arrived;
         bool precedes = false;
-        bool excess = false;
         bool late = false;
     };
 
@@ -97,10 +90,7 @@
             ++kind.offered;
             bool precedes = kind.decide_precedence ? kind.decide_precedence(this->now, this->random)
                                                    : kind.precedes;
-            this->offer({.kind = &kind,
-                         .arrived = this->now,
-                         .precedes = precedes,
-                         .excess = kind.may_wait && !kind.may_wait()});
+            this->offer({.kind = &kind, .arrived = this->now, .precedes = precedes});
             this->arrive(kind);
         });
     }
@@ -118,8 +108,7 @@
                                                  .priority = kind.priority,
                                                  .objective_at = entry.arrived + kind.objective,
                                                  .may_be_late = entry.late,
-                                                 .precedes = entry.precedes,
-                                                 .excess = entry.excess},
+                                                 .precedes = entry.precedes},
                                                 this->now);
         if (std::holds_alternative<start_now>(offered.decision)) {
             this->start(id);
@@ -135,24 +124,14 @@
         double spread = std::exp2(2.0 * this->random.uniform() - 1.0);
         double service_s = spread * std::chrono::duration<double>(kind.service_time).count();
         mono_time started = this->now;
-        this->after(service_s / 2, [this, id, started, entry, service_s, &kind] {
-            if (kind.fails && kind.fails(started, this->now, this->random)) {
-                ++kind.failed;
-                this->finish(id, started);
-                return;
-            }
-            this->after(service_s / 2, [this, id, started, entry, &kind] {
-                ++kind.served;
-                kind.in_time += this->now <= entry.arrived + kind.objective ? 1 : 0;
-                this->finish(id, started);
-            });
+        this->after(service_s, [this, id, started, entry, &kind] {
+            ++kind.served;
+            kind.in_time += this->now <= entry.arrived + kind.objective ? 1 : 0;
+            this->apply(
+                this->gate.finish(id, call_result_kind::good, this->now - started, this->now));
         });
     }
 
-    void finish(const call_id& id, mono_time started) {
-        this->apply(this->gate.finish(id, call_result_kind::good, this->now - started, this->now));
-    }
-
     void refuse(const call_id& id) {
         offered_entry entry = this->entries.at(id.sequence);
         if (!entry.late) {
--- a/packages/gate/upstream_gate.cc
+++ b/packages/gate/upstream_gate.cc
@@ -77,9 +77,6 @@
         this->start_call(call, now);
         return start_now{};
     }
-    if (call.excess && this->waiting.ahead_of(call.priority, false) > 0) {
-        return not_run(refusal_reason::nested_calls);
-    }
     if (std::optional<refusal> too_late = this->refuse_if_too_late(call, now)) {
         return *too_late;
     }
