--- a/packages/gate/testing/shared_upstream.h
+++ b/packages/gate/testing/shared_upstream.h
@@ -38,18 +38,9 @@
     bool precedes = false;
     // Decides instead of `precedes`, if set.
     std::function<bool(mono_time now, random_source& random)> decide_precedence = nullptr;
-    // The arrival rate as a multiple of per_second, by time since the start; 1 if not set.
-    std::function<double(mono_duration since_start)> load = nullptr;
-    // After how long a refused caller returns, once; never if not set.
-    std::function<mono_duration(mono_time now, mono_time arrived, mono_duration announced)> pause =
-        nullptr;
-    std::function<void(mono_time now)> on_served = nullptr;
     int offered = 0;
     int served = 0;
     int in_time = 0;
-    int refused = 0;
-    int refused_promptly = 0;  // Within an eighth of the objective.
-    int returned = 0;
 
     double served_share() const { return static_cast<double>(this->served) / this->offered; }
     double in_time_share() const { return static_cast<double>(this->in_time) / this->offered; }
@@ -85,7 +76,6 @@
         mono_time arrived;
         bool precedes = false;
         bool late = false;
-        bool returned = false;
     };
 
     void after(double wait_s, std::function<void()> event) {
@@ -95,8 +85,7 @@
     }
 
     void arrive(call_kind& kind) {
-        double load = kind.load ? kind.load(this->now - first_moment) : 1;
-        double gap_s = -std::log(1.0 - this->random.uniform()) / (kind.per_second * load);
+        double gap_s = -std::log(1.0 - this->random.uniform()) / kind.per_second;
         this->after(gap_s, [this, &kind] {
             ++kind.offered;
             bool precedes = kind.decide_precedence ? kind.decide_precedence(this->now, this->random)
@@ -124,7 +113,7 @@
         if (std::holds_alternative<start_now>(offered.decision)) {
             this->start(id);
         } else if (std::holds_alternative<refusal>(offered.decision)) {
-            this->refuse(id, std::get<refusal>(offered.decision));
+            this->refuse(id);
         }
         this->apply(offered.changes);
     }
@@ -138,32 +127,16 @@
         this->after(service_s, [this, id, started, entry, &kind] {
             ++kind.served;
             kind.in_time += this->now <= entry.arrived + kind.objective ? 1 : 0;
-            if (kind.on_served) {
-                kind.on_served(this->now);
-            }
             this->apply(
                 this->gate.finish(id, call_result_kind::good, this->now - started, this->now));
         });
     }
 
-    void refuse(const call_id& id, const refusal& why) {
+    void refuse(const call_id& id) {
         offered_entry entry = this->entries.at(id.sequence);
         if (!entry.late) {
             entry.late = true;
             this->offer(entry);
-            return;
-        }
-        ++entry.kind->refused;
-        if (this->now - entry.arrived <= entry.kind->objective / 8) {
-            ++entry.kind->refused_promptly;
-        }
-        if (!entry.returned && entry.kind->pause) {
-            ++entry.kind->returned;
-            entry.late = false;
-            entry.returned = true;
-            mono_duration pause = entry.kind->pause(this->now, entry.arrived, why.retry_after);
-            this->after(std::chrono::duration<double>(pause).count(),
-                        [this, entry] { this->offer(entry); });
         }
     }
 
@@ -172,15 +145,14 @@
             this->start(id);
         }
         for (const refused_call& each : changes.refused) {
-            this->refuse(each.id, each.why);
+            this->refuse(each.id);
         }
     }
 
     const std::uint32_t workspaces = 8;
     seeded_random random;
     upstream_gate gate;
-    static constexpr mono_time first_moment{std::chrono::hours(1)};
-    mono_time now = first_moment;
+    mono_time now{std::chrono::hours(1)};
     std::multimap<mono_time, std::function<void()>> events;
     std::map<std::uint64_t, offered_entry> entries;  // By sequence.
     std::uint64_t last_sequence = 0;
