Keep a floor for each route at an overloaded gate

Cause: priorities are strict, so a kind of requests starves while more urgent ones exceed the capacity of a service.

--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -193,6 +193,7 @@
     auto found = this->origins.record(held.call.route, held.call.caller_service,
                                       snapshot->contents().services.size(), held.arrived);
     held.origin = found.origin;
+    held.keeps_floor = true;
     if (held.origin == routing::call_origin::upstreams) {
         held.call.precedes = true;
         ++this->nested_offered;
@@ -210,7 +211,8 @@
                                .route = held.call.route,
                                .priority = held.call.priority,
                                .may_be_late = held.call.may_be_late,
-                               .precedes = held.call.precedes};
+                               .precedes = held.call.precedes,
+                               .keeps_floor = held.keeps_floor};
     if (held.call.objective_us > 0) {
         mono_time sent = held.deadline - std::chrono::microseconds(held.call.budget_us);
         offered.objective_at = sent + std::chrono::microseconds(held.call.objective_us);
@@ -452,6 +454,7 @@
             .retries_started = this->retries_started,
             .requests_sent = this->client.totals().requests_sent,
             .retries_refused = this->retries_refused,
+            .promoted = this->gate.promoted(),
             .nested_offered = this->nested_offered};
 }
 
--- a/packages/daemon/egress.h
+++ b/packages/daemon/egress.h
@@ -52,6 +52,8 @@
     std::uint64_t requests_sent = 0;    // Exceeds `started` if the client sends one again.
     // Retries refused because the services that they would call have no retry budget left.
     std::uint64_t retries_refused = 0;
+    // Calls that ranked as most urgent because their route was below its floor.
+    std::uint64_t promoted = 0;
     // Calls that precede others because only upstreams call their route.
     std::uint64_t nested_offered = 0;
 
@@ -113,6 +115,7 @@
         mono_time started;
         result_callback reply;
         routing::call_origin origin = routing::call_origin::unknown;
+        bool keeps_floor = false;          // See gate::kind_floor.
         edge::request_number request = 0;  // At the upstream client; 0 before the start.
         std::string handle;                // Context handle for nested calls, while the call runs.
         routing::nested_call_attribution::run_id run = 0;  // 0 before the start.
--- a/packages/daemon/state_series.cc
+++ b/packages/daemon/state_series.cc
@@ -157,6 +157,8 @@
     all.add("egress_unknown_total", egress.unknown, "Calls with an unknown outcome.");
     all.add("egress_nested_total", egress.nested_offered,
             "Calls that precede others, since only upstreams call their route.");
+    all.add("egress_promoted_total", egress.promoted,
+            "Calls that ranked as most urgent, because their route was below its floor.");
     for (const auto& [route, origin] : this->sources.local_egress.call_origins().known()) {
         all.add("gate_route_nested", origin == routing::call_origin::upstreams ? 1 : 0,
                 "Whether only upstreams call the route: 1 yes, 0 callers do; absent if unknown.",
--- a/packages/gate/gate_types.h
+++ b/packages/gate/gate_types.h
@@ -58,6 +58,8 @@
     // when it is refused, that request fails and the work spent on it is lost. While the start rate
     // is limited, the call takes as much of that rate as any other and does not precede.
     bool precedes = false;
+    // Whether the call's route keeps a floor (kind_floor).
+    bool keeps_floor = false;
 
     friend bool operator==(const offered_call&, const offered_call&) = default;
 };
--- a/packages/gate/testing/shared_upstream.h
+++ b/packages/gate/testing/shared_upstream.h
@@ -36,6 +36,7 @@
     std::chrono::milliseconds time_limit{0};
     bool has_workspace = true;
     bool precedes = false;
+    bool keeps_floor = false;
     // Decides instead of `precedes`, if set.
     std::function<bool(mono_time now, random_source& random)> decide_precedence = nullptr;
     int offered = 0;
@@ -108,7 +109,8 @@
                                                  .priority = kind.priority,
                                                  .objective_at = entry.arrived + kind.objective,
                                                  .may_be_late = entry.late,
-                                                 .precedes = entry.precedes},
+                                                 .precedes = entry.precedes,
+                                                 .keeps_floor = kind.keeps_floor},
                                                 this->now);
         if (std::holds_alternative<start_now>(offered.decision)) {
             this->start(id);
--- a/packages/gate/upstream_gate.cc
+++ b/packages/gate/upstream_gate.cc
@@ -38,6 +38,9 @@
         call.priority = 0;
         call.objective_at.reset();
     }
+    if (call.keeps_floor && this->floor.offer(call.route, now)) {
+        call.priority = 0;
+    }
     if (call.objective_at.has_value()) {
         call.latest_start = *call.objective_at - this->times.high_percentile(call.route, now);
     }
@@ -104,6 +107,9 @@
 
 void upstream_gate::start_call(const offered_call& call, mono_time now) {
     this->running.insert(call.id);
+    if (call.keeps_floor) {
+        this->floor.on_started(call.route);
+    }
     this->times.begin_request(call.id, call.route, now);
     this->limit->on_start(now);
     // A late call that starts before waiting calls in time was about to expire, which does not show
@@ -303,6 +309,11 @@
             .limit = this->limit->limit()};
 }
 
+std::uint64_t upstream_gate::promoted() const {
+    absl::MutexLock lock(&this->mutex);
+    return this->floor.promoted();
+}
+
 messages::load_report upstream_gate::load_for_route(const std::string& route, mono_time now) const {
     messages::load_report report = this->load();
     auto microseconds = [](mono_duration time) {
--- a/packages/gate/upstream_gate.h
+++ b/packages/gate/upstream_gate.h
@@ -35,6 +35,7 @@
 #include "gate/duplicate_filter.h"
 #include "gate/fair_queue.h"
 #include "gate/gate_types.h"
+#include "gate/kind_floor.h"
 #include "gate/late_start_rate.h"
 #include "gate/service_times.h"
 #include "gate/start_limit.h"
@@ -128,6 +129,8 @@
     gate_changes configure(std::uint32_t slots, std::size_t queue, mono_time now);
 
     messages::load_report load() const;
+    // Number of calls that ranked as most urgent, because their route was below its floor.
+    std::uint64_t promoted() const;
     // Includes the expected time of requests of the route and the mean over all routes.
     messages::load_report load_for_route(const std::string& route, mono_time now) const;
 
@@ -164,6 +167,7 @@
     std::unique_ptr<start_limit> limit;  // Never null.
     fair_queue waiting;
     service_times times;
+    kind_floor floor;  // Of the calls with `keeps_floor`.
     late_start_rate late_starts;
     duplicate_filter duplicates;
     absl::flat_hash_set<call_id> running;
