--- a/packages/daemon/testing/egress_test.cc
+++ b/packages/daemon/testing/egress_test.cc
@@ -5,9 +5,13 @@
 
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <future>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "daemon/request_metrics.h"
 #include "edge/testing/raw_peer.h"
@@ -37,6 +41,27 @@
         return result.get();
     }
 
+    // Offers calls of the route from each of the services in turn, which the gate refuses.
+    void offer_refused(const std::string& route, const std::vector<std::string>& from, int count) {
+        for (int i = 0; i < count; ++i) {
+            this->local_egress.offer(
+                {.instance = "i-1", .incarnation = 1, .sequence = ++this->last_sequence},
+                {.caller_service = from[static_cast<std::size_t>(i) % from.size()],
+                 .service = "station",
+                 .route = route,
+                 .method = "GET",
+                 .target = "/"},
+                this->clock.now() + std::chrono::seconds(2), 0, [](messages::call_result) {});
+        }
+    }
+
+    void publish(std::map<std::string, config::workspace, std::less<>> workspaces) {
+        config::snapshot_contents contents;
+        contents.services = {{"station", {}}, {"dosing", {}}};
+        contents.workspaces = std::move(workspaces);
+        this->shared.snapshot.publish(std::make_shared<config::snapshot>(std::move(contents)));
+    }
+
     void make_available() {
         this->local_egress.set_upstream_id("station-1/7");
         this->local_egress.set_availability(gate::upstream_availability::available);
@@ -44,6 +69,7 @@
 
     std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
     std::atomic<int> connections{0};
+    std::uint64_t last_sequence = 100;
     std::promise<std::string> head;
     raw_server upstream{[this](raw_socket socket, int) {
         ++this->connections;
@@ -94,4 +120,24 @@
     BOOST_TEST(rejected.retry_after_ms <= 20U);
 }
 
+// Guards against a change for configurations with workspaces, where a key or a handle tells a
+// nested call.
+BOOST_FIXTURE_TEST_CASE(only_without_workspaces_the_origin_of_calls_is_learned, fixture) {
+    this->local_egress.set_availability(gate::upstream_availability::leaving);
+    auto offer_both = [this] {
+        this->offer_refused("readings", {"station", "dosing"}, 100);
+        this->offer_refused("levels", {"dosing"}, 100);
+    };
+    this->publish({{"north", {}}});
+    offer_both();
+    BOOST_TEST(this->local_egress.call_origins().known().empty());
+    BOOST_TEST(this->local_egress.totals().nested_offered == 0U);
+    this->publish({});
+    offer_both();
+    auto known = this->local_egress.call_origins().known();
+    BOOST_TEST((known.at("readings") == routing::call_origin::callers));
+    BOOST_TEST((known.at("levels") == routing::call_origin::upstreams));
+    BOOST_TEST(this->local_egress.totals().nested_offered > 0U);
+}
+
 }  // namespace trefoil::daemon
