--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -2,14 +2,17 @@
 
 #include <pthread.h>
 
+#include <algorithm>
 #include <boost/program_options.hpp>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <ctime>
 #include <iostream>
+#include <iterator>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include "base/allocator.h"
@@ -59,16 +62,61 @@
     return std::nullopt;
 }
 
+// An option of the command line that overrides a setting. A deployment that does not know the value
+// passes an empty text.
+struct setting_override {
+    const char* option;
+    const char* expected;
+    std::optional<std::size_t> (*parse)(std::string_view text);
+    std::size_t trefoil::daemon::settings::*target;
+
+    // Prints the reason and returns false if the value is invalid.
+    bool apply(const program_options::variables_map& given,
+               trefoil::daemon::settings& settings) const {
+        std::string text =
+            given.count(this->option) > 0 ? given[this->option].as<std::string>() : "";
+        if (text.empty()) {
+            return true;
+        }
+        auto parsed = this->parse(text);
+        if (!parsed.has_value()) {
+            std::cerr << "trefoild: --" << this->option << ": expected " << this->expected
+                      << ", found \"" << text << "\"\n";
+            return false;
+        }
+        settings.*(this->target) = *parsed;
+        return true;
+    }
+};
+
+constexpr setting_override overrides[] = {
+    {"platform-value-bytes", "an integer from 1024 to 268435456",
+     &trefoil::daemon::parse_value_bytes, &trefoil::daemon::settings::platform_value_bytes},
+    {"memory-mb", "a number from 1 to 10000000", &trefoil::daemon::parse_memory_mb,
+     &trefoil::daemon::settings::memory_mb},
+    {"max-descriptors", "an integer from 1 to 16777216", &trefoil::daemon::parse_max_descriptors,
+     &trefoil::daemon::settings::max_descriptors},
+};
+
+// Returns false if an option is invalid.
+bool apply_overrides(const program_options::variables_map& given,
+                     trefoil::daemon::settings& settings) {
+    return std::all_of(std::begin(overrides), std::end(overrides),
+                       [&](const setting_override& each) { return each.apply(given, settings); });
+}
+
 // Applies changed settings until SIGTERM or SIGINT arrives.
 void wait_for_end(const sigset_t& signals, const std::string& path,
-                  const trefoil::daemon::settings& settings, trefoil::daemon::daemon& process) {
-    trefoil::daemon::settings_watch watch(path, settings);
+                  const trefoil::daemon::settings& in_file,
+                  const program_options::variables_map& given, trefoil::daemon::daemon& process) {
+    trefoil::daemon::settings_watch watch(path, in_file);
     while (true) {
         int received = sigtimedwait(&signals, nullptr, &settings_interval);
         if (received == SIGTERM || received == SIGINT) {
             return;
         }
         if (auto changed = watch.check()) {
+            apply_overrides(given, *changed);
             process.reload(*changed);
         } else if (received == SIGHUP) {
             trefoil::log(trefoil::log_level::info, "settings_unchanged");
@@ -76,7 +124,12 @@
     }
 }
 
-int run(const std::string& path, const trefoil::daemon::settings& settings) {
+int run(const std::string& path, const trefoil::daemon::settings& in_file,
+        const program_options::variables_map& given) {
+    trefoil::daemon::settings settings = in_file;
+    if (!apply_overrides(given, settings)) {
+        return exit_usage;
+    }
     sigset_t signals = block_signals();
     trefoil::set_log_level(settings.log_level);
     trefoil::start_log_writer({});
@@ -93,7 +146,7 @@
                   << '\n';
         return exit_start_failed;
     }
-    wait_for_end(signals, path, settings, process);
+    wait_for_end(signals, path, in_file, given, process);
     process.drain_and_stop();
     if (!trefoil::flush_log(log_flush_limit)) {
         // Standard output is blocked, so the log writer's thread would never end.
@@ -111,7 +164,11 @@
     options.add_options()("help", "print this text")(
         "settings", program_options::value<std::string>(), "YAML file with the settings")(
         "platform-value-bytes", program_options::value<std::string>()->implicit_value(""),
-        "maximum size of a value in the platform's store; overrides platform_value_bytes");
+        "maximum size of a value in the platform's store; overrides platform_value_bytes")(
+        "memory-mb", program_options::value<std::string>()->implicit_value(""),
+        "memory of the machine in millions of bytes; overrides memory_mb")(
+        "max-descriptors", program_options::value<std::string>()->implicit_value(""),
+        "descriptors that the process may open; overrides max_descriptors");
     program_options::variables_map given;
     try {
         program_options::store(program_options::parse_command_line(argc, argv, options), given);
@@ -133,20 +190,5 @@
         std::cerr << "trefoild: " << trefoil::daemon::describe(failures->front()) << '\n';
         return exit_usage;
     }
-    auto& settings = std::get<trefoil::daemon::settings>(loaded);
-    // A deployment without this figure passes an empty text.
-    std::string value_bytes = given.count("platform-value-bytes") > 0
-                                  ? given["platform-value-bytes"].as<std::string>()
-                                  : "";
-    if (!value_bytes.empty()) {
-        auto parsed = trefoil::daemon::parse_value_bytes(value_bytes);
-        if (!parsed.has_value()) {
-            std::cerr << "trefoild: --platform-value-bytes: expected an integer from 1024 to "
-                         "268435456, found \""
-                      << value_bytes << "\"\n";
-            return exit_usage;
-        }
-        settings.platform_value_bytes = *parsed;
-    }
-    return run(path, settings);
+    return run(path, std::get<trefoil::daemon::settings>(loaded), given);
 }
--- a/packages/daemon/settings.cc
+++ b/packages/daemon/settings.cc
@@ -364,13 +364,30 @@
     return parse_settings(path, std::get<std::string>(std::move(body)));
 }
 
-std::optional<std::size_t> parse_value_bytes(std::string_view text) {
-    std::uint32_t bytes = 0;
+namespace {
+
+// Returns nothing unless the whole text is a number between the bounds.
+template <class Number>
+std::optional<std::size_t> parse_number(std::string_view text, Number min, Number max) {
+    Number value{};
     const char* end = text.data() + text.size();
-    auto [rest, error] = std::from_chars(text.data(), end, bytes);
-    bool valid =
-        error == std::errc() && rest == end && bytes >= value_bytes_min && bytes <= value_bytes_max;
-    return valid ? std::optional<std::size_t>(bytes) : std::nullopt;
+    auto [rest, error] = std::from_chars(text.data(), end, value);
+    bool valid = error == std::errc() && rest == end && value >= min && value <= max;
+    return valid ? std::optional(static_cast<std::size_t>(value)) : std::nullopt;
+}
+
+}  // namespace
+
+std::optional<std::size_t> parse_value_bytes(std::string_view text) {
+    return parse_number<std::uint32_t>(text, value_bytes_min, value_bytes_max);
+}
+
+std::optional<std::size_t> parse_memory_mb(std::string_view text) {
+    return parse_number<double>(text, 1, memory_mb_max);
+}
+
+std::optional<std::size_t> parse_max_descriptors(std::string_view text) {
+    return parse_number<std::uint32_t>(text, 1, descriptors_max);
 }
 
 std::string describe(const settings_failure& failure) {
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -128,8 +128,11 @@
 // Checks the text of a settings file; `path` is used in failures and to look up the secret file.
 result<settings, settings_failures> parse_settings(const std::string& path, std::string body);
 
-// Parses a value of the setting platform_value_bytes. Returns nothing if it is invalid.
+// Parse a value of the setting platform_value_bytes, memory_mb or max_descriptors. They return
+// nothing if it is invalid.
 std::optional<std::size_t> parse_value_bytes(std::string_view text);
+std::optional<std::size_t> parse_memory_mb(std::string_view text);
+std::optional<std::size_t> parse_max_descriptors(std::string_view text);
 
 // Returns one line with the field, the value and the allowed values. The secret is never included.
 std::string describe(const settings_failure& failure);
--- a/review/stage/stage.cc
+++ b/review/stage/stage.cc
@@ -655,9 +655,7 @@
         {"Bounds.QuotaSlack", "20"},
         {"Bounds.RetryBudgetRatio", "0.2"},
         {"Bounds.BudgetSlack", "56"},
-        {"Bounds.GraceS", "6"},
-        {"Limits.MemoryMb", "260"},
-        {"Limits.MaxFds", "4100"}};
+        {"Bounds.GraceS", "6"}};
     std::string text = expand_zones(read_file(settings_template), zones);
     for (const auto& [name, value] : fields) {
         std::string placeholder = "{{";
