Count the objective of callers that return from their first attempt

Cause: a caller that was refused and returns was ranked like a new one, with its whole objective. It displaced callers that could be served in time, was late itself, and so more callers were refused.

Change: in configurations without workspaces the ingress learns the time limit that the callers of a route state at first (caller_wait). A smaller one tells how long a caller has waited; its objective is shortened by that. In doubt nothing changes.

--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -145,6 +145,7 @@
     call->message.may_be_late = call->objective.count() == 0;
     if (!call->has_workspaces) {
         call->origin = this->origins.origin_of(call->message.route, call->arrived);
+        this->estimate_wait(*call);
     }
     this->count_for_retry_budget(call);
     this->rank_nested_call(call);
@@ -166,6 +167,17 @@
     });
 }
 
+// A caller that returns after a refusal counts its objective from its first attempt. Nested calls
+// expire with the request that makes them, so their limits tell nothing.
+void ingress::estimate_wait(ingress_call& call) {
+    if (call.origin != routing::call_origin::callers || !call.stated_limit.has_value()) {
+        return;
+    }
+    call.waited_before = this->waits.record(call.message.route, *call.stated_limit);
+    call.message.may_be_late = call.objective <= call.waited_before;
+    this->returned += call.waited_before.count() > 0 ? 1 : 0;
+}
+
 // Lets a nested call precede new requests. A request without a workspace may be a nested call. In a
 // configuration without workspaces that sign is missing, and the route's origin decides.
 void ingress::rank_nested_call(const call_ptr& call) {
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -38,6 +38,7 @@
 #include "daemon/upstream_selector.h"
 #include "edge/header_profile.h"
 #include "edge/http_server.h"
+#include "routing/caller_wait.h"
 #include "routing/nested_call_precedence.h"
 #include "routing/reported_origins.h"
 #include "routing/retry_policy.h"
@@ -84,6 +85,8 @@
     void tick();
 
     std::size_t calls_in_progress() const { return this->in_progress.load(); }
+    // Number of requests whose caller had waited before, according to the time limit it states.
+    std::uint64_t returned_requests() const { return this->returned.load(); }
     const upstream_selector& upstreams() const { return this->selector; }
     service_retry_budgets& retry_budgets() const { return this->budgets; }
 
@@ -93,6 +96,7 @@
     using call_ptr = std::shared_ptr<ingress_call>;
 
     void rank_nested_call(const call_ptr& call);
+    void estimate_wait(ingress_call& call);
     void count_for_retry_budget(const call_ptr& call) const;
     void dispatch(const call_ptr& call, std::string_view last_reason);
     void refuse_over_limit(const call_ptr& call, const admission_outcome& outcome);
@@ -125,6 +129,7 @@
     routing::traffic_split splits;
     routing::nested_call_precedence precedence;
     routing::reported_origins origins;
+    routing::caller_wait waits;
     const request_acceptance acceptance;
     egress& local;
     service_retry_budgets& budgets;
@@ -140,6 +145,7 @@
     mono_time next_preconnect;
     std::atomic<std::uint64_t> next_sequence{1};
     std::atomic<std::size_t> in_progress{0};
+    std::atomic<std::uint64_t> returned{0};
     // The attempts in progress, by sequence number.
     sharded_map<std::uint64_t, std::shared_ptr<attempt>> attempts;
 };
--- a/packages/daemon/ingress_call.h
+++ b/packages/daemon/ingress_call.h
@@ -44,6 +44,8 @@
     std::vector<std::string> refused;
     // Who calls the route; absent if the configuration has workspaces, which tell.
     std::optional<routing::call_origin> origin;
+    // How long the caller has waited before it sent the request, e.g. after a refusal.
+    std::chrono::milliseconds waited_before{0};
     std::size_t overload_refusals = 0;  // Number of refusals with the reason "overloaded".
     // Shortest wait that a refusing instance announced.
     std::optional<std::chrono::milliseconds> retry_after;
@@ -54,8 +56,9 @@
     // The time by which the response must be delivered to meet the latency objective; absent if the
     // route has no objective.
     std::optional<mono_time> objective_at() const {
-        return this->objective.count() == 0 ? std::nullopt
-                                            : std::optional(this->arrived + this->objective);
+        return this->objective.count() == 0
+                   ? std::nullopt
+                   : std::optional(this->arrived + this->objective - this->waited_before);
     }
 };
 
--- a/packages/daemon/request_acceptance.cc
+++ b/packages/daemon/request_acceptance.cc
@@ -31,10 +31,10 @@
 }
 
 // The caller's time limit, capped by that of the route or, if it has none, of its service. Absent
-// if the header is malformed.
+// if the header is malformed. `stated` is set to the caller's limit.
 std::optional<std::chrono::milliseconds> request_acceptance::time_limit(
-    const config::snapshot& snapshot, const config::route& route,
-    const edge::http_request& request) const {
+    const config::snapshot& snapshot, const config::route& route, const edge::http_request& request,
+    std::optional<std::chrono::milliseconds>& stated) const {
     const config::service* service = snapshot.find_service(route.targets().front().service);
     std::chrono::milliseconds longest = route.timeout.value_or(service->timeout);
     auto header = edge::find_header(request.headers, this->options.headers.deadline);
@@ -47,7 +47,8 @@
     if (parsed.ec != std::errc() || parsed.ptr != end || limit_ms < 1) {
         return std::nullopt;
     }
-    return std::min(std::chrono::milliseconds(limit_ms), longest);
+    stated = std::chrono::milliseconds(limit_ms);
+    return std::min(*stated, longest);
 }
 
 namespace {
@@ -95,7 +96,7 @@
     accepted.message.idempotent = this->is_idempotent(route, request);
     accepted.history.idempotent = accepted.message.idempotent;
     accepted.history.max_attempts = route.attempts;
-    auto limit = this->time_limit(*snapshot, route, request);
+    auto limit = this->time_limit(*snapshot, route, request, accepted.stated_limit);
     if (!limit.has_value()) {
         return call_refusal{.reason = reasons::bad_request};
     }
--- a/packages/daemon/request_acceptance.h
+++ b/packages/daemon/request_acceptance.h
@@ -27,7 +27,9 @@
 
 // Properties of an accepted request. After a refusal, those that were determined before it.
 struct accepted_request {
-    bool nested = false;         // Sent by the local upstream with a valid context handle.
+    bool nested = false;  // Sent by the local upstream with a valid context handle.
+    // The time limit that the caller stated; absent if none.
+    std::optional<std::chrono::milliseconds> stated_limit;
     bool has_workspaces = true;  // The configuration has workspaces.
     messages::call message;      // Without headers, body, sequence number and timestamps.
     routing::call_attempts history;
@@ -59,9 +61,9 @@
                                                    mono_time arrived) const;
 
     bool is_idempotent(const config::route& route, const edge::http_request& request) const;
-    std::optional<std::chrono::milliseconds> time_limit(const config::snapshot& snapshot,
-                                                        const config::route& route,
-                                                        const edge::http_request& request) const;
+    std::optional<std::chrono::milliseconds> time_limit(
+        const config::snapshot& snapshot, const config::route& route,
+        const edge::http_request& request, std::optional<std::chrono::milliseconds>& stated) const;
 
     const request_acceptance_options options;
     const shared_state& shared;
--- a/packages/daemon/state_series.cc
+++ b/packages/daemon/state_series.cc
@@ -110,6 +110,8 @@
             "Bytes received, without calls.");
     all.add("peer_connections_rejected_total", traffic.rejected_connections,
             "Connections closed for a wrong proof or a bad frame.");
+    all.add("ingress_returned_total", this->sources.local_ingress.returned_requests(),
+            "Requests whose caller had waited before, by the time limit that it states.");
     all.add("calls_in_progress", gauge(this->sources.local_ingress.calls_in_progress()),
             "Requests of callers without a response.");
 }
--- a/packages/gate/testing/shared_upstream.h
+++ b/packages/gate/testing/shared_upstream.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -39,9 +40,17 @@
     bool keeps_floor = false;
     // Decides instead of `precedes`, if set.
     std::function<bool(mono_time now, random_source& random)> decide_precedence = nullptr;
+    // The arrival rate as a multiple of per_second, by time since the start; 1 if not set.
+    std::function<double(mono_duration since_start)> load = nullptr;
+    // The time after which a refused caller returns, once; it does not return if 0. A third of what
+    // it has left at the most.
+    std::chrono::milliseconds return_after{0};
+    // How long the gate is told that a caller has waited that returns after `waited`; 0 if not set.
+    std::function<std::chrono::milliseconds(std::chrono::milliseconds waited)> known_wait = nullptr;
     int offered = 0;
     int served = 0;
     int in_time = 0;
+    int returned = 0;
 
     double served_share() const { return static_cast<double>(this->served) / this->offered; }
     double in_time_share() const { return static_cast<double>(this->in_time) / this->offered; }
@@ -77,6 +86,8 @@
         mono_time arrived;
         bool precedes = false;
         bool late = false;
+        std::optional<mono_time> objective_at = std::nullopt;  // As the gate is told.
+        bool returned = false;
     };
 
     void after(double wait_s, std::function<void()> event) {
@@ -86,7 +97,8 @@
     }
 
     void arrive(call_kind& kind) {
-        double gap_s = -std::log(1.0 - this->random.uniform()) / kind.per_second;
+        double load = kind.load ? kind.load(this->now - first_moment) : 1;
+        double gap_s = -std::log(1.0 - this->random.uniform()) / (kind.per_second * load);
         this->after(gap_s, [this, &kind] {
             ++kind.offered;
             bool precedes = kind.decide_precedence ? kind.decide_precedence(this->now, this->random)
@@ -102,16 +114,17 @@
         this->entries[id.sequence] = entry;
         std::string workspace =
             kind.has_workspace ? "w" + std::to_string(this->random.below(this->workspaces)) : "";
-        offer_result offered = this->gate.offer({.id = id,
-                                                 .workspace = workspace,
-                                                 .deadline = entry.arrived + kind.time_limit,
-                                                 .route = kind.route,
-                                                 .priority = kind.priority,
-                                                 .objective_at = entry.arrived + kind.objective,
-                                                 .may_be_late = entry.late,
-                                                 .precedes = entry.precedes,
-                                                 .keeps_floor = kind.keeps_floor},
-                                                this->now);
+        offer_result offered = this->gate.offer(
+            {.id = id,
+             .workspace = workspace,
+             .deadline = entry.arrived + kind.time_limit,
+             .route = kind.route,
+             .priority = kind.priority,
+             .objective_at = entry.objective_at.value_or(entry.arrived + kind.objective),
+             .may_be_late = entry.late,
+             .precedes = entry.precedes,
+             .keeps_floor = kind.keeps_floor},
+            this->now);
         if (std::holds_alternative<start_now>(offered.decision)) {
             this->start(id);
         } else if (std::holds_alternative<refusal>(offered.decision)) {
@@ -136,12 +149,29 @@
 
     void refuse(const call_id& id) {
         offered_entry entry = this->entries.at(id.sequence);
+        const call_kind& kind = *entry.kind;
         if (!entry.late) {
             entry.late = true;
             this->offer(entry);
+        } else if (!entry.returned && kind.return_after.count() > 0) {
+            mono_duration left = entry.arrived + kind.time_limit - this->now;
+            auto pause = std::min<mono_duration>(left / 3, kind.return_after);
+            this->after(std::chrono::duration<double>(pause).count(),
+                        [this, entry] { this->come_back(entry); });
         }
     }
 
+    void come_back(offered_entry entry) {
+        call_kind& kind = *entry.kind;
+        ++kind.returned;
+        auto waited = std::chrono::ceil<std::chrono::milliseconds>(this->now - entry.arrived);
+        std::chrono::milliseconds known = kind.known_wait ? kind.known_wait(waited) : waited * 0;
+        entry.objective_at = this->now + kind.objective - known;
+        entry.late = known >= kind.objective;
+        entry.returned = true;
+        this->offer(entry);
+    }
+
     void apply(const gate_changes& changes) {
         for (const call_id& id : changes.start) {
             this->start(id);
@@ -154,7 +184,8 @@
     const std::uint32_t workspaces = 8;
     seeded_random random;
     upstream_gate gate;
-    mono_time now{std::chrono::hours(1)};
+    static constexpr mono_time first_moment{std::chrono::hours(1)};
+    mono_time now = first_moment;
     std::multimap<mono_time, std::function<void()>> events;
     std::map<std::uint64_t, offered_entry> entries;  // By sequence.
     std::uint64_t last_sequence = 0;
