--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -198,9 +198,7 @@
     if (call->nested) {
         this->nested_retries.count_nested_call(service, call->message.retry_probability,
                                                call->arrived);
-    } else if (call->origin == routing::call_origin::callers) {
-        this->budgets.budget_for(service, call->arrived)->count_call(call->arrived);
-    } else if (call->message.workspace.empty()) {
+    } else if (call->message.workspace.empty() && call->origin != routing::call_origin::callers) {
         call->message.retry_probability =
             this->nested_retries.count_nested_call(service, std::nullopt, call->arrived);
     } else {
