--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -159,6 +159,7 @@
     call->message.may_be_late = call->objective.count() == 0;
     if (!call->has_workspaces) {
         call->origin = this->origins.origin_of(call->message.route, now);
+        this->estimate_wait(*call);
     }
     this->count_for_retry_budget(call, now);
     this->rank_nested_call(call);
@@ -180,6 +181,17 @@
     });
 }
 
+// A caller that returns after a refusal counts its objective from its first attempt. Nested calls
+// expire with the request that makes them, so their limits tell nothing.
+void ingress::estimate_wait(ingress_call& call) {
+    if (call.origin != routing::call_origin::callers || !call.stated_limit.has_value()) {
+        return;
+    }
+    call.waited_before = this->waits.record(call.message.route, *call.stated_limit);
+    call.message.may_be_late = call.objective <= call.waited_before;
+    this->returned += call.waited_before.count() > 0 ? 1 : 0;
+}
+
 // Lets a nested call precede new requests. A request without a workspace may be a nested call. In a
 // configuration without workspaces that sign is missing, and the route's origin decides.
 void ingress::rank_nested_call(const call_ptr& call) {
@@ -199,9 +211,7 @@
     const std::string& service = call->message.service;
     if (call->nested) {
         this->nested_retries.count_nested_call(service, call->message.retry_probability, now);
-    } else if (call->origin == routing::call_origin::callers) {
-        this->budgets.budget_for(service, now)->count_call(now);
-    } else if (call->message.workspace.empty()) {
+    } else if (call->message.workspace.empty() && call->origin != routing::call_origin::callers) {
         call->message.retry_probability =
             this->nested_retries.count_nested_call(service, std::nullopt, now);
     } else {
