Decide the share of calls that leave their failure domain

Cause: every call compared a few random upstreams of all failure domains by old load reports and a constant penalty, so nothing decided whether leaving the domain pays.

Switched on by the section domain_overflow of the settings; without it nothing changes. Metrics and log lines show the share.

--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -64,6 +64,15 @@
     return core;
 }
 
+std::optional<routing::domain_overflow_options> make_overflow_options(const settings& options) {
+    if (!options.domain_overflow.has_value()) {
+        return std::nullopt;
+    }
+    return routing::domain_overflow_options{.failure_domain = options.failure_domain,
+                                            .floor = options.domain_overflow->floor,
+                                            .limit = options.domain_overflow->limit};
+}
+
 bool listed_as_leaving(const membership::view& view, const std::string& instance) {
     const membership::member* own = view.find(instance);
     return own != nullptr && own->listed && own->record->state == membership::listed_state::leaving;
@@ -92,7 +101,8 @@
       local_ingress({.instance = given.instance,
                      .incarnation = this->incarnation,
                      .failure_domain = given.failure_domain,
-                     .headers = this->platform.headers},
+                     .headers = this->platform.headers,
+                     .overflow = make_overflow_options(given)},
                     this->shared, this->limits, this->contexts, this->local_egress,
                     this->retry_budgets, this->nested_retries, this->metrics, this->clock),
       control(make_core_options(given, this->platform), make_hello(given, this->incarnation),
--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -98,7 +98,7 @@
       nested_retries(tracker),
       observer(watcher),
       clock(time),
-      selector(this->options.failure_domain, daemon_state),
+      selector(this->options.failure_domain, daemon_state, this->options.overflow),
       policy({}) {
     this->selector.set_connected(this->options.instance, true);
 }
--- a/packages/daemon/ingress.h
+++ b/packages/daemon/ingress.h
@@ -50,6 +50,7 @@
     std::uint64_t incarnation = 0;
     std::string failure_domain;
     edge::header_profile headers = {};
+    std::optional<routing::domain_overflow_options> overflow{};  // Absent: off.
 };
 
 // Safe for concurrent use.
--- a/packages/daemon/ingress_call.h
+++ b/packages/daemon/ingress_call.h
@@ -71,6 +71,7 @@
 
     std::shared_ptr<ingress_call> call;
     std::string instance;
+    std::string failure_domain;  // Of the instance.
     mono_time sent_at;
     mono_time expires;
     std::atomic<transport::connection_id> connection{not_sent_yet};
--- a/packages/daemon/settings.cc
+++ b/packages/daemon/settings.cc
@@ -85,6 +85,7 @@
         this->read_stop();
         this->read_limits();
         this->read_retries();
+        this->read_domain_overflow();
         this->read_seeds();
         this->read_secret();
         this->read_log_level();
@@ -228,6 +229,23 @@
         map.reject_unknown();
     }
 
+    void read_domain_overflow() {
+        config::yaml_field section = optional(this->fields, "domain_overflow");
+        if (section.value == nullptr) {
+            return;
+        }
+        config::map_reader map(section, this->invalid);
+        domain_overflow_settings& overflow = this->parsed.domain_overflow.emplace();
+        config::yaml_field floor = optional(map, "floor");
+        overflow.floor = config::read_number(floor, 0, 1, this->invalid).value_or(overflow.floor);
+        overflow.limit = config::read_number(optional(map, "limit"), 0, 1, this->invalid)
+                             .value_or(overflow.limit);
+        map.reject_unknown();
+        if (floor.value != nullptr && overflow.floor > overflow.limit) {
+            config::reject_value(floor, "a number that is not above limit", this->invalid);
+        }
+    }
+
     std::chrono::milliseconds read_milliseconds(const config::yaml_field& field,
                                                 std::chrono::milliseconds fallback) {
         auto value = config::read_integer(field, 0, milliseconds_max, this->invalid);
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -74,6 +74,15 @@
     friend bool operator==(const retry_settings&, const retry_settings&) = default;
 };
 
+// Bounds of the share of calls that leave their failure domain while it has a usable upstream.
+struct domain_overflow_settings {
+    double floor = 0;
+    double limit = 1;  // At least `floor`.
+
+    friend bool operator==(const domain_overflow_settings&,
+                           const domain_overflow_settings&) = default;
+};
+
 struct settings {
     std::string instance{};
     std::string name{};  // For logs; defaults to the instance id.
@@ -96,6 +105,8 @@
     stop_settings stop{};
     retry_settings retries{};
     admission::limit_tolerance limits{};  // Used if the configuration counts the instance list.
+    // Absent: each call compares the upstreams of all failure domains.
+    std::optional<domain_overflow_settings> domain_overflow{};
     std::vector<socket_address> seeds{};
     // At least 16 characters; never logged. Empty if the network is trusted: then any process that
     // can connect to the peer address can act as a daemon.
--- a/packages/daemon/state_series.cc
+++ b/packages/daemon/state_series.cc
@@ -55,6 +55,7 @@
     this->add_control_series(all);
     this->add_traffic_series(all);
     this->add_retry_series(all);
+    this->add_overflow_series(all);
     this->add_gate_series(all);
     this->add_limit_series(all);
     log_totals lines = read_log_totals();
@@ -145,6 +146,22 @@
             "Repeats refused because the services that they call allow no more retries.");
 }
 
+void state_series::add_overflow_series(detail::series_list& all) const {
+    for (const routing::overflow_state& each :
+         this->sources.local_ingress.upstreams().overflow_states()) {
+        telemetry::label_list labels = {{"service", each.service}};
+        all.add("domain_overflow_share_permille", gauge(each.share * 1000),
+                "Share of the calls that is sent to other failure domains.", labels);
+        all.add("domain_overflow_attempts_total", each.calls, "Attempts sent to upstreams.",
+                labels);
+        all.add("domain_overflow_sent_out_total", each.sent_out,
+                "Attempts sent to upstreams of other failure domains.", labels);
+        all.add("domain_overflow_reason", gauge(1), "Reason of the latest change of the share.",
+                {{"service", each.service},
+                 {"reason", std::string(routing::overflow_reason_name(each.reason))}});
+    }
+}
+
 void state_series::add_gate_series(detail::series_list& all) const {
     messages::load_report load = this->sources.local_egress.load();
     all.add("gate_limit", gauge(load.limit), "Concurrent calls that the gate allows.");
--- a/packages/daemon/state_series.h
+++ b/packages/daemon/state_series.h
@@ -34,6 +34,7 @@
     void add_control_series(detail::series_list& all) const;
     void add_traffic_series(detail::series_list& all) const;
     void add_retry_series(detail::series_list& all) const;
+    void add_overflow_series(detail::series_list& all) const;
     void add_gate_series(detail::series_list& all) const;
     void add_limit_series(detail::series_list& all) const;
 
--- a/packages/daemon/testing/settings_test.cc
+++ b/packages/daemon/testing/settings_test.cc
@@ -117,7 +117,7 @@
                    "failure_domain, site, service, listen, upstream, platform, platform_protocol, "
                    "platform_value_bytes, platform_followers, platform_followers_min_domain, "
                    "regions, stop, limits, "
-                   "retries, seeds, fleet_secret, "
+                   "retries, domain_overflow, seeds, fleet_secret, "
                    "fleet_secret_file, trust_network, "
                    "log_level");
     expect_failure("log_level: debug", R"(log_level: "a\nb")",
@@ -198,6 +198,7 @@
     const std::string empty = complete +
                               "limits: {window_s: , overage: , slack: }\n"
                               "retries: {share: , slack: , minimum_per_second: }\n"
+                              "domain_overflow:\n"
                               "stop: {within_s: }\n"
                               "platform_followers:\n";
     BOOST_TEST_REQUIRE(failures_of(empty) == "");
@@ -206,4 +207,20 @@
     BOOST_TEST(failures_of(complete + "limits: {slack: x}\n") != "");
 }
 
+BOOST_AUTO_TEST_CASE(domain_overflow_is_off_unless_its_section_is_present) {
+    auto parsed = [](const std::string& section) {
+        return std::get<settings>(parse_settings("t.yaml", complete + section)).domain_overflow;
+    };
+    BOOST_TEST(!parsed("").has_value());
+    BOOST_CHECK(parsed("domain_overflow: {}\n") == domain_overflow_settings{});
+    BOOST_CHECK(parsed("domain_overflow: {floor: , limit: 0.5}\n") ==
+                (domain_overflow_settings{.floor = 0, .limit = 0.5}));
+    BOOST_TEST(failures_of(complete + "domain_overflow: {limit: 1.5}\n") ==
+               "t.yaml:11: domain_overflow.limit: expected a number from 0 to 1, found \"1.5\"\n");
+    BOOST_TEST(failures_of(complete + "domain_overflow: {floor: 0.4, limit: 0.2}\n") ==
+               "t.yaml:11: domain_overflow.floor: expected a number that is not above limit, found "
+               "\"0.4\"\n");
+    BOOST_TEST(failures_of(complete + "domain_overflow: {share: 1}\n") != "");
+}
+
 }  // namespace trefoil::daemon
--- a/packages/daemon/upstream_selector.cc
+++ b/packages/daemon/upstream_selector.cc
@@ -2,12 +2,15 @@
 
 #include "daemon/upstream_selector.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <chrono>
 #include <string_view>
 #include <utility>
 #include <variant>
 
+#include "base/log.h"
 #include "base/random.h"
 #include "daemon/refusal.h"
 
@@ -43,10 +46,16 @@
 
 }  // namespace
 
-upstream_selector::upstream_selector(std::string own_domain, const shared_state& daemon_state)
+upstream_selector::upstream_selector(
+    std::string own_domain, const shared_state& daemon_state,
+    const std::optional<routing::domain_overflow_options>& overflow_options)
     : failure_domain(std::move(own_domain)),
       shared(daemon_state),
-      chooser({.failure_domain = this->failure_domain}) {}
+      chooser({.failure_domain = this->failure_domain}),
+      overflow_floor(overflow_options.has_value() ? overflow_options->floor : 0),
+      overflow(overflow_options.has_value()
+                   ? std::make_unique<routing::domain_overflow>(*overflow_options)
+                   : nullptr) {}
 
 routing::pick_context upstream_selector::context_of(const detail::ingress_call& call) const {
     double request = static_cast<double>(call.message.body.size()) / bytes_per_kib;
@@ -93,10 +102,7 @@
         return routing::no_upstream_available{};
     }
     const auto& candidates = list->of_service(call.message.service);
-    routing::pick_context context = this->context_of(call);
-    auto choose = [&] {
-        return this->chooser.pick(candidates, call.tried, this->load, context, now, random);
-    };
+    auto choose = [&] { return this->choose(call, list, now, random); };
     this->allow_late_for_single_candidate(call, candidates, now);
     // For a small service the load known of each instance is more accurate than the refusal rate.
     bool large = !this->chooser.compares_all(candidates.size());
@@ -115,6 +121,28 @@
     return none && this->allow_late(call, now) ? choose() : choice;
 }
 
+routing::pick_result upstream_selector::choose(
+    const detail::ingress_call& call, const std::shared_ptr<const routing::candidate_list>& list,
+    mono_time now, random_source& random) const {
+    const auto& candidates = list->of_service(call.message.service);
+    routing::pick_context context = this->context_of(call);
+    if (this->overflow != nullptr) {
+        routing::overflow_target target =
+            this->overflow->choose({.service = call.message.service,
+                                    .objective = call.objective,
+                                    .refused_before = !call.tried.empty()},
+                                   list, this->load, now, random);
+        if (target.among != nullptr) {
+            routing::pick_result found = this->chooser.pick_among(
+                candidates, *target.among, call.tried, this->load, context, now, random);
+            if (std::holds_alternative<routing::picked_upstream>(found)) {
+                return found;
+            }
+        }
+    }
+    return this->chooser.pick(candidates, call.tried, this->load, context, now, random);
+}
+
 bool upstream_selector::is_overloaded(const detail::ingress_call& call, mono_time now) const {
     const std::string& route = call.message.route;
     return call.message.may_be_late
@@ -151,8 +179,12 @@
 }
 
 void upstream_selector::record_choice(detail::attempt& started, const routing::candidate& target,
-                                      mono_time now) const {
+                                      mono_time now) {
     auto list = this->shared.candidates.read();
+    started.failure_domain = target.failure_domain;
+    if (this->overflow != nullptr) {
+        this->overflow->on_sent(started.call->message.service, target.failure_domain);
+    }
     started.candidates = list->of_service(started.call->message.service).size();
     started.expected =
         this->chooser.expected_time(target, this->load, this->context_of(*started.call), now);
@@ -175,6 +207,10 @@
                                    std::chrono::microseconds(result.load.service_us),
                                    std::max(mono_duration(0), now - ended.sent_at - held));
     }
+    if (this->overflow != nullptr) {
+        this->overflow->on_result(ended.call->message.service, ended.failure_domain,
+                                  result.outcome == messages::call_outcome::not_run, now);
+    }
     if (result.outcome == messages::call_outcome::answered) {
         this->load.on_accepted(instance);
         this->refusals_for(*ended.call).on_accepted(ended.call->message.route);
@@ -237,6 +273,34 @@
     this->late_call_refusals.expire(now);
     this->strict_refusals.expire(now);
     this->lenient_refusals.expire(now);
+    this->log_overflow_changes();
+}
+
+std::vector<routing::overflow_state> upstream_selector::overflow_states() const {
+    return this->overflow == nullptr ? std::vector<routing::overflow_state>{}
+                                     : this->overflow->states();
+}
+
+void upstream_selector::log_overflow_changes() {
+    for (const routing::overflow_state& each : this->overflow_states()) {
+        bool above = each.share > this->overflow_floor;
+        if (above == this->overflowing.contains(each.service)) {
+            continue;
+        }
+        if (above) {
+            this->overflowing.insert(each.service);
+        } else {
+            this->overflowing.erase(each.service);
+        }
+        log(log_level::info, above ? "domain_overflow_began" : "domain_overflow_ended",
+            {{"service", each.service},
+             {"reason", std::string(routing::overflow_reason_name(each.reason))},
+             {"share", fmt::format("{:.2f}", each.share)},
+             {"own_pressure", fmt::format("{:.2f}", each.own_pressure)},
+             {"other_pressure", fmt::format("{:.2f}", each.other_pressure)},
+             {"calls", std::to_string(each.calls)},
+             {"sent_out", std::to_string(each.sent_out)}});
+    }
 }
 
 }  // namespace trefoil::daemon
--- a/packages/daemon/upstream_selector.h
+++ b/packages/daemon/upstream_selector.h
@@ -20,6 +20,9 @@
 #define TREFOIL_DAEMON_UPSTREAM_SELECTOR_H_
 
 #include <cstddef>
+#include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +32,7 @@
 #include "daemon/ingress_call.h"
 #include "daemon/shared_state.h"
 #include "messages/messages.h"
+#include "routing/domain_overflow.h"
 #include "routing/late_refusals.h"
 #include "routing/load_table.h"
 #include "routing/recent_refusals.h"
@@ -39,7 +43,11 @@
 // Safe for concurrent use, except that a call must be passed in by one thread at a time.
 class upstream_selector {
 public:
-    upstream_selector(std::string own_domain, const shared_state& daemon_state);
+    // Without `overflow`, each call compares the upstreams of all failure domains. With it, a share
+    // of the calls is sent to other failure domains, and the others stay.
+    upstream_selector(
+        std::string own_domain, const shared_state& daemon_state,
+        const std::optional<routing::domain_overflow_options>& overflow = std::nullopt);
 
     // Picks the upstream for the call's next attempt. A call that no upstream can serve in time, or
     // that several have refused, is changed to a late-tolerant one; after as many further refusals
@@ -50,8 +58,7 @@
                               random_source& random) const;
 
     // Stores the inputs of the selection of `target` in the attempt, for the log.
-    void record_choice(detail::attempt& started, const routing::candidate& target,
-                       mono_time now) const;
+    void record_choice(detail::attempt& started, const routing::candidate& target, mono_time now);
 
     void record_sent(const std::string& instance, mono_time now);
     void record_result(const detail::attempt& ended, const messages::call_result& result,
@@ -64,13 +71,20 @@
     std::vector<std::string> unconnected_peers(std::size_t limit) const;
     void record_response_size(const std::string& route, std::size_t bytes);
 
-    // Removes outdated observations. Must be called regularly.
+    // Removes outdated observations and logs services whose share of calls to other failure domains
+    // leaves its floor or returns to it. Must be called regularly, by one thread.
     void expire(mono_time now);
 
     const routing::load_table& loads() const { return this->load; }
     const routing::upstream_picker& picker() const { return this->chooser; }
+    // Empty if overflow is off.
+    std::vector<routing::overflow_state> overflow_states() const;
 
 private:
+    routing::pick_result choose(const detail::ingress_call& call,
+                                const std::shared_ptr<const routing::candidate_list>& list,
+                                mono_time now, random_source& random) const;
+    void log_overflow_changes();
     routing::pick_context context_of(const detail::ingress_call& call) const;
     // Makes a call that was refused late-tolerant, so that instances that refused it may be tried
     // again unless they refuse late-tolerant calls, too. Returns false if the call was not refused
@@ -96,6 +110,9 @@
     routing::recent_refusals strict_refusals;   // Of calls that must meet their objective.
     routing::recent_refusals lenient_refusals;  // Of late-tolerant calls.
     const routing::upstream_picker chooser;
+    const double overflow_floor;
+    const std::unique_ptr<routing::domain_overflow> overflow;  // Null if off.
+    std::set<std::string> overflowing;  // Services that were logged; used by expire() only.
     sharded_map<std::string, double> response_kib;  // Mean response size in KiB, by route.
 };
 
--- a/packages/routing/upstream_picker.cc
+++ b/packages/routing/upstream_picker.cc
@@ -258,4 +258,53 @@
     return no_upstream_available{};
 }
 
+bool upstream_picker::is_fresh(const candidate& each, const std::vector<std::string>& tried,
+                               const instance_load& load, mono_time now) const {
+    return each.state == candidate_state::live && !each.taken_out &&
+           !this->recently_failed(load, now) && now >= load.avoid_until &&
+           std::find(tried.begin(), tried.end(), each.instance) == tried.end();
+}
+
+pick_result upstream_picker::pick_among(const std::vector<candidate>& candidates,
+                                        const std::vector<std::uint32_t>& positions,
+                                        const std::vector<std::string>& tried,
+                                        const load_table& loads, const pick_context& context,
+                                        mono_time now, random_source& random) const {
+    constexpr std::size_t draws_per_compared = 4;
+    bool all = this->compares_all(positions.size());
+    std::size_t wanted = all ? positions.size() : this->options.compared_local;
+    std::vector<const candidate*> found;
+    std::vector<const candidate*> unconnected;
+    auto consider = [&](const candidate& each) {
+        instance_load load = loads.find(each.instance);
+        bool known = std::find(found.begin(), found.end(), &each) != found.end() ||
+                     std::find(unconnected.begin(), unconnected.end(), &each) != unconnected.end();
+        if (!known && this->is_fresh(each, tried, load, now)) {
+            (all || load.connected ? found : unconnected).push_back(&each);
+        }
+    };
+    if (!all) {
+        for (std::size_t draw = 0; draw < wanted * draws_per_compared && found.size() < wanted;
+             ++draw) {
+            consider(candidates[positions[random.below(positions.size())]]);
+        }
+    }
+    if (found.empty() && unconnected.empty() && !positions.empty()) {
+        std::size_t offset = random.below(positions.size());
+        for (std::size_t index = 0; index < positions.size() && found.size() < wanted; ++index) {
+            consider(candidates[positions[(index + offset) % positions.size()]]);
+        }
+    }
+    for (const candidate* each : unconnected) {
+        if (found.size() < wanted) {
+            found.push_back(each);
+        }
+    }
+    const candidate* best = this->fastest(found, loads, context, now, random);
+    if (best == nullptr) {
+        return no_upstream_available{};
+    }
+    return picked_upstream{.chosen = *best, .score = this->score(loads.find(best->instance), now)};
+}
+
 }  // namespace trefoil::routing
--- a/packages/routing/upstream_picker.h
+++ b/packages/routing/upstream_picker.h
@@ -11,6 +11,7 @@
 #define TREFOIL_ROUTING_UPSTREAM_PICKER_H_
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <variant>
 #include <vector>
@@ -111,6 +112,14 @@
                      const std::vector<std::string>& tried, const load_table& loads,
                      const pick_context& context, mono_time now, random_source& random) const;
 
+    // As above, but only among the candidates at these positions, and of at most compared_local of
+    // them if they are many. Skips stopping and avoided ones; no_upstream_available if no other is
+    // left. The time does not grow with the number of positions, unless most cannot be chosen.
+    pick_result pick_among(const std::vector<candidate>& candidates,
+                           const std::vector<std::uint32_t>& positions,
+                           const std::vector<std::string>& tried, const load_table& loads,
+                           const pick_context& context, mono_time now, random_source& random) const;
+
     // Whether all candidates of a service with this number of them are compared, instead of a few
     // random ones.
     bool compares_all(std::size_t candidates) const {
@@ -140,6 +149,9 @@
     usable_candidates usable(const std::vector<candidate>& candidates,
                              const std::vector<std::string>& tried, const load_table& loads,
                              mono_time now, random_source& random) const;
+    // Whether the candidate is live, not tried, and has neither failed nor refused recently.
+    bool is_fresh(const candidate& each, const std::vector<std::string>& tried,
+                  const instance_load& load, mono_time now) const;
     // Decrements `wanted`; returns false if it is 0 already.
     static bool take_one(std::size_t& wanted);
     const candidate* fastest(const std::vector<const candidate*>& from, const load_table& loads,
