Send out only what the own domain has no room for

Reports of busy upstreams arrive more often and overstated the pressure; in a domain of 12 or fewer upstreams of a large service all were compared, so all daemons chose the same ones.

Change: the share approaches the value at which the own domain has the aimed pressure, others count as a whole, reports of the last 2 s count alike, an unneeded share is released, refused calls leave only while others have room, and a call that would spend its objective on the way stays.

--- a/packages/routing/domain_overflow.cc
+++ b/packages/routing/domain_overflow.cc
@@ -14,24 +14,26 @@
 
 // Weight of the latest call in the mean objective.
 constexpr double objective_weight = 1.0 / 16;
-// A slow start or end of a change is at least this share of the full step.
-constexpr double min_step = 0.25;
+// Lower bounds in the estimate of a share, so that it can leave 1 and an idle domain is no division
+// by zero.
+constexpr double min_staying = 0.05;
+constexpr double min_pressure = 0.05;
 // After a pause of the process, one step changes the share at most as in this time.
 constexpr double max_elapsed_s = 1.0;
 // Sum of the weights of reports below which a domain counts as unknown.
 constexpr double min_report_weight = 0.25;
+// Number of reports at which the pressure follows half as fast as with very many.
+constexpr double few_reports = 2;
 // Results below which the share of refusals is not trusted fully.
 constexpr double min_results = 4;
 
 bool is_usable(const candidate& each, const instance_load& load, mono_time now,
-               mono_duration backoff) {
-    bool failed =
-        load.connection_failed_at.has_value() && now < *load.connection_failed_at + backoff;
-    return each.state == candidate_state::live && !each.taken_out && !failed;
-}
-
-double step_size(double excess, double range) {
-    return std::clamp(excess / std::max(range, min_step), min_step, 1.0);
+               const domain_overflow_options& options) {
+    bool unreachable =
+        load.connection_failed_at.has_value() &&
+        now < *load.connection_failed_at +
+                  (load.connected ? options.connection_failure_backoff : options.unreachable_time);
+    return each.state == candidate_state::live && !each.taken_out && !unreachable;
 }
 
 }  // namespace
@@ -72,12 +74,19 @@
         }
         const domain_pressure& own = service.domains.front();
         double drawn = random.uniform();
-        if (own.usable == 0 || drawn < service.state.share) {
+        if (own.usable == 0) {
+            return other_domain(service, random);
+        }
+        // A call that would spend its objective on the way stays, whatever the others do.
+        if (call.objective.count() > 0 && service.way_s >= seconds(call.objective).count()) {
+            return {own.positions};
+        }
+        if (drawn < service.state.share) {
             return other_domain(service, random);
         }
-        // A refused call has less time left, so it may go to any upstream that is expected to be
-        // fast.
-        if (call.refused_before && drawn < this->options.limit) {
+        // A refused call has less time left, so any upstream that is expected to be fast may be
+        // chosen, before the share has grown to what is needed.
+        if (call.refused_before && service.others_have_room && drawn < this->options.limit) {
             return {};
         }
         return {own.positions};
@@ -167,25 +176,27 @@
     }
     const domain_pressure& own = service.domains.front();
     service.state.own_pressure = this->pressure_of(own);
-    const domain_pressure* emptiest = nullptr;
-    for (std::size_t index = 1; index < service.domains.size(); ++index) {
-        const domain_pressure& each = service.domains[index];
-        if (each.usable > 0 &&
-            (emptiest == nullptr || this->pressure_of(each) < this->pressure_of(*emptiest))) {
-            emptiest = &each;
-        }
-    }
-    service.state.other_pressure = emptiest == nullptr ? 1 : this->pressure_of(*emptiest);
+    double other_limit = 0;
+    double other_load = 0;
+    double needed = 0;
+    double ways = 0;
     for (std::size_t index = 1; index < service.domains.size(); ++index) {
         domain_pressure& each = service.domains[index];
-        double room = service.state.own_pressure - this->pressure_of(each) -
-                      this->needed_difference(service, each) / 2;
+        double difference = this->needed_difference(service, each);
+        double room = service.state.own_pressure - this->pressure_of(each) - difference / 2;
         each.weight = std::max(0.0, room) * each.limit;
+        other_limit += each.limit;
+        other_load += each.limit * this->pressure_of(each);
+        needed += each.limit * difference;
+        ways += each.limit * additional_way_s(service, each);
     }
-    this->move_share(service,
-                     emptiest == nullptr ? std::numeric_limits<double>::infinity()
-                                         : this->needed_difference(service, *emptiest),
-                     elapsed, random);
+    bool others = other_limit > 0;
+    needed = others ? needed / other_limit : std::numeric_limits<double>::infinity();
+    service.state.other_pressure = others ? other_load / other_limit : 1;
+    service.way_s = others ? ways / other_limit : 0;
+    service.others_have_room =
+        service.state.own_pressure - service.state.other_pressure > needed / 2;
+    this->move_share(service, needed, elapsed, random);
 }
 
 void domain_overflow::measure(domain_pressure& domain, const std::vector<candidate>& candidates,
@@ -200,7 +211,7 @@
     for (std::uint32_t position : *domain.positions) {
         const candidate& each = candidates[position];
         instance_load load = loads.find(each.instance);
-        if (!is_usable(each, load, now, this->options.connection_failure_backoff)) {
+        if (!is_usable(each, load, now, this->options)) {
             continue;
         }
         ++domain.usable;
@@ -211,7 +222,8 @@
             ++ways;
         }
         if (load.reported_at.has_value()) {
-            double age = seconds(now - *load.reported_at) / seconds(this->options.report_half_life);
+            mono_duration old = now - *load.reported_at - this->options.report_lifetime;
+            double age = seconds(old) / seconds(this->options.report_half_life);
             double weight = std::exp2(-std::max(0.0, age));
             double calls =
                 std::max(load.report.running + load.report.queued, load.in_flight_at_report);
@@ -223,13 +235,16 @@
     domain.way_s = ways > 0 ? way_sum / ways : 0;
     this->decay(domain, now);
     double refused_share = domain.refused / std::max(min_results, domain.refused + domain.accepted);
+    double before = this->pressure_of(domain);
     if (weights < min_report_weight) {
-        // Refusals by a domain that reports nothing still count.
-        domain.pressure = refused_share > 0 ? this->options.unknown_pressure + refused_share : -1;
+        double forgotten = 1 - std::exp(-elapsed_s / seconds(this->options.forgetting).count());
+        domain.pressure = before + forgotten * (this->options.unknown_pressure - before);
         return;
     }
     double measured = load_sum / weighted_limit + refused_share;
-    double known = 1 - std::exp(-elapsed_s / seconds(this->options.smoothing).count());
+    // A few reports change the pressure more slowly than many.
+    double known = (1 - std::exp(-elapsed_s / seconds(this->options.smoothing).count())) * weights /
+                   (weights + few_reports);
     domain.pressure =
         domain.pressure < 0 ? measured : domain.pressure + known * (measured - domain.pressure);
 }
@@ -250,17 +265,19 @@
     if (state.share > this->options.limit) {
         change = -this->options.fall_per_s * scale;
         reason = overflow_reason::above_limit;
-    } else if (own >= this->options.raise_at && difference >= needed) {
-        change = this->options.rise_per_s * scale *
-                 step_size(own - this->options.raise_at, 1 - this->options.raise_at);
+    } else if (own > this->options.raise_at && difference > needed) {
+        double aim = std::max(this->options.raise_at, own - (difference - needed) / 2);
+        change = this->step_towards(state, aim, scale);
         reason = overflow_reason::own_domain_full;
     } else if (own < this->options.lower_at) {
-        change = -this->options.fall_per_s * scale *
-                 step_size(this->options.lower_at - own, this->options.lower_at);
+        change = this->step_towards(state, this->options.lower_at, scale);
         reason = overflow_reason::own_domain_has_room;
     } else if (difference < needed / 2) {
-        change = -this->options.fall_per_s * scale;
+        double missing = std::isinf(needed) ? 1 : needed / 2 - difference;
+        change = this->step_towards(state, own + missing / 2, scale);
         reason = overflow_reason::other_domains_full;
+    } else {
+        change = -this->options.release_per_s * scale * state.share;
     }
     double upper = std::max(this->options.limit, state.share);
     double next = std::clamp(state.share + change, this->options.floor, upper);
@@ -270,10 +287,25 @@
     }
 }
 
+// The share at which the own domain would have the pressure `aim` is approached with a time
+// constant that exceeds the age of the reports, so that the change does not overshoot.
+double domain_overflow::step_towards(const overflow_state& state, double aim, double scale) const {
+    double staying = std::max(min_staying, 1 - state.share);
+    double target = 1 - staying * aim / std::max(min_pressure, state.own_pressure);
+    double step = scale * (target - state.share) / seconds(this->options.adjustment).count();
+    return std::clamp(step, -this->options.fall_per_s * scale, this->options.rise_per_s * scale);
+}
+
+double domain_overflow::additional_way_s(const service_overflow& service,
+                                         const domain_pressure& other) {
+    return std::max(0.0, other.way_s - service.domains.front().way_s);
+}
+
 double domain_overflow::needed_difference(const service_overflow& service,
                                           const domain_pressure& other) const {
-    double way = std::max(0.0, other.way_s - service.domains.front().way_s);
-    return this->options.min_difference + (service.objective_s > 0 ? way / service.objective_s : 0);
+    double objective = service.objective_s;
+    double cost = objective > 0 ? additional_way_s(service, other) / objective : 0;
+    return this->options.min_difference + cost;
 }
 
 void domain_overflow::decay(domain_pressure& domain, mono_time now) const {
--- a/packages/routing/domain_overflow.h
+++ b/packages/routing/domain_overflow.h
@@ -35,22 +35,33 @@
     // Pressure of the own domain from which the share is raised, and below which it is lowered. The
     // rest up to 1 is room for bursts; the distance between the two prevents oscillation.
     double raise_at = 0.80;
-    double lower_at = 0.65;
+    double lower_at = 0.70;
     // Calls leave only if another domain's pressure is lower by this, plus the additional transit
     // time as a share of the latency objective. Below half of it the share is lowered.
-    double min_difference = 0.10;
-    // Maximum change of the share in a second.
-    double rise_per_s = 0.4;
+    double min_difference = 0.15;
+    // Time constant of changes of the share, and the maximum change in a second.
+    std::chrono::milliseconds adjustment{4000};
+    double rise_per_s = 0.2;
     double fall_per_s = 0.2;
+    // Part of the share that is taken back in a second while the pressure is between the
+    // thresholds, so that domains do not keep exchanging calls that none of them needs to send.
+    double release_per_s = 0.05;
     std::chrono::milliseconds update_interval{250};
     // Time constant of the smoothed pressure.
-    std::chrono::milliseconds smoothing{1000};
-    // Half-life of the weight of load reports and of counted refusals.
+    std::chrono::milliseconds smoothing{1500};
+    // Age from which load reports count less. Until then they count alike: an upstream that is
+    // called more often is busier, so the latest reports alone would overstate the pressure.
+    std::chrono::milliseconds report_lifetime{2000};
+    // Half-life of the weight of older reports, and of counted results.
     std::chrono::milliseconds report_half_life{1000};
-    // Assumed of a domain without recent reports: calls may try it, but it does not look empty.
+    // Assumed of a domain without reports: calls may try it, but it does not look empty. A domain
+    // whose reports became old is assumed to approach it with this time constant.
     double unknown_pressure = 0.5;
+    std::chrono::milliseconds forgetting{5000};
     // Time for which an instance is not usable after a connection failure.
     std::chrono::milliseconds connection_failure_backoff{1000};
+    // As above, for an instance to which no connection was opened since.
+    std::chrono::milliseconds unreachable_time{5000};
 };
 
 // Reason of the latest change of a share.
@@ -69,7 +80,7 @@
     std::string service;
     double share = 0;
     double own_pressure = 0;
-    double other_pressure = 0;  // The lowest of the other domains.
+    double other_pressure = 0;  // Mean of the other domains.
     overflow_reason reason = overflow_reason::none;
     std::uint64_t calls = 0;     // Attempts that were sent.
     std::uint64_t sent_out = 0;  // Of these, to other failure domains.
@@ -111,6 +122,8 @@
     std::shared_ptr<const candidate_list> list;  // To which the positions belong.
     std::vector<domain_pressure> domains;        // The own one first, even without candidates.
     double objective_s = 0;                      // Mean over recent calls.
+    double way_s = 0;                            // Additional, mean of the other domains.
+    bool others_have_room = false;               // Compared to the own domain.
     mono_time updated_at;
     mono_time next_update = mono_time::min();
 };
@@ -152,6 +165,9 @@
                  const load_table& loads, mono_time now, double elapsed_s) const;
     void move_share(service_overflow& service, double needed, double elapsed_s,
                     random_source& random) const;
+    double step_towards(const overflow_state& state, double aim, double scale) const;
+    // Mean time that a call spends on the way to the domain, beyond that within the own one.
+    static double additional_way_s(const service_overflow& service, const domain_pressure& other);
     // The difference in pressure from which a call to the domain pays.
     double needed_difference(const service_overflow& service, const domain_pressure& other) const;
     void decay(domain_pressure& domain, mono_time now) const;
--- a/packages/routing/upstream_picker.cc
+++ b/packages/routing/upstream_picker.cc
@@ -271,7 +271,7 @@
                                         const load_table& loads, const pick_context& context,
                                         mono_time now, random_source& random) const {
     constexpr std::size_t draws_per_compared = 4;
-    bool all = this->compares_all(positions.size());
+    bool all = this->compares_all(candidates.size());
     std::size_t wanted = all ? positions.size() : this->options.compared_local;
     std::vector<const candidate*> found;
     std::vector<const candidate*> unconnected;
