--- a/packages/daemon/testing/upstream_selector_test.cc
+++ b/packages/daemon/testing/upstream_selector_test.cc
@@ -338,4 +338,32 @@
     BOOST_TEST(counted.served() >= 0.99);
 }
 
+// Load pattern: a failure domain is taken out. With a limit of 0 calls stay in it before.
+BOOST_AUTO_TEST_CASE(calls_leave_a_domain_that_is_taken_out_whatever_the_limit_is) {
+    shared_state shared;
+    upstream_selector selector(
+        "d1", shared, routing::domain_overflow_options{.failure_domain = "d1", .limit = 0});
+    seeded_random random(1);
+    for (bool out : {false, true}) {
+        std::vector<routing::candidate> candidates;
+        for (int index = 0; index < 20; ++index) {
+            std::string domain = index % 2 == 0 ? "d1" : "d2";
+            candidates.push_back({.instance = std::to_string(index),
+                                  .failure_domain = domain,
+                                  .taken_out = out && domain == "d1"});
+        }
+        shared.candidates.publish(std::make_shared<const routing::candidate_list>(
+            routing::candidate_list::services{{"station", candidates}}));
+        for (int index = 0; index < 50; ++index) {
+            detail::ingress_call call;
+            call.message.service = "station";
+            auto found = selector.pick(call, origin + milliseconds(index), random);
+            const auto& chosen = std::get<routing::picked_upstream>(found).chosen;
+            BOOST_TEST(chosen.failure_domain == (out ? "d2" : "d1"));
+        }
+        selector.expire(origin);
+        BOOST_TEST(selector.overflow_states().front().share == (out ? 1 : 0));
+    }
+}
+
 }  // namespace trefoil::daemon
--- a/packages/daemon/upstream_selector.cc
+++ b/packages/daemon/upstream_selector.cc
@@ -130,7 +130,7 @@
         routing::overflow_target target =
             this->overflow->choose({.service = call.message.service,
                                     .objective = call.objective,
-                                    .refused_before = !call.tried.empty()},
+                                    .attempted_before = call.attempts_sent > 0},
                                    list, this->load, now, random);
         if (target.among != nullptr) {
             routing::pick_result found = this->chooser.pick_among(
@@ -273,6 +273,10 @@
     this->late_call_refusals.expire(now);
     this->strict_refusals.expire(now);
     this->lenient_refusals.expire(now);
+    auto list = this->shared.candidates.read();
+    if (this->overflow != nullptr && list != nullptr) {
+        this->overflow->expire(*list);
+    }
     this->log_overflow_changes();
 }
 
@@ -282,7 +286,13 @@
 }
 
 void upstream_selector::log_overflow_changes() {
-    for (const routing::overflow_state& each : this->overflow_states()) {
+    std::vector<routing::overflow_state> states = this->overflow_states();
+    std::erase_if(this->overflowing, [&](const std::string& service) {
+        return std::none_of(states.begin(), states.end(), [&](const routing::overflow_state& each) {
+            return each.service == service;
+        });
+    });
+    for (const routing::overflow_state& each : states) {
         bool above = each.share > this->overflow_floor;
         if (above == this->overflowing.contains(each.service)) {
             continue;
--- a/packages/routing/domain_overflow.cc
+++ b/packages/routing/domain_overflow.cc
@@ -84,9 +84,9 @@
         if (drawn < service.state.share) {
             return other_domain(service, random);
         }
-        // A refused call has less time left, so any upstream that is expected to be fast may be
+        // A repeated call has less time left, so any upstream that is expected to be fast may be
         // chosen, before the share has grown to what is needed.
-        if (call.refused_before && service.others_have_room && drawn < this->options.limit) {
+        if (call.attempted_before && service.others_have_room && drawn < this->options.limit) {
             return {};
         }
         return {own.positions};
@@ -124,6 +124,12 @@
     return all;
 }
 
+void domain_overflow::expire(const candidate_list& list) {
+    this->services.erase_if([&](const std::string& name, const service_overflow&) {
+        return list.of_service(name).empty();
+    });
+}
+
 // Groups the candidates by domain when the list was replaced, and keeps what is known of a domain.
 void domain_overflow::use_list(service_overflow& service,
                                const std::shared_ptr<const candidate_list>& list,
--- a/packages/routing/domain_overflow.h
+++ b/packages/routing/domain_overflow.h
@@ -92,7 +92,7 @@
 struct overflow_call {
     std::string service;
     std::chrono::milliseconds objective{0};  // 0: none.
-    bool refused_before = false;             // An upstream refused the call.
+    bool attempted_before = false;
 };
 
 // The candidates that an attempt may go to, as positions in candidate_list::of_service(); null: all
@@ -151,8 +151,12 @@
     void on_result(const std::string& service, const std::string& domain, bool refused,
                    mono_time now);
 
+    // Sorted by service.
     std::vector<overflow_state> states() const;
 
+    // Forgets services that the list does not contain.
+    void expire(const candidate_list& list);
+
 private:
     using service_overflow = detail::service_overflow;
     using domain_pressure = detail::domain_pressure;
--- a/packages/routing/testing/overflow_simulation.h
+++ b/packages/routing/testing/overflow_simulation.h
@@ -244,7 +244,7 @@
         if (from.overflow != nullptr) {
             auto target = from.overflow->choose({.service = "service",
                                                  .objective = context.objective,
-                                                 .refused_before = !each.tried.empty()},
+                                                 .attempted_before = !each.tried.empty()},
                                                 this->list, from.loads, this->now, this->random);
             if (target.among != nullptr) {
                 auto found = from.picker.pick_among(all, *target.among, each.tried, from.loads,
--- a/packages/routing/testing/upstream_picker_test.cc
+++ b/packages/routing/testing/upstream_picker_test.cc
@@ -268,4 +268,34 @@
     BOOST_TEST(chosen(start + std::chrono::seconds(20)) == "failing");
 }
 
+// Guards against a choice outside the given positions, or of an instance that cannot be used, and
+// against a usable instance that is not found among many others.
+BOOST_AUTO_TEST_CASE(a_choice_among_positions_finds_the_usable_ones) {
+    seeded_random random(5);
+    upstream_picker picker({.failure_domain = "d1"});
+    const pick_context context{.route = "r", .objective = milliseconds(200)};
+    load_table loads;
+    std::vector<candidate> candidates;
+    std::vector<std::uint32_t> positions;
+    for (std::uint32_t index = 0; index < 60; ++index) {
+        candidates.push_back(live(std::to_string(index), index % 2 == 0 ? "d1" : "d2"));
+        if (index % 2 == 1) {
+            positions.push_back(index);
+            candidates.back().taken_out = index != 31 && index != 33;
+        }
+    }
+    auto choose = [&](const std::vector<std::string>& tried) {
+        return picker.pick_among(candidates, positions, tried, loads, context, start, random);
+    };
+    std::map<std::string, int> picks;
+    for (int call = 0; call < 200; ++call) {
+        ++picks[std::get<picked_upstream>(choose({})).chosen.instance];
+    }
+    BOOST_TEST(picks.size() == 2U);
+    BOOST_TEST(picks.contains("31"));
+    BOOST_TEST(picks.contains("33"));
+    BOOST_TEST(std::get<picked_upstream>(choose({"31"})).chosen.instance == "33");
+    BOOST_CHECK((choose({"31", "33"}) == pick_result(no_upstream_available{})));
+}
+
 }  // namespace trefoil::routing
