--- a/packages/routing/testing/overflow_simulation.h
+++ b/packages/routing/testing/overflow_simulation.h
@@ -53,7 +53,7 @@
     std::vector<double> time_factors = {0.6, 1.0, 1.4};  // Of the upstreams, round robin.
     struct timed_event {
         double second;
-        std::size_t domain;
+        std::size_t domain = 0;
         domain_event event;
     };
     std::vector<timed_event> events;
@@ -172,16 +172,16 @@
         std::unique_ptr<domain_overflow> overflow;
     };
     struct call {
-        std::size_t daemon;
-        const call_kind* kind;
+        std::size_t daemon = 0;
+        const call_kind* kind = nullptr;
         mono_time arrived;
         std::vector<std::string> tried;
     };
     using call_pointer = std::shared_ptr<call>;
     struct upstream {
-        std::size_t domain;
+        std::size_t domain = 0;
         double factor = 1;
-        double work_s;  // Of all kinds, without the factor.
+        double work_s = 0;  // Of all kinds, without the factor.
         std::uint32_t running = 0;
         std::deque<call_pointer> queue;
         bool alive = true;
