Count shared bodies as payload, and keep small services out of the overflow

Cause: with shared bodies, the payload of a call no longer included its request. In a service of a few upstreams the reports of all are recent, and comparing them in each call is about as good as a share (benchmark of domain_overflow).

Change: the payload includes the shared body. domain_overflow.min_upstreams (0 by default) sets from which size of a service the share is used.

--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -69,9 +69,11 @@
     if (!options.domain_overflow.has_value()) {
         return std::nullopt;
     }
-    return routing::domain_overflow_options{.failure_domain = options.failure_domain,
-                                            .floor = options.domain_overflow->floor,
-                                            .limit = options.domain_overflow->limit};
+    return routing::domain_overflow_options{
+        .failure_domain = options.failure_domain,
+        .floor = options.domain_overflow->floor,
+        .limit = options.domain_overflow->limit,
+        .min_upstreams = options.domain_overflow->min_upstreams};
 }
 
 bool listed_as_leaving(const membership::view& view, const std::string& instance) {
--- a/packages/daemon/settings.cc
+++ b/packages/daemon/settings.cc
@@ -30,6 +30,7 @@
 constexpr std::uint32_t value_bytes_max = 1U << 28U;
 constexpr std::uint32_t min_domain_max = 100'000;
 constexpr double memory_mb_max = 1e7;
+constexpr std::uint32_t upstreams_max = 100'000;
 constexpr std::uint32_t descriptors_max = 16'777'216;
 constexpr double seconds_max = 600;
 constexpr double requests_max = 1e6;
@@ -249,6 +250,9 @@
         overflow.floor = config::read_number(floor, 0, 1, this->invalid).value_or(overflow.floor);
         overflow.limit = config::read_number(optional(map, "limit"), 0, 1, this->invalid)
                              .value_or(overflow.limit);
+        overflow.min_upstreams =
+            config::read_integer(optional(map, "min_upstreams"), 0, upstreams_max, this->invalid)
+                .value_or(overflow.min_upstreams);
         map.reject_unknown();
         if (floor.value != nullptr && overflow.floor > overflow.limit) {
             config::reject_value(floor, "a number that is not above limit", this->invalid);
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -79,6 +79,8 @@
     double floor = 0;
     double limit = 1;  // At least `floor`.
 
+    std::size_t min_upstreams = 0;  // Of a service to which the share applies.
+
     friend bool operator==(const domain_overflow_settings&,
                            const domain_overflow_settings&) = default;
 };
--- a/packages/daemon/upstream_selector.cc
+++ b/packages/daemon/upstream_selector.cc
@@ -58,7 +58,8 @@
                    : nullptr) {}
 
 routing::pick_context upstream_selector::context_of(const detail::ingress_call& call) const {
-    double request = static_cast<double>(call.message.body.size()) / bytes_per_kib;
+    double request =
+        call.body == nullptr ? 0 : static_cast<double>(call.body->size()) / bytes_per_kib;
     return {.route = call.message.route,
             .objective = call.objective,
             .payload_kib = request + this->response_kib.find(call.message.route).value_or(0)};
--- a/packages/routing/domain_overflow.cc
+++ b/packages/routing/domain_overflow.cc
@@ -60,6 +60,9 @@
                                         const std::shared_ptr<const candidate_list>& list,
                                         const load_table& loads, mono_time now,
                                         random_source& random) {
+    if (list->of_service(call.service).size() < this->options.min_upstreams) {
+        return {};
+    }
     return this->services.update(call.service, [&](service_overflow& service) -> overflow_target {
         this->use_list(service, list, call.service);
         if (call.objective.count() > 0) {
--- a/packages/routing/domain_overflow.h
+++ b/packages/routing/domain_overflow.h
@@ -13,6 +13,7 @@
 #define TREFOIL_ROUTING_DOMAIN_OVERFLOW_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -32,6 +33,9 @@
     // Bounds of the share while the own domain has a usable upstream.
     double floor = 0;
     double limit = 1;
+    // In a service with fewer upstreams the share is not used: the reports of all of them are
+    // recent enough to compare them in each call.
+    std::size_t min_upstreams = 0;
     // Pressure of the own domain from which the share is raised, and below which it is lowered. The
     // rest up to 1 is room for bursts; the distance between the two prevents oscillation.
     double raise_at = 0.80;
