Hold less, and longer, after a restore; trust only the id of the request

An answer with the id of another request kept its connection in use, an interim response lost it, and a status 101 was delivered.

The connection is reused only if the final response echoes the id of its request. 101 breaks the response off.

--- a/packages/edge/response_builder.cc
+++ b/packages/edge/response_builder.cc
@@ -13,6 +13,7 @@
 
 namespace {
 
+constexpr unsigned status_switching_protocols = 101;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_no_content = 204;
 constexpr unsigned status_not_modified = 304;
@@ -104,12 +105,20 @@
         return this->fail(response_loss::bad_status_line);
     }
     this->status = *stated;
+    // No request asks for another protocol, whose bytes libcurl would return as a body.
+    if (this->status == status_switching_protocols) {
+        return this->fail(response_loss::bad_status_line);
+    }
     if (this->status < status_ok && ++this->interim_count > this->limits.interim_responses) {
         return this->fail(response_loss::too_many_interim_responses);
     }
     return true;
 }
 
+bool response_builder::final_header_complete() const {
+    return this->complete && this->status >= status_ok;
+}
+
 bool response_builder::end_header() {
     this->complete = true;
     bool body_follows = allows_body(this->status) && !this->head_request;
--- a/packages/edge/response_builder.h
+++ b/packages/edge/response_builder.h
@@ -62,9 +62,11 @@
 
     // Whether the empty line after the headers has arrived.
     bool header_complete() const { return this->complete; }
-    // Whether the headers that have arrived include this one.
-    bool has_header(std::string_view name) const {
-        return find_header(this->response.headers, name).has_value();
+    // Whether that line ended the headers of the final response.
+    bool final_header_complete() const;
+    // The value of a header that has arrived, or nothing.
+    std::optional<std::string> header(std::string_view name) const {
+        return find_header(this->response.headers, name);
     }
     std::optional<response_loss> loss() const { return this->failure; }
     // Bytes of the body that are in memory.
--- a/packages/edge/upstream_client.cc
+++ b/packages/edge/upstream_client.cc
@@ -70,7 +70,8 @@
     header_list headers;
     CURL* easy = nullptr;
     response_builder response;
-    std::string_view header_for_reuse;  // Of the client's options.
+    std::string_view header_for_reuse;               // Of the client's options.
+    std::optional<std::string> echo_for_reuse = {};  // The request's value of that header.
     buffer_usage* shared_usage = nullptr;
     bool sent = false;  // Bytes of the request may have been sent.
 };
@@ -93,8 +94,9 @@
     if (!state->response.add_line({data, size * count})) {
         return 0;
     }
-    bool forbid = state->response.header_complete() && !state->header_for_reuse.empty() &&
-                  !state->response.has_header(state->header_for_reuse);
+    const auto& expected = state->echo_for_reuse;
+    bool forbid = expected.has_value() && state->response.final_header_complete() &&
+                  state->response.header(state->header_for_reuse) != expected;
     if (forbid) {
         curl_easy_setopt(state->easy, CURLOPT_FORBID_REUSE, 1L);
     }
@@ -242,6 +244,7 @@
         std::string url = "http://" + this->options.address + request.target;
         state.shared_usage = &this->usage;
         state.header_for_reuse = this->options.header_for_reuse;
+        state.echo_for_reuse = find_header(request.headers, state.header_for_reuse);
         auto connect = std::min(left, this->options.connect_timeout);
         curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
         curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
--- a/packages/edge/upstream_client.h
+++ b/packages/edge/upstream_client.h
@@ -72,8 +72,9 @@
     // with 160 MB of memory.
     std::size_t max_buffered_bytes = std::size_t{16} << 20U;
     long max_idle_connections = 64;
-    // When set, a response without this header closes its connection. A second copy of it, which
-    // arrives later, could not be told from the response to the next request.
+    // When a request has this header, a response without the same value closes the connection. A
+    // second copy of it, which arrives later, could not be told from the response to the next
+    // request.
     std::string header_for_reuse;
     // Null: the client runs a loop of its own.
     io::event_loop* loop = nullptr;
--- a/packages/source/restore_guard.cc
+++ b/packages/source/restore_guard.cc
@@ -23,22 +23,30 @@
     }
 }
 
-void restore_guard::hold_earlier(const std::string& key, std::optional<stored_item> in_store,
-                                 mono_time now) {
+// Holds an item that the store does not have.
+void restore_guard::hold_lost(const std::string& key, mono_time now) {
     auto time = this->rules.rewrite_time(key);
-    this->holds[key] = {.in_store = std::move(in_store),
+    this->holds[key] = {.in_store = std::nullopt,
                         .until = time.has_value() ? now + *time : mono_time::max()};
 }
 
+// Holds an item of which the store has an outdated value. Its writer writes or removes it, or the
+// store removes it because its writer is gone, which can take longer than to write a lost item.
+void restore_guard::hold_against(const std::string& key, stored_item in_store, mono_time now) {
+    bool ends = this->rules.rewrite_time(key).has_value();
+    this->holds[key] = {.in_store = std::move(in_store),
+                        .until = ends ? now + removal_memory : mono_time::max()};
+}
+
 void restore_guard::restore(const stored_items& earlier, stored_items& loaded, mono_time now) {
     this->holds.clear();
     for (const auto& [key, item] : earlier) {
         auto found = loaded.find(key);
         if (found == loaded.end()) {
-            this->hold_earlier(key, std::nullopt, now);
+            this->hold_lost(key, now);
             loaded.emplace(key, item);
         } else if (this->rules.is_earlier(key, found->second.value, item.value)) {
-            this->hold_earlier(key, std::exchange(found->second, item), now);
+            this->hold_against(key, std::exchange(found->second, item), now);
         }
     }
     for (auto each = loaded.begin(); each != loaded.end();) {
@@ -46,7 +54,7 @@
         bool returned = removed != this->removals.end() && !earlier.contains(each->first) &&
                         now - removed->second <= removal_memory;
         if (returned) {
-            this->hold_earlier(each->first, std::move(each->second), now);
+            this->hold_against(each->first, std::move(each->second), now);
             each = loaded.erase(each);
         } else {
             ++each;
@@ -110,6 +118,11 @@
     return released;
 }
 
+void restore_guard::drop_timed_holds() {
+    std::erase_if(this->holds,
+                  [](const auto& entry) { return entry.second.until != mono_time::max(); });
+}
+
 std::optional<mono_time> restore_guard::next_release() const {
     mono_time next = mono_time::max();
     for (const auto& [key, held] : this->holds) {
--- a/packages/source/restore_guard.h
+++ b/packages/source/restore_guard.h
@@ -48,8 +48,8 @@
     virtual bool is_earlier(std::string_view key, std::string_view value,
                             std::string_view other) const = 0;
 
-    // Time within which the writer of the item writes it again after the store's return. Nothing
-    // when an earlier value is never used.
+    // Time within which the writer of an item that the store has lost writes it again after the
+    // store's return. Nothing when an earlier value is never used.
     virtual std::optional<std::chrono::milliseconds> rewrite_time(std::string_view key) const = 0;
 };
 
@@ -92,6 +92,10 @@
 
     std::size_t held() const { return this->holds.size(); }
 
+    // Drops the holds that end at some time. To be called when the store is no longer followed:
+    // what they hold is outdated when it is followed again.
+    void drop_timed_holds();
+
 private:
     struct hold {
         std::optional<stored_item> in_store;  // Absent: the store has no such item.
@@ -100,7 +104,8 @@
 
     bool accepts_write(const stored_items& current, const std::string& key,
                        const std::optional<stored_item>& written) const;
-    void hold_earlier(const std::string& key, std::optional<stored_item> in_store, mono_time now);
+    void hold_lost(const std::string& key, mono_time now);
+    void hold_against(const std::string& key, stored_item in_store, mono_time now);
 
     const item_rules& rules;
     std::map<std::string, hold, std::less<>> holds;
