Refuse calls that wait at a leaving upstream, and expect a restart

Change: calls that have not started 1 s after the gate saw that its upstream leaves are refused as not run. An upstream that refused a connection counts as cold for the service's cold period, with its rate.

The new cases were not run on the code before.

--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -319,6 +319,10 @@
         this->local_egress.set_fixed_slots(record->slots);
     }
     this->local_egress.configure(listed ? record->slots : service->slots, service->queue);
+    if (service->cold_start.has_value()) {
+        this->local_egress.set_restart_period(
+            {.duration = service->cold_start->duration, .rate = service->cold_start->rate});
+    }
     if (record != nullptr && service->cold_start.has_value() && record->cold_left_ms > 0) {
         mono_time until = this->clock.now() + std::chrono::milliseconds(record->cold_left_ms);
         this->local_egress.set_cold({.until = until, .rate = service->cold_start->rate});
--- a/packages/daemon/egress.h
+++ b/packages/daemon/egress.h
@@ -103,6 +103,9 @@
     // states for the upstream.
     void set_fixed_slots(std::uint32_t slots);
     void set_cold(const gate::cold_period& period);
+    void set_restart_period(const gate::restart_period& period) {
+        this->gate.set_restart_period(period);
+    }
     messages::load_report load() const { return this->gate.load(); }
     egress_totals totals() const;
     const routing::call_origins& call_origins() const { return this->origins; }
--- a/packages/gate/slot_limit.cc
+++ b/packages/gate/slot_limit.cc
@@ -53,6 +53,9 @@
                            std::size_t /*running*/, mono_time now) {
     switch (kind) {
         case call_result_kind::connection_refused:
+            this->pause(now);
+            this->expect_restart(now);
+            break;
         case call_result_kind::shed:
             this->pause(now);
             break;
@@ -79,6 +82,15 @@
     }
 }
 
+// An upstream that refuses connections may start anew at any time from now on.
+void slot_limit::expect_restart(mono_time now) {
+    if (this->restart.rate > 0) {
+        this->set_cold({.until = std::max(this->cold.until, now + this->restart.duration),
+                        .rate = this->restart.rate},
+                       now);
+    }
+}
+
 void slot_limit::pause(mono_time now) {
     if (now < this->pause_end) {
         return;
--- a/packages/gate/slot_limit.h
+++ b/packages/gate/slot_limit.h
@@ -45,14 +45,17 @@
     void set_slots(std::uint32_t slots) override;
 
     void set_cold(const cold_period& period, mono_time now) override;
+    void set_restart_period(const restart_period& period) override { this->restart = period; }
 
 private:
     double cold_capacity() const;
     double cold_tokens(mono_time now) const;
+    void expect_restart(mono_time now);
     void pause(mono_time now);
 
     slot_limit_options options;
     cold_period cold;
+    restart_period restart;
     double tokens = 0;  // In the bucket at `refilled_at`; a start takes one.
     mono_time refilled_at = mono_time::min();
     mono_time pause_end = mono_time::min();
--- a/packages/gate/start_limit.h
+++ b/packages/gate/start_limit.h
@@ -9,6 +9,7 @@
 #ifndef TREFOIL_GATE_START_LIMIT_H_
 #define TREFOIL_GATE_START_LIMIT_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -27,6 +28,15 @@
     friend bool operator==(const cold_period&, const cold_period&) = default;
 };
 
+// How long an upstream is cold after its start, and the starts of calls per second that it can take
+// then. No effect with a rate of 0.
+struct restart_period {
+    std::chrono::milliseconds duration{0};
+    double rate = 0;
+
+    friend bool operator==(const restart_period&, const restart_period&) = default;
+};
+
 // Implementations are not synchronised; the owner holds a lock.
 class start_limit {
 public:
@@ -54,6 +64,10 @@
     // The platform reports that the upstream is cold. Limits that detect this themselves ignore it.
     virtual void set_cold(const cold_period& /*period*/, mono_time /*now*/) {}
 
+    // What an upstream that refused connections may go through, because it may have started anew
+    // before the platform reports it. Limits that detect this themselves ignore it.
+    virtual void set_restart_period(const restart_period& /*period*/) {}
+
     // Changes the upper bound of the concurrency, for example after a change of configuration.
     virtual void set_slots(std::uint32_t slots) = 0;
 };
--- a/packages/gate/testing/slot_limit_test.cc
+++ b/packages/gate/testing/slot_limit_test.cc
@@ -57,6 +57,21 @@
     }
 }
 
+// Guards against a burst of waiting calls that crashes an upstream that has just started anew,
+// before the platform reports that it is cold.
+BOOST_AUTO_TEST_CASE(an_upstream_that_refused_connections_counts_as_cold) {
+    slot_limit limit({.slots = 18});
+    limit.set_restart_period({.duration = std::chrono::seconds(3), .rate = 11});
+    limit.on_start(start);
+    limit.on_result(call_result_kind::connection_refused, milliseconds(1), 1, start);
+    mono_time back = limit.paused_until();
+    BOOST_TEST(max_starts_in_a_second(limit, back + std::chrono::seconds(2)) <= 14U);
+    BOOST_TEST(limit.may_start(17, start + std::chrono::seconds(4)));
+    slot_limit unknown({.slots = 18});
+    unknown.on_result(call_result_kind::connection_refused, milliseconds(1), 1, start);
+    BOOST_TEST(!unknown.max_start_rate(unknown.paused_until()).has_value());
+}
+
 // Guards against a bucket that is refilled each time the platform reports the cold period again.
 BOOST_AUTO_TEST_CASE(reporting_the_cold_period_again_adds_no_starts) {
     slot_limit limit({.slots = 12});
--- a/packages/gate/testing/upstream_gate_test.cc
+++ b/packages/gate/testing/upstream_gate_test.cc
@@ -147,6 +147,25 @@
     BOOST_TEST(starts(gate.offer(call_of(5), start)));
 }
 
+// Guards against a call that waits so long at an upstream that is leaving that it reaches it when
+// it has ended, or after the time in which it may still get work.
+BOOST_AUTO_TEST_CASE(a_leaving_upstream_gets_no_call_that_has_waited_long) {
+    upstream_gate gate({.limit = {.slots = 1}, .max_queue_wait = std::chrono::seconds(5)});
+    offered_call waiting = call_of(2);
+    waiting.deadline = start + std::chrono::seconds(5);
+    gate.offer(call_of(1), start);
+    gate.offer(waiting, start);
+    gate.set_availability(upstream_availability::leaving);
+    BOOST_TEST((gate.next_wakeup().value() <= start));
+    BOOST_TEST(gate.expire(start).empty());
+    mono_time late = start + upstream_gate::max_wait_when_leaving;
+    BOOST_TEST((gate.next_wakeup().value() <= late));
+    gate_changes changes = gate.finish(id_of(1), call_result_kind::good, milliseconds(1), late);
+    BOOST_TEST(changes.start.empty());
+    BOOST_TEST((changes.refused ==
+                std::vector<refused_call>{{id_of(2), {refusal_reason::no_upstream, not_run}}}));
+}
+
 // Guards against calls that wait for an upstream that is down although another one could serve
 // them.
 BOOST_AUTO_TEST_CASE(failing_upstream_refuses_its_queued_calls) {
--- a/packages/gate/upstream_gate.cc
+++ b/packages/gate/upstream_gate.cc
@@ -239,6 +239,12 @@
 std::optional<mono_time> upstream_gate::next_wakeup() const {
     absl::MutexLock lock(&this->mutex);
     std::optional<mono_time> expiry = this->waiting.next_expiry();
+    if (expiry.has_value() && this->availability == upstream_availability::leaving) {
+        mono_time refused_at = this->leaving_since.has_value()
+                                   ? *this->leaving_since + max_wait_when_leaving
+                                   : mono_time::min();
+        expiry = std::min(*expiry, refused_at);
+    }
     if (!expiry.has_value() || this->running.size() >= this->limit->limit()) {
         return expiry;
     }
@@ -265,6 +271,9 @@
     absl::MutexLock lock(&this->mutex);
     gate_changes changes;
     this->availability = next;
+    if (next != upstream_availability::leaving) {
+        this->leaving_since.reset();
+    }
     if (next != upstream_availability::taken_out) {
         return changes;
     }
@@ -302,6 +311,11 @@
     return changes;
 }
 
+void upstream_gate::set_restart_period(const restart_period& period) {
+    absl::MutexLock lock(&this->mutex);
+    this->limit->set_restart_period(period);
+}
+
 messages::load_report upstream_gate::load() const {
     absl::MutexLock lock(&this->mutex);
     return {.running = static_cast<std::uint32_t>(this->running.size()),
@@ -333,7 +347,22 @@
     }
 }
 
+void upstream_gate::refuse_at_leaving_upstream(mono_time now, gate_changes& changes) {
+    if (this->availability != upstream_availability::leaving) {
+        return;
+    }
+    this->leaving_since = this->leaving_since.value_or(now);
+    if (now < *this->leaving_since + max_wait_when_leaving) {
+        return;
+    }
+    for (waiting_call& each : this->waiting.clear()) {
+        changes.refused.push_back(
+            {.id = std::move(each.call.id), .why = not_run(refusal_reason::no_upstream)});
+    }
+}
+
 void upstream_gate::start_waiting(mono_time now, gate_changes& changes) {
+    this->refuse_at_leaving_upstream(now, changes);
     while (!this->waiting.empty() && this->limit->may_start(this->running.size(), now)) {
         offered_call next = std::move(this->waiting.pop(now)->call);
         this->start_call(next, now);
--- a/packages/gate/upstream_gate.h
+++ b/packages/gate/upstream_gate.h
@@ -88,6 +88,9 @@
 // Safe for concurrent use. Times passed by different threads may be slightly out of order.
 class upstream_gate {
 public:
+    // An upstream that leaves ends some seconds after its announcement.
+    static constexpr std::chrono::milliseconds max_wait_when_leaving{1000};
+
     explicit upstream_gate(upstream_gate_options initial);
 
     // Uses `start_rule` instead of a concurrency_limit; `initial.limit` is ignored.
@@ -117,7 +120,8 @@
     // Whether no call runs or waits.
     bool idle() const;
 
-    // Refuses the queued calls if the upstream is taken out.
+    // Refuses the queued calls: at once if the upstream is taken out, and those that have not
+    // started max_wait_when_leaving later if it is leaving.
     gate_changes set_availability(upstream_availability next);
 
     gate_changes set_start_limit(std::unique_ptr<start_limit> start_rule, mono_time now);
@@ -129,6 +133,9 @@
     gate_changes configure(std::uint32_t slots, std::size_t queue, mono_time now);
 
     messages::load_report load() const;
+    // From now on, an upstream that refused a connection counts as cold for this time: what refuses
+    // connections may have started anew, and its report that it is cold arrives later.
+    void set_restart_period(const restart_period& period);
     // Number of calls that ranked as most urgent, because their route was below its floor.
     std::uint64_t promoted() const;
     // Includes the expected time of requests of the route and the mean over all routes.
@@ -158,6 +165,8 @@
     // Refuses the queued calls that expire at or before `until`.
     void refuse_expiring(mono_time until, mono_time now, gate_changes& changes)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void refuse_at_leaving_upstream(mono_time now, gate_changes& changes)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void start_waiting(mono_time now, gate_changes& changes) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     mutable absl::Mutex mutex;
@@ -173,6 +182,8 @@
     absl::flat_hash_set<call_id> running;
     bool draining = false;  // Never reset.
     upstream_availability availability = upstream_availability::available;
+    // When the gate first saw that the upstream is leaving.
+    std::optional<mono_time> leaving_since;
 };
 
 }  // namespace trefoil::gate
