End calls on the loop only, and refuse parts of a body that was dropped

Causes and changes: - peer_connections::tick() runs on the control thread and reported expired calls and bodies there, so that two threads could end one call, and the parts of a body could overtake each other when such a call was sent again. It passes them to the loop. - The receiver answered nothing to a part of a body that it had dropped, and the sender waited until its deadline. The part is refused.

The change of threads has no test of its own.

--- a/packages/daemon/body_exchange.cc
+++ b/packages/daemon/body_exchange.cc
@@ -143,21 +143,18 @@
 
 void incoming_bodies::on_part(transport::connection_id connection, const messages::body_part& part,
                               mono_time now) {
-    if (auto answer = this->add_part(connection, part, now)) {
-        this->link.send_body_message(connection, *answer);
-    }
+    this->link.send_body_message(connection, this->add_part(connection, part, now));
 }
 
-// Returns the answer; nothing for a part of a body that was refused or discarded.
-std::optional<messages::body_message> incoming_bodies::add_part(transport::connection_id connection,
-                                                                const messages::body_part& part,
-                                                                mono_time now) {
+// Returns the answer. A part of a body that was dropped is refused, because its sender waits.
+messages::body_message incoming_bodies::add_part(transport::connection_id connection,
+                                                 const messages::body_part& part, mono_time now) {
     std::lock_guard lock(this->mutex);
     key id{connection, part.sequence};
     auto found = this->assemblies.find(id);
     if (found == this->assemblies.end()) {
         if (part.offset != 0) {
-            return std::nullopt;
+            return messages::body_refusal{.sequence = part.sequence};
         }
         found = this->assemblies.try_emplace(id, this->account).first;
         found->second.total = part.total;
--- a/packages/daemon/body_exchange.h
+++ b/packages/daemon/body_exchange.h
@@ -120,8 +120,8 @@
         edge::memory_reservation held;
     };
 
-    std::optional<messages::body_message> add_part(transport::connection_id connection,
-                                                   const messages::body_part& part, mono_time now);
+    messages::body_message add_part(transport::connection_id connection,
+                                    const messages::body_part& part, mono_time now);
 
     body_link& link;
     edge::memory_account* const account;
--- a/packages/daemon/peer_connections.cc
+++ b/packages/daemon/peer_connections.cc
@@ -524,7 +524,7 @@
     }
     if (now >= this->next_idle_check) {
         this->next_idle_check = now + idle_check_interval;
-        this->bodies_sent.expire(now);
+        this->run_on_loop([this, now] { this->bodies_sent.expire(now); });
         this->bodies_received.expire(now);
         this->close_idle_connections();
     }
@@ -562,11 +562,21 @@
     });
     for (queued_message& each : expired) {
         if (auto* call = std::get_if<outgoing_call>(&each.content)) {
-            call->not_sent();
+            this->run_on_loop(std::move(call->not_sent));
         }
     }
 }
 
+// Calls end on the loop only, where their callers may end them too. Without a shared loop, as in
+// tests, the action runs at once.
+void peer_connections::run_on_loop(std::function<void()> action) {
+    if (this->options.endpoint.loop != nullptr) {
+        this->options.endpoint.loop->dispatch(std::move(action));
+    } else {
+        action();
+    }
+}
+
 bool peer_connections::is_idle(const peer_connection& each) const {
     std::int64_t oldest =
         to_microseconds(this->clock.now() - mono_duration(this->options.idle_timeout));
--- a/packages/daemon/peer_connections.h
+++ b/packages/daemon/peer_connections.h
@@ -151,7 +151,8 @@
     void close_all(bool settled, std::chrono::milliseconds limit);
 
     // Drops expired messages, dials for queued ones and closes idle connections. To be called about
-    // every 50 ms, by one thread.
+    // every 50 ms, by one thread. The calls that expire are reported on the loop of the endpoint's
+    // options.
     void tick();
 
     std::size_t open_count() const { return this->by_connection.size(); }
@@ -207,6 +208,7 @@
     void close_if_idle(const std::shared_ptr<peer_connection>& idle);
     void deactivate(const peer_connection& each);
     void drop_expired(mono_time now);
+    void run_on_loop(std::function<void()> action);
     void dial_for_queued();
 
     const peer_connections_options options;
--- a/packages/daemon/testing/body_exchange_test.cc
+++ b/packages/daemon/testing/body_exchange_test.cc
@@ -122,6 +122,17 @@
     BOOST_TEST(this->account.usage().refused_bodies == 1U);
 }
 
+// Guards against a sender that waits until its deadline for a body that the receiver has dropped.
+BOOST_FIXTURE_TEST_CASE(parts_of_a_dropped_body_are_refused, two_sides) {
+    this->start();
+    this->deliver_one();
+    this->incoming.expire(this->now + incoming_bodies::stall_limit + mono_duration(1));
+    this->deliver_all();
+    BOOST_TEST(this->failed == 1);
+    BOOST_TEST((this->failure == body_failure::refused));
+    BOOST_TEST(this->account.usage().held_bytes == 0U);
+}
+
 // Guards against events for a body that nobody wants, and against bytes that stay at the receiver
 // after the deadline, the end of the call, a stall or the loss of the connection.
 BOOST_FIXTURE_TEST_CASE(ended_bodies_are_dropped_on_both_sides, two_sides) {
