Test that calls that expire on the control thread end on the loop

Measured: daemon_peer_connections_test passes, one run; with tick() reporting inline, the new case fails (not_sent is 1 instead of 0 while the loop is blocked).

--- a/packages/daemon/testing/peer_connections_test.cc
+++ b/packages/daemon/testing/peer_connections_test.cc
@@ -119,6 +119,20 @@
 
 }  // namespace
 
+// Guards against a call that two threads end: its caller may leave on the loop while tick(), which
+// another thread calls, finds that it has expired.
+BOOST_AUTO_TEST_CASE(an_expired_call_is_reported_on_the_loop) {
+    node sender("sender", 0);
+    sender.send_call("nobody", "127.0.0.1:1", milliseconds(20));
+    sender.while_blocked([&] {
+        std::this_thread::sleep_for(milliseconds(50));
+        sender.connections.tick();
+        BOOST_TEST(sender.not_sent == 0);
+    });
+    BOOST_TEST(eventually([&] { return sender.not_sent == 1; }));
+    BOOST_TEST(sender.sent == 0);
+}
+
 // Guards against a call with outcome "unknown" because the peer closed the idle connection while
 // the call was in transit.
 BOOST_AUTO_TEST_CASE(a_call_that_crosses_an_idle_close_is_reported_as_not_run) {
