Start nothing ahead without memory, and name a passed deadline as such

Causes and changes: - Requests were passed on ahead of unanswered ones while more than the bound of callers' memory was held. They now wait until the responses before them are written. - A body or a queued call that ended at its deadline before ingress::tick() saw it counted as a failed connection to its instance and ended as no_upstream. It ends as deadline_exceeded.

Neither change has a test of its own.

--- a/packages/daemon/ingress.cc
+++ b/packages/daemon/ingress.cc
@@ -300,8 +300,10 @@
                  return found.has_value() && (*found)->claim(connection);
              },
          .not_sent =
-             [this, sequence] {
-                 this->end_attempt(sequence, routing::attempt_end::not_sent, reasons::no_upstream);
+             [this, sequence, deadline = call->history.deadline] {
+                 bool late = deadline <= this->clock.now();
+                 this->end_attempt(sequence, routing::attempt_end::not_sent,
+                                   late ? reasons::deadline_exceeded : reasons::no_upstream);
              },
          .body = call->body,
          .not_accepted =
--- a/packages/edge/http_session.cc
+++ b/packages/edge/http_session.cc
@@ -157,8 +157,7 @@
 
 void http_session::read() {
     bool answering = this->state == phase::handling || this->state == phase::responding;
-    memory_account* memory = this->owner.memory();
-    bool no_memory = this->buffer.size() > 0 && memory != nullptr && memory->exceeded();
+    bool no_memory = this->buffer.size() > 0 && this->lacks_memory();
     bool full = answering && (this->buffer.size() >= max_read_ahead_bytes || no_memory);
     if (this->wait_in_progress || this->state == phase::closed || full) {
         return;
@@ -444,8 +443,8 @@
         if (this->line.next_is_ahead() && this->must_close()) {
             this->line.close_after_started();
         }
-        if (!this->line.can_start()) {
-            break;
+        if (!this->line.can_start() || (this->line.next_is_ahead() && this->lacks_memory())) {
+            break;  // What may not run ahead is passed on when the responses before it are written.
         }
         if (!this->owner.accepts_requests()) {
             this->line.refuse_next(this->owner.handler().refuse_during_shutdown());
@@ -483,11 +482,16 @@
     }
     this->write_ready();
     this->settle_dropped();
-    if (this->owner.memory() != nullptr && this->owner.memory()->exceeded()) {
+    if (this->lacks_memory()) {
         this->owner.make_room(*this);
     }
 }
 
+bool http_session::lacks_memory() const {
+    memory_account* memory = this->owner.memory();
+    return memory != nullptr && memory->exceeded();
+}
+
 std::size_t http_session::request_count() const {
     switch (this->state) {
         case phase::closed:
--- a/packages/edge/http_session.h
+++ b/packages/edge/http_session.h
@@ -122,6 +122,7 @@
     bool account_received();
     void account_buffer();
     void release_buffer();
+    bool lacks_memory() const;
     void discard_received();
     bool exceeds_limit() const;
     void refuse(unsigned status);
