Treat an upstream that the platform drops from the list as leaving

Ruled out: a late list (adopted 28 ms after the removal).

Change: once it was listed, an upstream that is not listed counts as leaving; it is available again when it is listed again.

There is no test of its own: the state is in the class daemon, which needs processes.

--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -76,9 +76,14 @@
         .min_upstreams = options.domain_overflow->min_upstreams};
 }
 
-bool listed_as_leaving(const membership::view& view, const std::string& instance) {
+bool is_listed(const membership::view& view, const std::string& instance) {
     const membership::member* own = view.find(instance);
-    return own != nullptr && own->listed && own->record->state == membership::listed_state::leaving;
+    return own != nullptr && own->listed;
+}
+
+bool listed_as_leaving(const membership::view& view, const std::string& instance) {
+    return is_listed(view, instance) &&
+           view.find(instance)->record->state == membership::listed_state::leaving;
 }
 
 }  // namespace
@@ -264,7 +269,7 @@
     auto availability = gate::upstream_availability::available;
     if (snapshot->is_taken_out(this->options.instance, this->options.failure_domain)) {
         availability = gate::upstream_availability::taken_out;
-    } else if (view != nullptr && listed_as_leaving(*view, this->options.instance)) {
+    } else if (view != nullptr && this->is_leaving(*view)) {
         availability = gate::upstream_availability::leaving;
     }
     // Without an instance list it is unknown whether the upstream is leaving and which process of
@@ -275,6 +280,13 @@
     this->log_upstream_changes(availability, view.get());
 }
 
+// Some upstreams leave without an announcement: the platform only drops them from the list.
+bool daemon::is_leaving(const membership::view& view) {
+    bool listed = is_listed(view, this->options.instance);
+    this->upstream_was_listed = this->upstream_was_listed || listed;
+    return listed ? listed_as_leaving(view, this->options.instance) : this->upstream_was_listed;
+}
+
 void daemon::log_upstream_changes(gate::upstream_availability availability,
                                   const membership::view* view) {
     upstream_status status{.availability = availability};
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -79,6 +79,7 @@
 
     void on_timer();
     void apply_shared_state();
+    bool is_leaving(const membership::view& view);
     void log_control_state_changes();
     void log_upstream_changes(gate::upstream_availability availability,
                               const membership::view* view);
@@ -109,6 +110,7 @@
     // Used on the loop only.
     io::loop_timer timer;
     std::shared_ptr<const config::snapshot> applied_snapshot;
+    bool upstream_was_listed = false;  // In some view since the start.
     std::shared_ptr<const membership::view> applied_view;
     bool fixed_slots_set = false;  // Whether the listed slots were passed to the egress.
     state_change_log state_changes;
