--- a/packages/edge/testing/pipelining_test.cc
+++ b/packages/edge/testing/pipelining_test.cc
@@ -62,7 +62,9 @@
         for (int i = 0; i < attempts && this->server == nullptr; ++i) {
             this->port = static_cast<std::uint16_t>(10000 + (getpid() * 50 + i * 7) % 20000);
             auto candidate = std::make_unique<http_server>(
-                http_server_options{.ip = "127.0.0.1", .port = this->port}, this->handler);
+                http_server_options{
+                    .ip = "127.0.0.1", .port = this->port, .memory = &this->account},
+                this->handler);
             if (succeeded(candidate->start())) {
                 this->server = std::move(candidate);
             }
@@ -88,6 +90,7 @@
 
     std::uint16_t port = 0;
     holding_handler handler;
+    memory_account account{{.limit_bytes = std::size_t{64} << 20U}};
     std::unique_ptr<http_server> server;
 };
 
@@ -115,6 +118,28 @@
     BOOST_TEST(text.find("/b|") < text.find("/now2|"));
 }
 
+// Guards against requests that run ahead while there is no memory for their responses, and against
+// requests that are never passed on because of that.
+BOOST_FIXTURE_TEST_CASE(nothing_runs_ahead_without_memory, fixture) {
+    std::string bytes;
+    for (int i = 1; i <= 9; ++i) {
+        bytes += get("/" + std::to_string(i));
+    }
+    raw_socket socket = this->send(bytes, 8);
+    memory_reservation others(&this->account);
+    others.resize_unchecked(std::size_t{65} << 20U);
+    this->handler.answer("/1");
+    BOOST_TEST(count(socket.read_until("/1|"), "/1|") == 1U);
+    std::this_thread::sleep_for(milliseconds(50));
+    BOOST_TEST(this->handler.handled == 8);
+    for (int i = 2; i <= 8; ++i) {
+        this->handler.answer("/" + std::to_string(i));
+    }
+    BOOST_TEST(eventually([&] { return this->handler.handled == 9; }));
+    this->handler.answer("/9");
+    BOOST_TEST(count(socket.read_until("/9|"), "HTTP/1.1 200") == 8U);
+}
+
 // Guards against work and responses for requests that their caller sends again.
 BOOST_FIXTURE_TEST_CASE(requests_behind_a_closing_response_are_dropped, fixture) {
     raw_socket socket = this->send(get("/slow") + get("/ahead") + get("/once"), 2);
