--- a/packages/ctl/testing/document_commands_test.cc
+++ b/packages/ctl/testing/document_commands_test.cc
@@ -89,7 +89,8 @@
     BOOST_TEST(this->run({"check", "next.yaml", "--against", "base.yaml"}) == 0);
     BOOST_TEST(this->out.find("change: workspace north: rate 50 -> 60\n") != std::string::npos);
     BOOST_TEST(this->run({"check", "base.yaml", "north.yaml"}) == 0);
-    BOOST_TEST(this->error.find("warning: failure domains: all are taken out") != std::string::npos);
+    BOOST_TEST(this->error.find("warning: failure domains: all are taken out") !=
+               std::string::npos);
     BOOST_TEST(this->run({"check", "base.yaml", "north.yaml", "--strict"}) == 1);
     BOOST_TEST(this->run({"check", "base.yaml", "--strict"}) == 0);
     BOOST_TEST(this->run({"check", "base.yaml", "--against", "absent.yaml"}) == 2);
