Refuse calls whose expected wait cannot be represented

Cause: seen once under the sanitizers (gate_kind_floor_test: signed overflow in refuse_if_too_late). At a rate of late starts close to 0 the expected wait exceeded the range of a duration, and its sum with the time overflowed; a refusal also stated that wait as its Retry-After.

Change: a rate at which the calls ahead take over an hour counts as 0, so the call is refused with the wait of a call in time.

Measured: gate_kind_floor_test and gate_upstream_gate_test pass with sanitizers (the first failed before).

--- a/packages/gate/upstream_gate.cc
+++ b/packages/gate/upstream_gate.cc
@@ -179,10 +179,12 @@
     if (!rate.has_value()) {
         return wait;
     }
-    if (*rate <= 0) {
+    // A wait beyond this ends no call in time and could not be represented at rates close to 0.
+    constexpr double longest_wait_s = 3600;
+    auto ahead = static_cast<double>(this->waiting.late_size() + 1);
+    if (*rate * longest_wait_s <= ahead) {
         return std::nullopt;
     }
-    auto ahead = static_cast<double>(this->waiting.late_size() + 1);
     return std::max(wait, std::chrono::duration_cast<mono_duration>(
                               std::chrono::duration<double>(ahead / *rate)));
 }
