--- a/packages/base/text.cc
+++ b/packages/base/text.cc
@@ -1,7 +1,9 @@
-// Implements the functions for ASCII protocol text.
+// Implements the functions for protocol text.
 
 #include "base/text.h"
 
+#include <simdjson.h>
+
 #include <algorithm>
 
 namespace trefoil {
@@ -12,6 +14,10 @@
     return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
+bool is_control(unsigned char c) {
+    return c < ' ' || c == 0x7f;
+}
+
 }  // namespace
 
 std::string lower_case(std::string_view text) {
@@ -39,4 +45,9 @@
     return text.substr(first, text.find_last_not_of(blanks) - first + 1);
 }
 
+bool is_printable_utf8(std::string_view text) {
+    return std::none_of(text.begin(), text.end(), is_control) &&
+           simdjson::validate_utf8(text.data(), text.size());
+}
+
 }  // namespace trefoil
--- a/packages/base/text.h
+++ b/packages/base/text.h
@@ -1,4 +1,4 @@
-// Functions for ASCII protocol text: case-insensitive comparison, case conversion and trimming.
+// Functions for protocol text: case-insensitive comparison, case conversion, trimming and validity.
 //
 // Example:
 //
@@ -24,6 +24,9 @@
 // Removes spaces, tabs, carriage returns and line feeds at both ends.
 std::string_view trim(std::string_view text);
 
+// Whether `text` is valid UTF-8 without ASCII control characters.
+bool is_printable_utf8(std::string_view text);
+
 }  // namespace trefoil
 
 #endif  // TREFOIL_BASE_TEXT_H_
--- a/packages/config/field_reader.cc
+++ b/packages/config/field_reader.cc
@@ -10,6 +10,8 @@
 #include <system_error>
 #include <utility>
 
+#include "config/entry_name.h"
+
 namespace trefoil::config {
 
 namespace {
@@ -194,6 +196,16 @@
     return text;
 }
 
+std::optional<std::string> read_entry_name(const yaml_field& field, std::string_view expected,
+                                           validation_failures& failures) {
+    std::optional<std::string> text = read_text(field, expected, failures);
+    if (text && !is_entry_name(*text)) {
+        reject_value(field, expected_entry_name, failures);
+        return std::nullopt;
+    }
+    return text;
+}
+
 std::optional<bool> read_boolean(const yaml_field& field, validation_failures& failures) {
     constexpr std::string_view expected = "true or false";
     if (field.value == nullptr) {
--- a/packages/config/field_reader.h
+++ b/packages/config/field_reader.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "config/validation_failure.h"
+#include "config/value_limits.h"
 #include "config/yaml_node.h"
 
 namespace trefoil::config {
@@ -78,12 +79,26 @@
                                      validation_failures& failures);
 std::optional<std::string> read_name(const yaml_field& field, std::string_view expected,
                                      validation_failures& failures);
+// Like read_name(), for a name that is_entry_name() accepts.
+std::optional<std::string> read_entry_name(const yaml_field& field, std::string_view expected,
+                                           validation_failures& failures);
 std::optional<bool> read_boolean(const yaml_field& field, validation_failures& failures);
 // Both bounds are inclusive.
 std::optional<std::uint32_t> read_integer(const yaml_field& field, std::uint32_t min,
                                           std::uint32_t max, validation_failures& failures);
 std::optional<double> read_number(const yaml_field& field, double min, double max,
                                   validation_failures& failures);
+
+inline std::optional<std::uint32_t> read_integer(const yaml_field& field,
+                                                 value_range<std::uint32_t> limits,
+                                                 validation_failures& failures) {
+    return read_integer(field, limits.min, limits.max, failures);
+}
+inline std::optional<double> read_number(const yaml_field& field, value_range<double> limits,
+                                         validation_failures& failures) {
+    return read_number(field, limits.min, limits.max, failures);
+}
+
 // Returns each element of a list as a field.
 std::vector<yaml_field> read_list(const yaml_field& field, std::string_view expected,
                                   validation_failures& failures);
--- a/packages/config/route_section.cc
+++ b/packages/config/route_section.cc
@@ -8,18 +8,13 @@
 #include <utility>
 
 #include "base/text.h"
+#include "config/route_match.h"
 #include "config/section_context.h"
 
 namespace trefoil::config::detail {
 
 namespace {
 
-constexpr std::size_t path_prefix_bytes_max = 1024;
-constexpr std::size_t host_bytes_max = 255;
-constexpr std::uint32_t attempts_max = 100;
-constexpr double weight_min = 1e-6;
-constexpr double weight_max = 1e9;
-
 class route_reader {
 public:
     route_reader(section_context& section, std::vector<route> reused)
@@ -47,7 +42,7 @@
         each.priority =
             this->context.read_priority(entry.optional("priority")).value_or(default_priority);
         each.attempts =
-            read_integer(entry.optional("attempts"), 1, attempts_max, this->context.sink);
+            read_integer(entry.optional("attempts"), attempts_limits, this->context.sink);
         each.regions =
             this->context.read_names(entry.optional("regions"), "a list of names of regions");
         this->reject_overlap(each, prefix);
@@ -69,11 +64,7 @@
     std::string read_host(const yaml_field& field) {
         constexpr std::string_view expected = "a host name without a port";
         std::string text = lower_case(read_text(field, expected, this->context.sink).value_or(""));
-        bool allowed =
-            text.size() <= host_bytes_max && std::all_of(text.begin(), text.end(), [](char c) {
-                return c > ' ' && c != 0x7f && c != '/' && c != ':';
-            });
-        if (!allowed) {
+        if (!is_route_host(text)) {
             reject_value(field, expected, this->context.sink);
         }
         return text;
@@ -83,14 +74,7 @@
         constexpr std::string_view expected =
             "a path that starts with \"/\", without spaces, \"?\", \"#\" and dot segments";
         std::string text = read_text(field, expected, this->context.sink).value_or("/");
-        bool printable =
-            std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c != 0x7f; });
-        bool has_dot_segment = (text + "/").find("/./") != std::string::npos ||
-                               (text + "/").find("/../") != std::string::npos;
-        bool allowed = !text.empty() && text.front() == '/' && printable && !has_dot_segment &&
-                       text.find_first_of("?#") == std::string::npos &&
-                       text.size() <= path_prefix_bytes_max;
-        if (!allowed) {
+        if (!is_path_prefix(text)) {
             reject_value(field, expected, this->context.sink);
         }
         return text;
@@ -137,15 +121,15 @@
         }
     }
 
-    // Adds the service to the split, unless its weight is below `weight_min`, for example 0.
+    // Adds the service to the split, unless its weight is too small, for example 0.
     void read_split_entry(const yaml_field& element, route& each) {
         map_reader part(element, this->context.sink);
         yaml_field service = part.required("service", "a name");
         yaml_field weight = part.required("weight", "a number");
         std::string name = this->read_service_reference(service);
-        auto weight_value = read_number(weight, 0, weight_max, this->context.sink);
+        auto weight_value = read_number(weight, 0, split_weight_limits.max, this->context.sink);
         part.reject_unknown();
-        if (weight_value && *weight_value >= weight_min) {
+        if (weight_value && *weight_value >= split_weight_limits.min) {
             each.split.push_back({.service = std::move(name), .weight = *weight_value});
         }
     }
--- a/packages/config/section_context.h
+++ b/packages/config/section_context.h
@@ -16,6 +16,7 @@
 #include <string_view>
 #include <vector>
 
+#include "config/entry_name.h"
 #include "config/field_reader.h"
 #include "config/snapshot.h"
 #include "config/validation_failure.h"
@@ -32,9 +33,8 @@
     template <class ReadEntry>
     void for_each_entry(const yaml_field& section, ReadEntry read_entry) {
         for (const yaml_field& field : read_entries(section, this->sink)) {
-            if (!is_name(field.name)) {
-                this->reject_key(
-                    field, "a name of 1 to 64 letters, digits, dots, hyphens and underscores");
+            if (!is_entry_name(field.name)) {
+                this->reject_key(field, expected_entry_name);
             }
             map_reader entry(field, this->sink);
             read_entry(std::string(field.name), entry);
--- a/packages/config/sections.cc
+++ b/packages/config/sections.cc
@@ -13,18 +13,10 @@
 
 namespace {
 
-constexpr std::uint32_t instances_max = 100'000;
-constexpr std::uint32_t milliseconds_max = 600'000;
-constexpr std::uint32_t priority_max = 1'000;
-constexpr std::uint32_t header_bytes_min = 1'024;
-constexpr std::uint32_t header_bytes_max = 1U << 20U;
-constexpr std::uint32_t body_bytes_max = 1U << 30U;
-// The largest integer that every JSON and YAML parser represents exactly (2^53 - 1).
-constexpr double version_max = 9007199254740991.0;
-
 void read_version(section_context& context) {
     yaml_field field = context.sections.optional("version");
-    auto version = read_number(field, 1, version_max, context.sink);
+    auto version = read_number(field, static_cast<double>(version_limits.min),
+                               static_cast<double>(version_limits.max), context.sink);
     context.contents.version = static_cast<std::uint64_t>(version.value_or(0));
 }
 
@@ -34,7 +26,7 @@
     fleet& target = context.contents.fleet;
     target.max_instances_from_list = section_context::is_word(field, "listed");
     if (!target.max_instances_from_list) {
-        target.max_instances = read_integer(field, 1, instances_max, context.sink).value_or(1);
+        target.max_instances = read_integer(field, instance_count_limits, context.sink).value_or(1);
     }
     map.reject_unknown();
 }
@@ -42,11 +34,11 @@
 void read_caller_limits(section_context& context) {
     map_reader map(context.sections.optional("caller_limits"), context.sink);
     caller_limits& target = context.contents.caller_limits;
-    target.max_header_bytes = read_integer(map.optional("max_header_bytes"), header_bytes_min,
-                                           header_bytes_max, context.sink)
-                                  .value_or(target.max_header_bytes);
+    target.max_header_bytes =
+        read_integer(map.optional("max_header_bytes"), header_bytes_limits, context.sink)
+            .value_or(target.max_header_bytes);
     target.max_body_bytes =
-        read_integer(map.optional("max_body_bytes"), 0, body_bytes_max, context.sink)
+        read_integer(map.optional("max_body_bytes"), body_bytes_limits, context.sink)
             .value_or(target.max_body_bytes);
     target.header_timeout = context.read_milliseconds(map.optional("header_timeout_ms"))
                                 .value_or(target.header_timeout);
@@ -68,7 +60,7 @@
 
 std::optional<std::chrono::milliseconds> section_context::read_milliseconds(
     const yaml_field& field) {
-    auto value = read_integer(field, 1, milliseconds_max, this->sink);
+    auto value = read_integer(field, milliseconds_limits, this->sink);
     return value ? std::optional(std::chrono::milliseconds(*value)) : std::nullopt;
 }
 
@@ -76,7 +68,7 @@
                                                      std::string_view expected) {
     std::set<std::string> names;
     for (const yaml_field& element : read_list(field, expected, this->sink)) {
-        if (auto name = read_name(element, "a name", this->sink)) {
+        if (auto name = read_entry_name(element, "a name", this->sink)) {
             names.insert(std::move(*name));
         }
     }
@@ -84,7 +76,7 @@
 }
 
 std::optional<std::uint32_t> section_context::read_priority(const yaml_field& field) {
-    return read_integer(field, 0, priority_max, this->sink);
+    return read_integer(field, priority_limits, this->sink);
 }
 
 bool section_context::is_word(const yaml_field& field, std::string_view word) {
--- a/packages/config/service_section.cc
+++ b/packages/config/service_section.cc
@@ -8,18 +8,11 @@
 
 namespace {
 
-constexpr std::uint32_t slots_max = 100'000;
-constexpr std::uint32_t queue_max = 100'000;
-constexpr std::uint32_t connections_max = 1'000'000;
-constexpr double availability_max = 0.999999;
-constexpr double cold_rate_min = 0.001;
-constexpr double cold_rate_max = 1e7;
-
 std::optional<objective> read_objective(section_context& context, const yaml_field& field) {
     map_reader map(field, context.sink);
     yaml_field availability = map.required("availability", "a number");
     yaml_field latency = map.required("latency_ms", "an integer");
-    auto fraction = read_number(availability, 0.001, availability_max, context.sink);
+    auto fraction = read_number(availability, availability_limits, context.sink);
     auto limit = context.read_milliseconds(latency);
     map.reject_unknown();
     if (!fraction || !limit) {
@@ -33,7 +26,7 @@
     yaml_field duration = map.required("duration_ms", "an integer");
     yaml_field rate = map.required("rate", "a number");
     auto time = context.read_milliseconds(duration);
-    auto limit = read_number(rate, cold_rate_min, cold_rate_max, context.sink);
+    auto limit = read_number(rate, cold_rate_limits, context.sink);
     map.reject_unknown();
     if (!time || !limit) {
         return std::nullopt;
@@ -44,7 +37,7 @@
 void read_slots(section_context& context, const yaml_field& field, service& each) {
     each.slots_from_list = section_context::is_word(field, "listed");
     if (!each.slots_from_list) {
-        each.slots = read_integer(field, 1, slots_max, context.sink).value_or(1);
+        each.slots = read_integer(field, slots_limits, context.sink).value_or(1);
     }
 }
 
@@ -67,11 +60,11 @@
         each.timeout =
             context.read_milliseconds(entry.optional("timeout_ms")).value_or(each.timeout);
         each.queue =
-            read_integer(entry.optional("queue"), 0, queue_max, context.sink).value_or(each.queue);
+            read_integer(entry.optional("queue"), queue_limits, context.sink).value_or(each.queue);
         each.objective = read_objective(context, entry.optional("objective"));
         each.health_path = read_health_path(context, entry.optional("health_path"));
         each.max_connections =
-            read_integer(entry.optional("max_connections"), 1, connections_max, context.sink);
+            read_integer(entry.optional("max_connections"), connections_limits, context.sink);
         each.cold_start = read_cold_start(context, entry.optional("cold"));
         context.contents.services.emplace(name, std::move(each));
     });
--- a/packages/config/snapshot_builder.cc
+++ b/packages/config/snapshot_builder.cc
@@ -91,7 +91,9 @@
     auto overlay_tree = read_yaml(overlay, {.allow_remove = true});
     auto* overlay_root = std::get_if<yaml_node>(&overlay_tree);
     bool routes_from_base_only = overlay_root != nullptr && !changes_routes(*overlay_root);
-    auto json_tree = split ? detail::read_json(*base) : std::nullopt;
+    // JSON that cannot be split is still read many times faster as JSON than as YAML.
+    bool readable = base->body.size() <= this->max_bytes;
+    auto json_tree = readable ? detail::read_json(*base) : std::nullopt;
     bool is_json = json_tree.has_value();
     auto base_tree = is_json
                          ? std::move(*json_tree)
@@ -102,7 +104,7 @@
         return std::move(*failures);
     }
     auto built = std::make_shared<const snapshot>(std::get<snapshot>(std::move(outcome)));
-    bool reusable = is_json && routes_from_base_only;
+    bool reusable = split && is_json && routes_from_base_only;
     this->last_base = reusable ? std::move(*split) : split_base();
     this->last_built = reusable ? built : nullptr;
     return built;
--- a/packages/config/workspace_section.cc
+++ b/packages/config/workspace_section.cc
@@ -14,12 +14,6 @@
 
 namespace {
 
-// At a lower rate the share of one daemon in a large fleet would be less than one token per day.
-constexpr double rate_per_second_min = 0.01;
-constexpr double rate_per_second_max = 1e7;
-constexpr double burst_requests_min = 1;
-constexpr double burst_requests_max = 1e7;
-
 void read_rate(section_context& context, map_reader& entry, workspace& each) {
     yaml_field rate = entry.required("rate", "a number");
     each.limited = !section_context::is_word(rate, "unlimited");
@@ -27,10 +21,8 @@
         return;
     }
     yaml_field burst = entry.required("burst", "a number");
-    each.rate = read_number(rate, rate_per_second_min, rate_per_second_max, context.sink)
-                    .value_or(rate_per_second_min);
-    each.burst = read_number(burst, burst_requests_min, burst_requests_max, context.sink)
-                     .value_or(burst_requests_min);
+    each.rate = read_number(rate, rate_limits, context.sink).value_or(rate_limits.min);
+    each.burst = read_number(burst, burst_limits, context.sink).value_or(burst_limits.min);
 }
 
 // Returns the digests sorted and unique. The packed form takes a third of the space of entries of
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -68,9 +68,11 @@
     const char* option;
     const char* expected;
     std::optional<std::size_t> (*parse)(std::string_view text);
+    trefoil::config::value_range<double> limits;
     std::size_t trefoil::daemon::settings::*target;
 
-    // Prints the reason and returns false if the value is invalid.
+    // Uses the nearest bound for a size out of range. Prints the reason and returns false if the
+    // value is no size.
     bool apply(const program_options::variables_map& given,
                trefoil::daemon::settings& settings) const {
         std::string text =
@@ -79,6 +81,11 @@
             return true;
         }
         auto parsed = this->parse(text);
+        if (!parsed.has_value()) {
+            parsed = trefoil::daemon::nearest_size(text, this->limits);
+            settings.adjustments.push_back(
+                {.path = this->option, .found = text, .used = std::to_string(parsed.value_or(0))});
+        }
         if (!parsed.has_value()) {
             std::cerr << "trefoild: --" << this->option << ": expected " << this->expected
                       << ", found \"" << text << "\"\n";
@@ -89,13 +96,19 @@
     }
 };
 
+constexpr trefoil::config::value_range<double> to_double(
+    trefoil::config::value_range<std::uint32_t> limits) {
+    return {static_cast<double>(limits.min), static_cast<double>(limits.max)};
+}
+
 constexpr setting_override overrides[] = {
     {"platform-value-bytes", "an integer from 1024 to 268435456",
-     &trefoil::daemon::parse_value_bytes, &trefoil::daemon::settings::platform_value_bytes},
+     &trefoil::daemon::parse_value_bytes, to_double(trefoil::daemon::value_bytes_limits),
+     &trefoil::daemon::settings::platform_value_bytes},
     {"memory-mb", "a number from 1 to 10000000", &trefoil::daemon::parse_memory_mb,
-     &trefoil::daemon::settings::memory_mb},
+     trefoil::daemon::memory_mb_limits, &trefoil::daemon::settings::memory_mb},
     {"max-descriptors", "an integer from 1 to 16777216", &trefoil::daemon::parse_max_descriptors,
-     &trefoil::daemon::settings::max_descriptors},
+     to_double(trefoil::daemon::descriptors_limits), &trefoil::daemon::settings::max_descriptors},
 };
 
 // Returns false if an option is invalid.
@@ -105,6 +118,13 @@
                        [&](const setting_override& each) { return each.apply(given, settings); });
 }
 
+void log_adjustments(const trefoil::daemon::settings& settings) {
+    for (const trefoil::config::adjustment& each : settings.adjustments) {
+        trefoil::log(trefoil::log_level::warning, "setting_adjusted",
+                     {{"path", each.path}, {"found", each.found}, {"used", each.used}});
+    }
+}
+
 // Applies changed settings until SIGTERM or SIGINT arrives.
 void wait_for_end(const sigset_t& signals, const std::string& path,
                   const trefoil::daemon::settings& in_file,
@@ -117,6 +137,7 @@
         }
         if (auto changed = watch.check()) {
             apply_overrides(given, *changed);
+            log_adjustments(*changed);
             process.reload(*changed);
         } else if (received == SIGHUP) {
             trefoil::log(trefoil::log_level::info, "settings_unchanged");
@@ -133,6 +154,7 @@
     sigset_t signals = block_signals();
     trefoil::set_log_level(settings.log_level);
     trefoil::start_log_writer({});
+    log_adjustments(settings);
     auto binding = bind_platform(settings);
     if (!binding.has_value()) {
         std::cerr << "trefoild: platform_protocol: expected documents or metadata_store, found \""
--- a/packages/daemon/settings.cc
+++ b/packages/daemon/settings.cc
@@ -10,6 +10,7 @@
 #include <cstring>
 #include <filesystem>
 #include <fstream>
+#include <limits>
 #include <optional>
 #include <sstream>
 #include <utility>
@@ -26,14 +27,13 @@
 constexpr std::uint32_t milliseconds_max = 600'000;
 constexpr std::uint32_t retries_max = 100'000;
 constexpr std::uint32_t followers_max = 1'000;
-constexpr std::uint32_t value_bytes_min = 1'024;
-constexpr std::uint32_t value_bytes_max = 1U << 28U;
 constexpr std::uint32_t min_domain_max = 100'000;
-constexpr double memory_mb_max = 1e7;
 constexpr std::uint32_t upstreams_max = 100'000;
-constexpr std::uint32_t descriptors_max = 16'777'216;
-constexpr double seconds_max = 600;
-constexpr double requests_max = 1e6;
+// The platform states the values of these.
+constexpr config::value_range<double> stop_seconds_limits{0, 600};
+constexpr config::value_range<double> window_seconds_limits{1, 600};
+constexpr config::value_range<double> share_limits{0, 1};
+constexpr config::value_range<double> slack_limits{0, 1e6};  // Requests.
 constexpr std::string_view expected_address =
     "an IP address with a port, such as 127.0.0.1:6001 or [::1]:6001";
 constexpr std::string_view expected_secret = "a secret of at least 16 characters";
@@ -62,19 +62,19 @@
     result<settings, settings_failures> read() {
         this->parsed.instance = this->read_name("instance");
         this->parsed.name =
-            config::read_name(optional(this->fields, "name"), "a name", this->invalid)
+            config::read_entry_name(optional(this->fields, "name"), "a name", this->invalid)
                 .value_or(this->parsed.instance);
-        this->parsed.failure_domain = this->read_name("failure_domain");
+        this->parsed.failure_domain = this->read_entry_name("failure_domain");
         this->parsed.site = this->read_name("site");
-        this->parsed.service = this->read_name("service");
+        this->parsed.service = this->read_entry_name("service");
         this->read_listen();
         this->parsed.upstream =
             this->read_address(this->fields.required("upstream", expected_address));
         this->read_platform();
         this->read_platform_protocol();
         this->parsed.platform_value_bytes =
-            config::read_integer(optional(this->fields, "platform_value_bytes"), value_bytes_min,
-                                 value_bytes_max, this->invalid)
+            config::read_integer(optional(this->fields, "platform_value_bytes"), value_bytes_limits,
+                                 this->invalid)
                 .value_or(this->parsed.platform_value_bytes);
         this->parsed.platform_followers =
             config::read_integer(optional(this->fields, "platform_followers"), 0, followers_max,
@@ -84,11 +84,11 @@
             config::read_integer(optional(this->fields, "platform_followers_min_domain"), 0,
                                  min_domain_max, this->invalid)
                 .value_or(this->parsed.platform_followers_min_domain);
-        auto memory = config::read_number(optional(this->fields, "memory_mb"), 1, memory_mb_max,
+        auto memory = config::read_number(optional(this->fields, "memory_mb"), memory_mb_limits,
                                           this->invalid);
         this->parsed.memory_mb = memory ? static_cast<std::size_t>(*memory) : 0;
         this->parsed.max_descriptors =
-            config::read_integer(optional(this->fields, "max_descriptors"), 1, descriptors_max,
+            config::read_integer(optional(this->fields, "max_descriptors"), descriptors_limits,
                                  this->invalid)
                 .value_or(this->parsed.max_descriptors);
         this->read_regions();
@@ -119,6 +119,12 @@
         return config::read_name(field, "a name", this->invalid).value_or("");
     }
 
+    // Reads a name that is also one of an entry of the configuration.
+    std::string read_entry_name(std::string_view name) {
+        config::yaml_field field = this->fields.required(name, "a name");
+        return config::read_entry_name(field, "a name", this->invalid).value_or("");
+    }
+
     socket_address read_address(const config::yaml_field& field) {
         auto text = config::read_text(field, expected_address, this->invalid);
         if (!text) {
@@ -191,7 +197,8 @@
     void read_regions() {
         config::yaml_field section = optional(this->fields, "regions");
         for (const config::yaml_field& field : config::read_entries(section, this->invalid)) {
-            if (auto region = config::read_name(field, "the name of a region", this->invalid)) {
+            if (auto region =
+                    config::read_entry_name(field, "the name of a region", this->invalid)) {
                 this->parsed.regions.emplace(field.name, std::move(*region));
             }
         }
@@ -203,7 +210,7 @@
         stop.announce = this->read_milliseconds(optional(map, "announce_ms"), stop.announce);
         stop.limit = this->read_milliseconds(optional(map, "limit_ms"), stop.limit);
         auto total_limit =
-            config::read_number(optional(map, "within_s"), 0, seconds_max, this->invalid);
+            this->read_nearest(optional(map, "within_s"), "stop.within_s", stop_seconds_limits);
         if (total_limit) {
             stop.total_limit = std::chrono::duration_cast<std::chrono::milliseconds>(
                 std::chrono::duration<double>(*total_limit));
@@ -214,14 +221,16 @@
     void read_limits() {
         config::map_reader map(optional(this->fields, "limits"), this->invalid);
         admission::limit_tolerance& limits = this->parsed.limits;
-        auto window = config::read_number(optional(map, "window_s"), 1, seconds_max, this->invalid);
+        auto window =
+            this->read_nearest(optional(map, "window_s"), "limits.window_s", window_seconds_limits);
         if (window) {
             limits.window = std::chrono::duration_cast<std::chrono::milliseconds>(
                 std::chrono::duration<double>(*window));
         }
-        limits.overage = config::read_number(optional(map, "overage"), 0, 1, this->invalid)
-                             .value_or(limits.overage);
-        limits.slack = config::read_number(optional(map, "slack"), 0, requests_max, this->invalid)
+        limits.overage =
+            this->read_nearest(optional(map, "overage"), "limits.overage", share_limits)
+                .value_or(limits.overage);
+        limits.slack = this->read_nearest(optional(map, "slack"), "limits.slack", slack_limits)
                            .value_or(limits.slack);
         map.reject_unknown();
     }
@@ -229,9 +238,9 @@
     void read_retries() {
         config::map_reader map(optional(this->fields, "retries"), this->invalid);
         retry_settings& retries = this->parsed.retries;
-        retries.share = config::read_number(optional(map, "share"), 0, 1, this->invalid)
+        retries.share = this->read_nearest(optional(map, "share"), "retries.share", share_limits)
                             .value_or(retries.share);
-        retries.slack = config::read_number(optional(map, "slack"), 0, requests_max, this->invalid)
+        retries.slack = this->read_nearest(optional(map, "slack"), "retries.slack", slack_limits)
                             .value_or(retries.slack);
         retries.minimum_per_second =
             config::read_integer(optional(map, "minimum_per_second"), 0, retries_max, this->invalid)
@@ -259,6 +268,24 @@
         }
     }
 
+    // Reads a number that the platform states. A daemon that did not start because of its size
+    // would serve nobody, so the nearest bound replaces a number out of range.
+    std::optional<double> read_nearest(const config::yaml_field& field, const char* name,
+                                       config::value_range<double> limits) {
+        constexpr double any_size = std::numeric_limits<double>::max();
+        config::validation_failures not_a_size;
+        auto stated = config::read_number(field, 0, any_size, not_a_size);
+        if (!stated) {
+            return config::read_number(field, limits, this->invalid);
+        }
+        double nearest = std::clamp(*stated, limits.min, limits.max);
+        if (nearest != *stated) {
+            this->parsed.adjustments.push_back(
+                {.path = name, .found = field.value->text, .used = fmt::to_string(nearest)});
+        }
+        return nearest;
+    }
+
     std::chrono::milliseconds read_milliseconds(const config::yaml_field& field,
                                                 std::chrono::milliseconds fallback) {
         auto value = config::read_integer(field, 0, milliseconds_max, this->invalid);
@@ -390,26 +417,33 @@
 
 // Returns nothing unless the whole text is a number between the bounds.
 template <class Number>
-std::optional<std::size_t> parse_number(std::string_view text, Number min, Number max) {
+std::optional<Number> parse_number(std::string_view text, config::value_range<Number> limits) {
     Number value{};
     const char* end = text.data() + text.size();
     auto [rest, error] = std::from_chars(text.data(), end, value);
-    bool valid = error == std::errc() && rest == end && value >= min && value <= max;
-    return valid ? std::optional(static_cast<std::size_t>(value)) : std::nullopt;
+    bool valid = error == std::errc() && rest == end && value >= limits.min && value <= limits.max;
+    return valid ? std::optional(value) : std::nullopt;
 }
 
 }  // namespace
 
 std::optional<std::size_t> parse_value_bytes(std::string_view text) {
-    return parse_number<std::uint32_t>(text, value_bytes_min, value_bytes_max);
+    return parse_number(text, value_bytes_limits);
 }
 
 std::optional<std::size_t> parse_memory_mb(std::string_view text) {
-    return parse_number<double>(text, 1, memory_mb_max);
+    auto megabytes = parse_number(text, memory_mb_limits);
+    return megabytes ? std::optional(static_cast<std::size_t>(*megabytes)) : std::nullopt;
 }
 
 std::optional<std::size_t> parse_max_descriptors(std::string_view text) {
-    return parse_number<std::uint32_t>(text, 1, descriptors_max);
+    return parse_number(text, descriptors_limits);
+}
+
+std::optional<std::size_t> nearest_size(std::string_view text, config::value_range<double> limits) {
+    auto size = parse_number<double>(text, {0, std::numeric_limits<double>::max()});
+    return size ? std::optional(static_cast<std::size_t>(std::clamp(*size, limits.min, limits.max)))
+                : std::nullopt;
 }
 
 std::string describe(const settings_failure& failure) {
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -16,6 +16,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -27,8 +28,10 @@
 #include "base/log.h"
 #include "base/result.h"
 #include "base/time.h"
+#include "config/adjustment.h"
 #include "config/document.h"
 #include "config/validation_failure.h"
+#include "config/value_limits.h"
 #include "daemon/socket_address.h"
 
 namespace trefoil::daemon {
@@ -118,6 +121,8 @@
     // can connect to the peer address can act as a daemon.
     std::string fleet_secret{};
     trefoil::log_level log_level = trefoil::log_level::info;
+    // Numbers of the platform that were out of range.
+    std::vector<config::adjustment> adjustments{};
 
     friend bool operator==(const settings&, const settings&) = default;
 };
@@ -141,11 +146,19 @@
 // Checks the text of a settings file; `path` is used in failures and to look up the secret file.
 result<settings, settings_failures> parse_settings(const std::string& path, std::string body);
 
+// Bounds of the settings platform_value_bytes, memory_mb and max_descriptors.
+inline constexpr config::value_range<std::uint32_t> value_bytes_limits{1'024, 1U << 28U};
+inline constexpr config::value_range<double> memory_mb_limits{1, 1e7};
+inline constexpr config::value_range<std::uint32_t> descriptors_limits{1, 16'777'216};
+
 // Parse a value of the setting platform_value_bytes, memory_mb or max_descriptors. They return
 // nothing if it is invalid.
 std::optional<std::size_t> parse_value_bytes(std::string_view text);
 std::optional<std::size_t> parse_memory_mb(std::string_view text);
 std::optional<std::size_t> parse_max_descriptors(std::string_view text);
+// Returns the whole number within `limits` that is nearest to the stated one, or nothing if the
+// text is not a number of 0 or more.
+std::optional<std::size_t> nearest_size(std::string_view text, config::value_range<double> limits);
 
 // Returns one line with the field, the value and the allowed values. The secret is never included.
 std::string describe(const settings_failure& failure);
--- a/packages/daemon/testing/settings_test.cc
+++ b/packages/daemon/testing/settings_test.cc
@@ -213,6 +213,35 @@
     BOOST_TEST(failures_of(complete + "limits: {slack: x}\n") != "");
 }
 
+// Guards against a daemon that does not start because of the size of a number that the platform
+// states, and against a number of the wrong kind that is accepted.
+BOOST_AUTO_TEST_CASE(numbers_of_the_platform_are_limited_to_the_nearest_bound) {
+    auto read = [](const std::string& section) {
+        return std::get<settings>(parse_settings("t.yaml", complete + section));
+    };
+    BOOST_TEST(read("retries: {share: 2.5, slack: 20}\n").retries.share == 1);
+    BOOST_TEST(read("retries: {slack: 1e9}\n").retries.slack == 1e6);
+    BOOST_TEST(read("limits: {overage: 3}\n").limits.overage == 1);
+    BOOST_CHECK(read("limits: {window_s: 0.5}\n").limits.window == std::chrono::seconds(1));
+    settings stop = read("stop: {within_s: 3600}\n");
+    BOOST_CHECK(stop.stop.total_limit == std::chrono::seconds(600));
+    BOOST_REQUIRE(stop.adjustments.size() == 1U);
+    BOOST_TEST(stop.adjustments[0].path == "stop.within_s");
+    BOOST_TEST(read("stop: {within_s: 6}\n").adjustments.empty());
+    std::string named = complete;
+    named.replace(named.find("service: station"), 16, "service: \"order desk\"");
+    BOOST_TEST(std::get<settings>(parse_settings("t.yaml", named)).service == "order desk");
+    for (const char* invalid : {"retries: {share: -1}\n", "limits: {slack: many}\n",
+                                "limits: {window_s: nan}\n", "stop: {within_s: [6]}\n"}) {
+        BOOST_TEST(failures_of(complete + invalid) != "", invalid);
+    }
+    BOOST_TEST(nearest_size("268435457", {1'024, 1U << 28U}).value() == std::size_t{1} << 28U);
+    BOOST_TEST(nearest_size("0.5", memory_mb_limits).value() == 1U);
+    for (const char* invalid : {"", "-1", "many", "nan", "2048 "}) {
+        BOOST_TEST(!nearest_size(invalid, memory_mb_limits).has_value(), invalid);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(domain_overflow_is_off_unless_its_section_is_present) {
     auto parsed = [](const std::string& section) {
         return std::get<settings>(parse_settings("t.yaml", complete + section)).domain_overflow;
