--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -260,6 +260,7 @@
     this->applied_snapshot = snapshot;
     this->applied_view = view;
     this->metrics.set_objectives(*snapshot);
+    const upstream_calls calls_before = this->upstream_calls_now();
     const config::caller_limits& caller = snapshot->caller_limits();
     this->callers_server.set_limits({.header_bytes = caller.max_header_bytes,
                                      .body_bytes = caller.max_body_bytes,
@@ -277,7 +278,7 @@
     if (view != nullptr && view->list_revision() > 0) {
         this->local_egress.set_availability(availability);
     }
-    this->log_upstream_changes(availability, view.get());
+    this->log_upstream_changes(availability, view.get(), calls_before);
 }
 
 // Some upstreams leave without an announcement: the platform only drops them from the list.
@@ -288,7 +289,7 @@
 }
 
 void daemon::log_upstream_changes(gate::upstream_availability availability,
-                                  const membership::view* view) {
+                                  const membership::view* view, const upstream_calls& before) {
     upstream_status status{.availability = availability};
     const membership::member* own = view == nullptr ? nullptr : view->find(this->options.instance);
     if (own != nullptr && own->listed) {
@@ -296,7 +297,14 @@
         status.slots = own->record->slots;
         status.cold_left_ms = own->record->cold_left_ms;
     }
-    this->state_changes.update_upstream(status);
+    this->state_changes.update_upstream(status, before);
+}
+
+upstream_calls daemon::upstream_calls_now() const {
+    messages::load_report load = this->local_egress.load();
+    return {.started = this->local_egress.totals().started,
+            .running = load.running,
+            .queued = load.queued};
 }
 
 void daemon::log_control_state_changes() {
@@ -322,22 +330,8 @@
         this->local_egress.set_upstream_id(record->upstream);
     }
     const config::service* service = snapshot.find_service(this->shared.settings.read()->service);
-    if (service == nullptr) {
-        return;
-    }
-    bool listed = service->slots_from_list && record != nullptr && record->slots > 0;
-    if (listed && !this->fixed_slots_set) {
-        this->fixed_slots_set = true;
-        this->local_egress.set_fixed_slots(record->slots);
-    }
-    this->local_egress.configure(listed ? record->slots : service->slots, service->queue);
-    if (service->cold_start.has_value()) {
-        this->local_egress.set_restart_period(
-            {.duration = service->cold_start->duration, .rate = service->cold_start->rate});
-    }
-    if (record != nullptr && service->cold_start.has_value() && record->cold_left_ms > 0) {
-        mono_time until = this->clock.now() + std::chrono::milliseconds(record->cold_left_ms);
-        this->local_egress.set_cold({.until = until, .rate = service->cold_start->rate});
+    if (service != nullptr) {
+        this->local_egress.describe_upstream(*service, record);
     }
 }
 
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -82,7 +82,8 @@
     bool is_leaving(const membership::view& view);
     void log_control_state_changes();
     void log_upstream_changes(gate::upstream_availability availability,
-                              const membership::view* view);
+                              const membership::view* view, const upstream_calls& before);
+    upstream_calls upstream_calls_now() const;
     void apply_own_record(const config::snapshot& snapshot, const membership::view* view);
     // Returns false if calls are still in progress after `limit`.
     bool wait_until_idle(std::chrono::milliseconds limit);
@@ -112,7 +113,6 @@
     std::shared_ptr<const config::snapshot> applied_snapshot;
     bool upstream_was_listed = false;  // In some view since the start.
     std::shared_ptr<const membership::view> applied_view;
-    bool fixed_slots_set = false;  // Whether the listed slots were passed to the egress.
     state_change_log state_changes;
 };
 
--- a/packages/daemon/egress.cc
+++ b/packages/daemon/egress.cc
@@ -450,18 +450,46 @@
     this->availability_known = true;
 }
 
-void egress::set_fixed_slots(std::uint32_t slots) {
-    this->apply(this->gate.set_start_limit(
-        std::make_unique<gate::slot_limit>(gate::slot_limit_options{.slots = slots}),
-        this->clock.now()));
+// In this order, no step starts more calls than the description as a whole allows: the slots of a
+// cold upstream come last.
+void egress::describe_upstream(const config::service& service,
+                               const membership::instance_record* record) {
+    if (service.slots_from_list && !this->fixed_slots_set) {
+        this->fixed_slots_set = true;
+        this->set_fixed_slots(service.slots);
+    }
+    auto cold = service.cold_start.value_or(config::cold_start{});
+    this->gate.set_restart_period({.duration = cold.duration, .rate = cold.rate});
+    if (record != nullptr) {
+        this->report_warmth(service, *record);
+    }
+    bool stated = service.slots_from_list && record != nullptr && record->slots > 0;
+    this->apply(this->gate.configure(stated ? record->slots : service.slots, service.queue,
+                                     this->clock.now()));
 }
 
-void egress::set_cold(const gate::cold_period& period) {
-    this->apply(this->gate.set_cold(period, this->clock.now()));
+// An unchanged record says nothing new: its cold time counts from when it was first seen.
+void egress::report_warmth(const config::service& service,
+                           const membership::instance_record& record) {
+    mono_time now = this->clock.now();
+    bool changed = !this->reported.has_value() || this->reported->upstream != record.upstream ||
+                   this->reported->cold_left_ms != record.cold_left_ms;
+    if (changed) {
+        this->reported = record;
+        this->reported_warm_at = now + std::chrono::milliseconds(record.cold_left_ms);
+    }
+    gate::cold_period period;
+    if (service.cold_start.has_value()) {
+        period = {.until = this->reported_warm_at, .rate = service.cold_start->rate};
+    }
+    this->apply(this->gate.set_cold(period, now));
 }
 
-void egress::configure(std::uint32_t slots, std::size_t queue) {
-    this->apply(this->gate.configure(slots, queue, this->clock.now()));
+void egress::set_fixed_slots(std::uint32_t slots) {
+    this->apply(
+        this->gate.set_start_limit(std::make_unique<gate::slot_limit>(gate::slot_limit_options{
+                                       .slots = slots, .warmth = gate::upstream_warmth::unknown}),
+                                   this->clock.now()));
 }
 
 void egress::set_upstream_id(std::string id) {
--- a/packages/daemon/egress.h
+++ b/packages/daemon/egress.h
@@ -21,12 +21,14 @@
 #include "base/published_value.h"
 #include "base/sharded_map.h"
 #include "base/time.h"
+#include "config/values.h"
 #include "daemon/nested_retry_tracker.h"
 #include "daemon/request_observer.h"
 #include "daemon/shared_state.h"
 #include "edge/header_profile.h"
 #include "edge/upstream_client.h"
 #include "gate/upstream_gate.h"
+#include "membership/instance_record.h"
 #include "messages/messages.h"
 #include "routing/call_origins.h"
 #include "routing/recent_refusals.h"
@@ -98,14 +100,15 @@
     bool knows_availability() const { return this->availability_known; }
     // Sets the identity that requests name as the expected upstream; empty if unknown.
     void set_upstream_id(std::string id);
-    void configure(std::uint32_t slots, std::size_t queue);
+    // Applies what the configuration states about the upstream, and its record in the instance
+    // list; null if the list does not contain it. While it never did, calls start at the rate of a
+    // cold upstream if the platform states the slots. To be called by one thread, and before the
+    // first set_availability().
+    void describe_upstream(const config::service& service,
+                           const membership::instance_record* record);
     // Replaces the gate's adaptive concurrency limit by the number of slots that the platform
-    // states for the upstream.
+    // states for the upstream, which may be cold until describe_upstream() reports it.
     void set_fixed_slots(std::uint32_t slots);
-    void set_cold(const gate::cold_period& period);
-    void set_restart_period(const gate::restart_period& period) {
-        this->gate.set_restart_period(period);
-    }
     messages::load_report load() const { return this->gate.load(); }
     egress_totals totals() const;
     const routing::call_origins& call_origins() const { return this->origins; }
@@ -130,6 +133,7 @@
     };
 
     void learn_origin(pending_call& held);
+    void report_warmth(const config::service& service, const membership::instance_record& record);
     gate::offered_call gate_offer_of(const gate::call_id& id, const pending_call& held) const;
     void record_result(const edge::upstream_result& result, mono_time now);
     void fill_in_report(messages::call_result& answer, const pending_call& call,
@@ -156,6 +160,10 @@
     sharded_map<gate::call_id, std::shared_ptr<pending_call>> calls;
     published_value<std::string> upstream_id;
     std::atomic<bool> availability_known{false};  // Set by set_availability(), never reset.
+    // Used by describe_upstream() only.
+    bool fixed_slots_set = false;
+    std::optional<membership::instance_record> reported;
+    mono_time reported_warm_at = mono_time::min();
     std::atomic<std::uint64_t> started{0};
     std::atomic<std::uint64_t> answered{0};
     std::atomic<std::uint64_t> refused{0};
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -65,11 +65,11 @@
 // An option of the command line that overrides a setting. A deployment that does not know the value
 // passes an empty text.
 struct setting_override {
-    const char* option;
-    const char* expected;
-    std::optional<std::size_t> (*parse)(std::string_view text);
+    const char* option = "";
+    const char* expected = "";
+    std::optional<std::size_t> (*parse)(std::string_view text) = nullptr;
     trefoil::config::value_range<double> limits;
-    std::size_t trefoil::daemon::settings::*target;
+    std::size_t trefoil::daemon::settings::*target = nullptr;
 
     // Uses the nearest bound for a size out of range. Prints the reason and returns false if the
     // value is no size.
--- a/packages/daemon/state_change_log.cc
+++ b/packages/daemon/state_change_log.cc
@@ -85,7 +85,8 @@
     }
 }
 
-void state_change_log::update_upstream(const upstream_status& status) {
+void state_change_log::update_upstream(const upstream_status& status,
+                                       const upstream_calls& before) {
     if (std::exchange(this->upstream_known, true) && status == this->upstream) {
         return;
     }
@@ -94,7 +95,10 @@
         {{"upstream", status.id.empty() ? "none" : status.id},
          {"availability", std::string(name_of(status.availability))},
          {"slots", fmt::to_string(status.slots)},
-         {"cold_left_ms", fmt::to_string(status.cold_left_ms)}});
+         {"cold_left_ms", fmt::to_string(status.cold_left_ms)},
+         {"started", fmt::to_string(before.started)},
+         {"running", fmt::to_string(before.running)},
+         {"queued", fmt::to_string(before.queued)}});
 }
 
 void state_change_log::update_confirmation(bool is_confirmed,
--- a/packages/daemon/state_change_log.h
+++ b/packages/daemon/state_change_log.h
@@ -52,10 +52,19 @@
     friend bool operator==(const upstream_status&, const upstream_status&) = default;
 };
 
+// The calls at the daemon's own upstream.
+struct upstream_calls {
+    std::uint64_t started = 0;  // Since the daemon's start.
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+};
+
 // Logs a line when an update differs from the previous one. Used by one thread.
 class state_change_log {
 public:
-    void update_upstream(const upstream_status& status);
+    // `before` is the state before the update was applied. It is logged with a change, but is no
+    // change itself.
+    void update_upstream(const upstream_status& status, const upstream_calls& before);
     // `age` is the time since the configuration was last confirmed, empty if it never was.
     void update_confirmation(bool confirmed, const std::optional<mono_duration>& age);
     void update_ready(bool ready, const std::string& waiting_for);
--- a/packages/daemon/testing/egress_test.cc
+++ b/packages/daemon/testing/egress_test.cc
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -120,6 +121,52 @@
     BOOST_TEST(rejected.retry_after_ms <= 20U);
 }
 
+// Load pattern: backends join under a burst. Guards against the start of all waiting calls when the
+// daemon's list first contains its upstream, before the cold period in the same record is applied.
+BOOST_AUTO_TEST_CASE(an_upstream_that_joins_under_a_burst_gets_the_rate_of_a_cold_one) {
+    fixture joined;
+    std::promise<void> end;
+    std::shared_future<void> ended = end.get_future().share();
+    raw_server busy{[ended](raw_socket, int) { ended.wait(); }};
+    egress local_egress{{.upstream = "127.0.0.1:" + std::to_string(busy.port())},
+                        joined.shared,
+                        joined.contexts,
+                        joined.nested_retries,
+                        joined.metrics,
+                        joined.clock};
+    config::service service{
+        .name = "station",
+        .slots_from_list = true,
+        .cold_start = config::cold_start{.duration = std::chrono::seconds(3), .rate = 11}};
+    local_egress.describe_upstream(service, nullptr);
+    local_egress.set_availability(gate::upstream_availability::available);
+    mono_time begin = joined.clock.now();
+    auto offer_for = [&](std::chrono::milliseconds time) {
+        for (mono_time until = joined.clock.now() + time; joined.clock.now() < until;) {
+            local_egress.offer(
+                {.instance = "i-1", .incarnation = 1, .sequence = ++joined.last_sequence},
+                {.service = "station", .method = "GET", .target = "/"},
+                joined.clock.now() + std::chrono::seconds(2), 0, [](messages::call_result) {});
+            local_egress.tick();
+            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+        }
+    };
+    offer_for(std::chrono::milliseconds(300));
+    membership::instance_record record{
+        .upstream = "station-1/7", .slots = 18, .cold_left_ms = 2000};
+    local_egress.describe_upstream(service, &record);
+    offer_for(std::chrono::milliseconds(500));
+    double elapsed = std::chrono::duration<double>(joined.clock.now() - begin).count();
+    auto started = static_cast<double>(local_egress.totals().started);
+    BOOST_TEST(started <= elapsed * service.cold_start->rate * 1.1 + 2);
+    BOOST_TEST(started >= 2);
+    record.cold_left_ms = 0;
+    local_egress.describe_upstream(service, &record);
+    offer_for(std::chrono::milliseconds(200));
+    BOOST_TEST(local_egress.totals().started == 18U);
+    end.set_value();
+}
+
 // Guards against a change for configurations with workspaces, where a key or a handle tells a
 // nested call.
 BOOST_FIXTURE_TEST_CASE(only_without_workspaces_the_origin_of_calls_is_learned, fixture) {
--- a/packages/gate/slot_limit.h
+++ b/packages/gate/slot_limit.h
@@ -1,6 +1,6 @@
 // Start limit for an upstream whose platform reports its number of slots and whether it is cold.
-// All slots may be used from the beginning; while the upstream is cold, a token bucket bounds the
-// rate of starts.
+// All slots may be used from the beginning; while the upstream is cold, or may be, a token bucket
+// bounds the rate of starts.
 //
 // Example:
 //
@@ -16,11 +16,14 @@
 
 #include "base/time.h"
 #include "gate/start_limit.h"
+#include "gate/upstream_warmth.h"
 
 namespace trefoil::gate {
 
 struct slot_limit_options {
     std::uint32_t slots = 1;
+    // Unknown: set_restart_period() states the rate of starts until the first set_cold().
+    upstream_warmth::initial_state warmth = upstream_warmth::warm;
     // Exponential backoff after a refused connection or a shed request. A good response or an
     // application error ends it.
     std::chrono::milliseconds min_pause{20};
@@ -44,19 +47,24 @@
                    mono_time now) override;
     void set_slots(std::uint32_t slots) override;
 
+    // A period that is over reports a warm upstream.
     void set_cold(const cold_period& period, mono_time now) override;
-    void set_restart_period(const restart_period& period) override { this->restart = period; }
+    void set_restart_period(const restart_period& period) override {
+        this->warmth.set_restart_period(period);
+    }
 
 private:
-    double cold_capacity() const;
-    double cold_tokens(mono_time now) const;
+    double cold_capacity(double rate) const;
+    double cold_tokens(double rate, mono_time now) const;
     void expect_restart(mono_time now);
+    void begin_cold_unless(bool was_cold, mono_time now);
     void pause(mono_time now);
 
     slot_limit_options options;
-    cold_period cold;
-    restart_period restart;
-    double tokens = 0;  // In the bucket at `refilled_at`; a start takes one.
+    upstream_warmth warmth;
+    // In the bucket at `refilled_at`; a start at a cold upstream takes one. The bucket contains one
+    // token before the first start and when the upstream turns cold.
+    double tokens = 1;
     mono_time refilled_at = mono_time::min();
     mono_time pause_end = mono_time::min();
     mono_duration pause_length{0};  // Of the latest pause; 0 after the backoff has ended.
--- a/packages/gate/testing/slot_limit_test.cc
+++ b/packages/gate/testing/slot_limit_test.cc
@@ -57,6 +57,22 @@
     }
 }
 
+// Guards against starts without a limit while the platform has not described the upstream yet, and
+// against a burst when it does.
+BOOST_AUTO_TEST_CASE(an_unknown_upstream_gets_the_rate_of_a_cold_one_until_it_is_described) {
+    for (bool cold : {true, false}) {
+        slot_limit limit({.slots = 18, .warmth = upstream_warmth::unknown});
+        limit.set_restart_period({.duration = std::chrono::seconds(3), .rate = 11});
+        std::size_t unknown = max_starts_in_a_second(limit, start + std::chrono::seconds(2));
+        BOOST_TEST(unknown <= 14U);
+        BOOST_TEST(unknown >= 11U);
+        mono_time now = start + std::chrono::seconds(2);
+        limit.set_cold({.until = cold ? now + std::chrono::seconds(1) : now, .rate = 11}, now);
+        BOOST_TEST(limit.may_start(17, now) == !cold);
+        BOOST_TEST(limit.may_start(17, now + std::chrono::seconds(1)));
+    }
+}
+
 // Guards against a burst of waiting calls that crashes an upstream that has just started anew,
 // before the platform reports that it is cold.
 BOOST_AUTO_TEST_CASE(an_upstream_that_refused_connections_counts_as_cold) {
