--- a/packages/config/entry_adjuster.cc
+++ b/packages/config/entry_adjuster.cc
@@ -131,7 +131,7 @@
 };
 
 std::string entry_path(std::string_view section, std::string_view name) {
-    return fmt::format("{}.{}", section, hide_hex_runs(name, secret_hex_digits_min));
+    return fmt::format("{}.{}", section, name);
 }
 
 // Returns nothing if the value is no text.
@@ -321,6 +321,11 @@
     field_adjuster("", document, *this).limit_integer("version", version_limits);
 }
 
+void entry_adjuster::add(adjustment change) {
+    change.path = hide_hex_runs(change.path, secret_hex_digits_min);
+    this->made.push_back(std::move(change));
+}
+
 std::vector<adjustment> entry_adjuster::take() {
     return std::exchange(this->made, {});
 }
--- a/packages/config/entry_adjuster.h
+++ b/packages/config/entry_adjuster.h
@@ -41,8 +41,8 @@
     // Takes the whole document and adjusts its field `version`.
     void adjust_version(nlohmann::json& document);
 
-    // Records a change that the caller made.
-    void add(adjustment change) { this->made.push_back(std::move(change)); }
+    // Records a change that the caller made. Hides text in the path that could be a key.
+    void add(adjustment change);
 
     // Returns the adjustments since the last call.
     std::vector<adjustment> take();
--- a/packages/config/value_limits.h
+++ b/packages/config/value_limits.h
@@ -1,5 +1,5 @@
 // Ranges of the values in a configuration document. Validation rejects values outside of them, and
-// generated_entries.h brings the values of a generated document into them.
+// entry_adjuster.h brings the values of a generated document into them.
 //
 // Example:
 //
