One place decides about values that are no numbers

limit_integer() and limit_number() repeated the check. No change of behaviour: config_entry_adjuster_test and platform_base_translator_test pass.

--- a/packages/config/entry_adjuster.cc
+++ b/packages/config/entry_adjuster.cc
@@ -60,14 +60,10 @@
 
     template <class Integer>
     void limit_integer(const char* name, value_range<Integer> limits) {
-        const json* field = this->find(name);
+        const json* field = this->find_number(name);
         if (field == nullptr) {
             return;
         }
-        if (!field->is_number()) {
-            this->leave_out(name);
-            return;
-        }
         auto value = field->template get<double>();
         double nearest = std::clamp(std::round(value), static_cast<double>(limits.min),
                                     static_cast<double>(limits.max));
@@ -77,14 +73,10 @@
     }
 
     void limit_number(const char* name, value_range<double> limits) {
-        const json* field = this->find(name);
+        const json* field = this->find_number(name);
         if (field == nullptr) {
             return;
         }
-        if (!field->is_number()) {
-            this->leave_out(name);
-            return;
-        }
         auto value = field->get<double>();
         double nearest = std::clamp(value, limits.min, limits.max);
         if (nearest != value) {
@@ -125,6 +117,16 @@
     }
 
 private:
+    // Leaves out a field of another type. Returns null if there is no number.
+    const json* find_number(const char* name) {
+        const json* field = this->find(name);
+        bool other_type = field != nullptr && !field->is_number();
+        if (other_type) {
+            this->leave_out(name);
+        }
+        return other_type ? nullptr : field;
+    }
+
     std::string path;
     json& fields;
     entry_adjuster& record;
