--- a/packages/daemon/control_loop.cc
+++ b/packages/daemon/control_loop.cc
@@ -313,6 +313,7 @@
                    [](const dissemination::adopt_list& adopted) {
                        log(log_level::info, "instance_list_adopted",
                            {{"revision", fmt::to_string(adopted.list->revision())},
+                            {"checksum", fmt::format("{:016x}", adopted.checksum)},
                             {"instances", fmt::to_string(adopted.list->records().size())}});
                    },
                    [](const dissemination::report_invalid_list& invalid) {
--- a/packages/dissemination/action.h
+++ b/packages/dissemination/action.h
@@ -81,6 +81,7 @@
 // A valid instance list, newer than the one adopted before.
 struct adopt_list {
     std::shared_ptr<const membership::instance_list> list;
+    std::uint64_t checksum = 0;  // Of its body.
 
     friend bool operator==(const adopt_list&, const adopt_list&) = default;
 };
--- a/packages/dissemination/held_documents.cc
+++ b/packages/dissemination/held_documents.cc
@@ -131,7 +131,7 @@
     if (offered.revision > state.revision_in_force) {
         state.revision_in_force = offered.revision;
         this->list_body_in_force = offered.body;
-        actions.emplace_back(adopt_list{.list = std::move(*list)});
+        actions.emplace_back(adopt_list{.list = std::move(*list), .checksum = offered.checksum});
     }
 }
 
