--- a/packages/daemon/control_loop.cc
+++ b/packages/daemon/control_loop.cc
@@ -24,14 +24,21 @@
 // One thread for a long poll of each of the three documents, and one for a read between polls.
 constexpr int platform_threads = 4;
 
+dissemination::read_origin to_origin(const source::read_origin& origin) {
+    return {.revision = origin.revision, .partial = origin.partial, .at = origin.at};
+}
+
 dissemination::platform_answer to_answer(source::read_result result) {
     return std::visit(
         overloaded{[](source::document& found) -> dissemination::platform_answer {
                        return dissemination::platform_document{.revision = found.revision,
-                                                               .body = std::move(found.body)};
+                                                               .body = std::move(found.body),
+                                                               .origin = to_origin(found.origin)};
                    },
                    [](source::unchanged& same) -> dissemination::platform_answer {
-                       return dissemination::platform_unchanged{.revision = same.revision};
+                       return dissemination::platform_unchanged{.revision = same.revision,
+                                                                .checksum = same.checksum,
+                                                                .origin = to_origin(same.origin)};
                    },
                    [](source::absent&) -> dissemination::platform_answer {
                        return dissemination::platform_absent{};
@@ -361,8 +368,11 @@
 }
 
 void control_loop::read_platform(const dissemination::read_document& read) {
-    source::read_result result =
-        this->platform.read({.name = read.name, .after = read.after, .wait = read.wait});
+    source::read_result result = this->platform.read({.name = read.name,
+                                                      .after = read.after,
+                                                      .wait = read.wait,
+                                                      .checksum = read.checksum,
+                                                      .read_revision = read.read_revision});
     bool no_overlay = std::holds_alternative<source::absent>(result) &&
                       read.name == config::overlay_document_name(this->options.site);
     dissemination::platform_answer answer = to_answer(std::move(result));
--- a/packages/dissemination/action.h
+++ b/packages/dissemination/action.h
@@ -36,6 +36,9 @@
     std::string name;
     std::uint64_t after = 0;            // Only a document with a greater revision is of interest.
     std::chrono::milliseconds wait{0};  // Length of a watch; 0 reads at once.
+    // Of the held content, whose revision is `after` (document_version.h).
+    std::uint64_t checksum = 0;
+    std::uint64_t read_revision = 0;
 
     friend bool operator==(const read_document&, const read_document&) = default;
 };
--- a/packages/dissemination/confirmation.cc
+++ b/packages/dissemination/confirmation.cc
@@ -62,7 +62,7 @@
     this->exact_confirmed[document] = std::max(this->exact_confirmed[document], at);
 }
 
-void confirmation::record_new_revision(std::size_t document) {
+void confirmation::record_new_content(std::size_t document) {
     this->exact_confirmed[document] = unknown_time;
 }
 
--- a/packages/dissemination/confirmation.h
+++ b/packages/dissemination/confirmation.h
@@ -44,10 +44,9 @@
     // The platform returned the held revision at `at`, as read by this daemon or by a peer.
     void confirm(std::size_t document, mono_time at);
 
-    // The held revision of a document has changed. Confirmations stay valid, because the new
-    // revision is not older, but they can no longer be reported to peers as confirmations of the
-    // held revision.
-    void record_new_revision(std::size_t document);
+    // The held content of a document has changed. Confirmations stay valid, because the new content
+    // is not older, but they can no longer be reported to peers as confirmations of the held one.
+    void record_new_content(std::size_t document);
 
     // A peer's reply to a digest request sent at `requested_at` named nothing newer than this
     // daemon holds, over the documents that both hold. `ages` is the age vector of the reply; empty
@@ -101,7 +100,7 @@
     bool majority_outdated = false;    // Whether nothing_newer_at changed since apply_majority().
     mono_time majority_time = unknown_time;
     std::array<mono_time, document_count> confirmed;  // Per document; never decreases.
-    // Confirmed by the platform; reset when the revision changes.
+    // Confirmed by the platform; reset when the content changes.
     std::array<mono_time, document_count> exact_confirmed;
 };
 
--- a/packages/dissemination/core.cc
+++ b/packages/dissemination/core.cc
@@ -97,11 +97,12 @@
     comparison result = this->compare(now, peer, message);
     if (message.wants_reply) {
         this->peers.record_peer_use(now, peer);
-        this->apply_request(now, peer, message);
+        this->apply_request(now, peer, message, result);
         this->send_reply(now, peer, message);
     } else {
         this->apply_reply(now, peer, message, result);
-        if (result.newer_here && this->options.gossip && this->rounds.may_push_digest(now, peer)) {
+        bool of_use = result.newer_here || result.unnamed_there;
+        if (of_use && this->options.gossip && this->rounds.may_push_digest(now, peer)) {
             this->send(peer, this->make_digest());
         }
     }
@@ -155,15 +156,35 @@
         ++this->totals.damaged_documents;
         return;
     }
-    const held_document& state = this->held.held(*index);
-    bool last_good = message.revision > state.revision_in_force &&
-                     this->puller.wants_last_good(*index, message.revision);
-    if (message.revision > state.revision || last_good) {
-        this->offer(now, *index, *received);
-    }
+    this->accept_document(now, *index, *received);
     this->finish_input(now);
 }
 
+void core::accept_document(mono_time now, std::size_t index, const messages::document& received) {
+    const held_document& state = this->held.held(index);
+    bool last_good = received.revision > state.revision_in_force &&
+                     this->puller.wants_last_good(index, received.revision);
+    document_version version{.revision = received.revision,
+                             .checksum = received.checksum,
+                             .read_revision = received.revision};
+    const document_version& named = this->newest_named[index];
+    if (named.revision == version.revision && named.checksum == version.checksum) {
+        version.read_revision = named.read_revision;
+    }
+    document_version own = this->held.version(index);
+    version_relation relation = relation_to(own, version);
+    bool newer = relation == version_relation::newer && version.revision > own.revision;
+    if (newer || last_good) {
+        this->offer(now, index, received);
+    }
+    if (newer) {
+        this->held.record_read(index, version.checksum, version.read_revision);
+    } else {
+        // A reading has shown the held content since the document was requested.
+        this->merge_version(now, index, version);
+    }
+}
+
 // Requests the next part after `part`, unless the platform is likely to deliver the document
 // sooner.
 void core::continue_transfer(mono_time now, const std::string& peer, std::size_t index,
@@ -205,16 +226,14 @@
     read_outcome outcome = std::visit(
         overloaded{
             [&](const platform_document& found) { return this->apply_document(now, *sent, found); },
-            [&](const platform_unchanged& same) {
-                return this->apply_unchanged(now, *sent, same.revision);
+            [&](const platform_unchanged& same) { return this->apply_unchanged(now, *sent, same); },
+            [&](const platform_absent&) {
+                return this->apply_unchanged(now, *sent, platform_unchanged{});
             },
-            [&](const platform_absent&) { return this->apply_unchanged(now, *sent, 0); },
             [](const platform_unavailable&) { return read_outcome::failed; },
         },
         answer);
-    if (outcome == read_outcome::newer || outcome == read_outcome::confirmed) {
-        this->platform_answered_at = now;
-    } else if (outcome == read_outcome::stale) {
+    if (outcome == read_outcome::stale) {
         ++this->totals.stale_answers;
     }
     this->schedule.schedule_next(now, *sent, outcome, this->reads_as_reader());
@@ -318,31 +337,39 @@
 
 // Documents.
 
-// Adopts the higher revision under which a peer holds the same body. Daemons that mirror a platform
-// use the revision at which they first loaded a document, so revisions of one body can differ.
-void core::adopt_peer_revision(mono_time now, std::size_t index,
-                               const messages::document_state& named) {
-    const held_document& own = this->held.held(index);
-    bool same_body = own.revision != 0 && named.checksum == own.checksum;
-    if (!same_body || named.revision <= own.revision) {
-        return;
+// Applies what a peer's version of a document says about the held one. Daemons that mirror a
+// platform use the revision at which they first loaded a content, so revisions of one content can
+// differ.
+void core::merge_version(mono_time now, std::size_t index, const document_version& peer) {
+    document_version own = this->held.version(index);
+    document_version merged = merge_peer(own, peer);
+    this->held.record_read(index, merged.checksum, merged.read_revision);
+    if (merged.revision > own.revision) {
+        this->rename(now, index, merged.revision);
     }
+}
+
+// Holds the same content under a higher revision.
+void core::rename(mono_time now, std::size_t index, std::uint64_t revision) {
+    const held_document& own = this->held.held(index);
     auto body = this->held.body(index, own.revision);
     if (body.has_value()) {
         this->offer(now, index,
                     messages::document{.name = this->held.name(index),
-                                       .revision = named.revision,
-                                       .checksum = named.checksum,
+                                       .revision = revision,
+                                       .checksum = own.checksum,
                                        .body = std::move(*body)});
     }
 }
 
 void core::offer(mono_time now, std::size_t index, const messages::document& offered) {
-    std::uint64_t before = this->held.held(index).revision;
+    document_version before = this->held.version(index);
     this->held.offer(index, offered, this->actions);
     const held_document& after = this->held.held(index);
-    if (after.revision != before) {
-        this->confirmations.record_new_revision(index);
+    if (after.checksum != before.checksum) {
+        this->confirmations.record_new_content(index);
+    }
+    if (after.revision != before.revision) {
         this->announcement_pending = true;
     }
     this->puller.record_offer(index, offered.revision, after, now);
@@ -351,40 +378,67 @@
 
 read_outcome core::apply_document(mono_time now, const platform_schedule::sent_read& sent,
                                   const platform_document& answer) {
-    std::uint64_t checksum = checksum64(answer.body);
-    const held_document& state = this->held.held(sent.document);
-    if (answer.revision < state.revision) {
-        return read_outcome::stale;
-    }
-    if (answer.revision == state.revision && checksum != state.checksum) {
-        ++this->totals.checksum_conflicts;
-        return read_outcome::failed;
-    }
-    if (answer.revision > state.revision) {
-        this->offer(now, sent.document,
-                    messages::document{.name = this->held.name(sent.document),
-                                       .revision = answer.revision,
-                                       .checksum = checksum,
-                                       .body = answer.body});
-    }
+    messages::document read{.name = this->held.name(sent.document),
+                            .revision = answer.revision,
+                            .checksum = checksum64(answer.body),
+                            .body = answer.body};
     // The time at which the platform read the document is unknown, but it is not earlier than the
     // request.
-    this->confirmations.confirm(sent.document, this->confirmation_time(sent.issued_at, now));
-    return read_outcome::newer;
+    mono_time at = answer.origin.at.value_or(sent.issued_at);
+    return this->apply_reading(now, sent.document, std::move(read), answer.origin, at);
 }
 
 read_outcome core::apply_unchanged(mono_time now, const platform_schedule::sent_read& sent,
-                                   std::uint64_t revision) {
-    std::uint64_t own = this->held.held(sent.document).revision;
-    if (revision != own) {
-        return revision < own ? read_outcome::stale : read_outcome::failed;
-    }
+                                   const platform_unchanged& answer) {
+    const held_document& own = this->held.held(sent.document);
+    bool identified = answer.checksum != 0 || answer.revision == own.revision;
+    if (!identified) {
+        return answer.revision < own.revision ? read_outcome::stale : read_outcome::failed;
+    }
+    messages::document read{.name = this->held.name(sent.document),
+                            .revision = answer.revision,
+                            .checksum = answer.checksum != 0 ? answer.checksum : own.checksum};
     // By the protocol, a watch that ends without a newer document confirms the held one until the
     // end of its wait. An earlier answer confirms it at the time of the request.
-    bool waited = revision != 0 && now - sent.issued_at >= sent.wait;
-    mono_time at = waited ? sent.issued_at + sent.wait : sent.issued_at;
-    this->confirmations.confirm(sent.document, this->confirmation_time(at, now));
-    return read_outcome::confirmed;
+    bool waited = answer.revision != 0 && now - sent.issued_at >= sent.wait;
+    mono_time at = answer.origin.at.value_or(waited ? sent.issued_at + sent.wait : sent.issued_at);
+    return this->apply_reading(now, sent.document, std::move(read), answer.origin, at);
+}
+
+// `read` has a body unless the platform answered that the document is unchanged. The platform had
+// its content at `at`.
+read_outcome core::apply_reading(mono_time now, std::size_t index, messages::document read,
+                                 const read_origin& origin, mono_time at) {
+    platform_reading reading{.version = {.revision = read.revision,
+                                         .checksum = read.checksum,
+                                         .read_revision = std::max(read.revision, origin.revision)},
+                             .partial = origin.partial};
+    document_version own = this->held.version(index);
+    applied_reading applied = dissemination::apply_reading(own, reading);
+    if (applied.outcome == reading_outcome::outdated) {
+        return read_outcome::stale;
+    }
+    if (applied.outcome == reading_outcome::conflicting) {
+        ++this->totals.checksum_conflicts;
+        return read_outcome::failed;
+    }
+    bool replaced = applied.held.checksum != own.checksum;
+    if (replaced && read.body.empty()) {
+        return read_outcome::failed;  // The next request returns the content.
+    }
+    if (replaced) {
+        read.revision = applied.held.revision;
+        this->offer(now, index, read);
+    } else if (applied.held.revision > own.revision) {
+        this->rename(now, index, applied.held.revision);
+    }
+    this->held.record_read(index, applied.held.checksum, applied.held.read_revision);
+    this->platform_answered_at =
+        std::max(this->platform_answered_at, std::min(origin.at.value_or(now), now));
+    this->confirmations.confirm(index, this->confirmation_time(std::min(at, now), now));
+    this->merge_version(now, index, this->newest_named[index]);
+    return applied.outcome == reading_outcome::newer ? read_outcome::newer
+                                                     : read_outcome::confirmed;
 }
 
 // Outputs.
@@ -399,6 +453,9 @@
             this->confirmations.document_confirmed_at(i));
         if (request.has_value()) {
             ++this->totals.platform_reads;
+            document_version held_version = this->held.version(i);
+            request->checksum = held_version.checksum;
+            request->read_revision = held_version.read_revision;
             this->actions.emplace_back(std::move(*request));
         }
     }
--- a/packages/dissemination/core.h
+++ b/packages/dissemination/core.h
@@ -13,6 +13,7 @@
 #ifndef TREFOIL_DISSEMINATION_CORE_H_
 #define TREFOIL_DISSEMINATION_CORE_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -28,6 +29,7 @@
 #include "dissemination/document_assembler.h"
 #include "dissemination/document_puller.h"
 #include "dissemination/document_store.h"
+#include "dissemination/document_version.h"
 #include "dissemination/follow_policy.h"
 #include "dissemination/gossip_peers.h"
 #include "dissemination/gossip_rounds.h"
@@ -110,8 +112,11 @@
     struct comparison {
         bool newer_there = false;
         bool newer_here = false;
+        // A newer content there has a revision that does not exceed that of the held one.
+        bool unnamed_there = false;
         bool conflict = false;
         bool peer_has_base = false;
+        bool list_conflict = false;
         bool same_site = false;  // Both sides hold the same overlay document.
         bool equal[document_count] = {false, false, false};
     };
@@ -120,13 +125,16 @@
     void send_reply(mono_time now, const std::string& peer, const messages::digest& digest_request);
     void apply_reply(mono_time now, const std::string& peer, const messages::digest& message,
                      const comparison& result);
-    void adopt_peer_revision(mono_time now, std::size_t index,
-                             const messages::document_state& named);
+    void accept_document(mono_time now, std::size_t index, const messages::document& received);
+    void merge_version(mono_time now, std::size_t index, const document_version& peer);
+    void rename(mono_time now, std::size_t index, std::uint64_t revision);
     void offer(mono_time now, std::size_t index, const messages::document& offered);
     read_outcome apply_document(mono_time now, const platform_schedule::sent_read& sent,
                                 const platform_document& answer);
     read_outcome apply_unchanged(mono_time now, const platform_schedule::sent_read& sent,
-                                 std::uint64_t revision);
+                                 const platform_unchanged& answer);
+    read_outcome apply_reading(mono_time now, std::size_t index, messages::document read,
+                               const read_origin& origin, mono_time at);
     mono_time confirmation_time(mono_time requested_at, mono_time now) const;
     void continue_transfer(mono_time now, const std::string& peer, std::size_t index,
                            const messages::document& part);
@@ -138,7 +146,8 @@
     messages::digest make_digest() const;
     void send_request(mono_time now, const gossip_rounds::digest_request& digest_request);
     void apply_request(mono_time now, const std::string& peer,
-                       const messages::digest& digest_request);
+                       const messages::digest& digest_request, const comparison& result);
+    bool has_same_list(const messages::digest& message, const comparison& result) const;
     void send(const std::string& peer, messages::peer_message message);
     void send_rounds(mono_time now);
     void read_platform(mono_time now);
@@ -158,6 +167,8 @@
     reader_selection readers;
     readiness_check readiness;
     follow_policy follow;
+    // Per document, the newest version that a peer has named.
+    std::array<document_version, document_count> newest_named{};
     std::shared_ptr<const membership::view> view;  // Never null.
     bool is_reader = false;
     bool leaving = false;
--- a/packages/dissemination/core_gossip.cc
+++ b/packages/dissemination/core_gossip.cc
@@ -15,6 +15,12 @@
 // hundreds of connections; the other peers learn of the revision through gossip.
 constexpr std::size_t announcement_limit = 16;
 
+document_version version_of(const messages::document_state& state) {
+    return {.revision = state.revision,
+            .checksum = state.checksum,
+            .read_revision = std::max(state.revision, state.read_revision)};
+}
+
 }  // namespace
 
 messages::digest core::make_digest() const {
@@ -46,16 +52,29 @@
         if (!index.has_value()) {
             continue;
         }
-        this->adopt_peer_revision(now, *index, state);
+        document_version named = version_of(state);
+        this->merge_version(now, *index, named);
+        if (named.read_revision > this->newest_named[*index].read_revision) {
+            this->newest_named[*index] = named;
+        }
         const held_document& own = this->held.held(*index);
-        this->puller.record_announcement(*index, peer, state, own, now,
-                                         this->pull_delay(now, peer));
-        result.newer_there = result.newer_there || state.revision > own.revision;
-        result.newer_here = result.newer_here || state.revision < own.revision;
-        bool same_revision = state.revision == own.revision;
-        bool conflict = same_revision && state.checksum != own.checksum;
+        version_relation relation = relation_to(this->held.version(*index), named);
+        bool conflict = relation == version_relation::conflicting;
+        if (!conflict) {
+            this->puller.record_announcement(*index, peer, state, own, now,
+                                             this->pull_delay(now, peer));
+        }
+        bool same = relation == version_relation::same;
+        bool lower_there = state.revision < own.revision;
+        result.newer_there = result.newer_there || relation == version_relation::newer;
+        result.newer_here =
+            result.newer_here || relation == version_relation::older || (same && lower_there);
+        // The peer gives its content a higher revision when it learns of the held one.
+        result.unnamed_there = result.unnamed_there || (relation == version_relation::newer &&
+                                                        state.revision <= own.revision);
         result.conflict = result.conflict || conflict;
-        result.equal[*index] = same_revision && !conflict;
+        result.list_conflict = result.list_conflict || (conflict && *index == list_index);
+        result.equal[*index] = same && state.revision == own.revision;
         result.same_site = result.same_site || *index == overlay_index;
         result.peer_has_base =
             result.peer_has_base || (*index == base_index && state.revision != 0);
@@ -79,11 +98,16 @@
     this->send(peer, std::move(answer));
 }
 
+// Whether the entries of the message's age vectors are those of the list in force here.
+bool core::has_same_list(const messages::digest& message, const comparison& result) const {
+    return message.list_revision == this->confirmations.list_revision() && !result.list_conflict;
+}
+
 // The time at which a digest request was sent is unknown, so contact is recorded as of now. A
 // delayed request can only delay a suspicion.
 void core::apply_request(mono_time now, const std::string& peer,
-                         const messages::digest& digest_request) {
-    if (digest_request.list_revision == this->confirmations.list_revision()) {
+                         const messages::digest& digest_request, const comparison& result) {
+    if (this->has_same_list(digest_request, result)) {
         this->confirmations.record_peer_contact(peer, now, digest_request.contact_ages);
     }
 }
@@ -96,7 +120,7 @@
     }
     mono_time from = this->confirmation_time(*requested, now);
     static const std::vector<std::uint8_t> no_ages;
-    bool same_list = message.list_revision == this->confirmations.list_revision();
+    bool same_list = this->has_same_list(message, result);
     const auto& ages = same_list ? message.ages : no_ages;
     const auto& contact_ages = message.contact_ages.empty() ? message.ages : message.contact_ages;
     this->confirmations.record_peer_contact(peer, from, same_list ? contact_ages : no_ages);
--- a/packages/dissemination/held_documents.cc
+++ b/packages/dissemination/held_documents.cc
@@ -50,8 +50,29 @@
 }
 
 void held_documents::refresh() {
-    this->states[base_index] = this->store.held(this->names[base_index]);
-    this->states[overlay_index] = this->store.held(this->names[overlay_index]);
+    this->set_state(base_index, this->store.held(this->names[base_index]));
+    this->set_state(overlay_index, this->store.held(this->names[overlay_index]));
+}
+
+void held_documents::set_state(std::size_t index, const held_document& next) {
+    if (next.checksum != this->states[index].checksum) {
+        this->read_revisions[index] = 0;
+    }
+    this->states[index] = next;
+}
+
+document_version held_documents::version(std::size_t index) const {
+    const held_document& state = this->states[index];
+    return {.revision = state.revision,
+            .checksum = state.checksum,
+            .read_revision = std::max(state.revision, this->read_revisions[index])};
+}
+
+void held_documents::record_read(std::size_t index, std::uint64_t checksum,
+                                 std::uint64_t read_revision) {
+    if (checksum == this->states[index].checksum) {
+        this->read_revisions[index] = std::max(this->read_revisions[index], read_revision);
+    }
 }
 
 std::optional<std::string> held_documents::body(std::size_t index, std::uint64_t revision) const {
@@ -115,12 +136,13 @@
 }
 
 void held_documents::offer_list(const messages::document& offered, std::vector<action>& actions) {
-    held_document& state = this->states[list_index];
+    held_document state = this->states[list_index];
     if (offered.revision > state.revision) {
         state.revision = offered.revision;
         state.checksum = offered.checksum;
         this->newest_list_body = offered.body;
     }
+    this->set_state(list_index, state);
     auto parsed = membership::parse_instance_list(offered.revision, offered.body);
     auto* list = std::get_if<std::shared_ptr<const membership::instance_list>>(&parsed);
     if (list == nullptr) {
@@ -129,7 +151,7 @@
         return;
     }
     if (offered.revision > state.revision_in_force) {
-        state.revision_in_force = offered.revision;
+        this->states[list_index].revision_in_force = offered.revision;
         this->list_body_in_force = offered.body;
         actions.emplace_back(adopt_list{.list = std::move(*list), .checksum = offered.checksum});
     }
@@ -143,7 +165,8 @@
         result.push_back({.name = this->names[i],
                           .revision = state.revision,
                           .checksum = state.checksum,
-                          .revision_in_force = state.revision_in_force});
+                          .revision_in_force = state.revision_in_force,
+                          .read_revision = this->version(i).read_revision});
     }
     return result;
 }
--- a/packages/dissemination/held_documents.h
+++ b/packages/dissemination/held_documents.h
@@ -20,6 +20,7 @@
 
 #include "dissemination/action.h"
 #include "dissemination/document_store.h"
+#include "dissemination/document_version.h"
 #include "membership/instance_list.h"
 #include "messages/messages.h"
 
@@ -41,6 +42,12 @@
     // The state of a document as of the last refresh() or offer().
     const held_document& held(std::size_t index) const { return this->states[index]; }
 
+    // The newest content of a document.
+    document_version version(std::size_t index) const;
+    // The content with this checksum was read at this revision of the platform. Ignored unless it
+    // is the newest content.
+    void record_read(std::size_t index, std::uint64_t checksum, std::uint64_t read_revision);
+
     // Updates the states from the store.
     void refresh();
 
@@ -62,12 +69,16 @@
     std::vector<messages::document_state> states_for_digest() const;
 
 private:
+    // Replaces a state. What was read of another content does not apply to the new one.
+    void set_state(std::size_t index, const held_document& next);
     const messages::document* find_compressed(std::size_t index, std::uint64_t revision) const;
     void offer_list(const messages::document& offered, std::vector<action>& actions);
 
     document_store& store;
     std::array<std::string, document_count> names;
     std::array<held_document, document_count> states;
+    // Last revisions of the platform at which the contents of `states` were read.
+    std::array<std::uint64_t, document_count> read_revisions{};
     std::string newest_list_body;    // Of revision states[list_index].revision, valid or not.
     std::string list_body_in_force;  // Of revision states[list_index].revision_in_force.
     // The latest compressed transfers of each document, the newest first; revision 0 if there were
--- a/packages/messages/codec.cc
+++ b/packages/messages/codec.cc
@@ -41,8 +41,11 @@
 json encode_fields(const digest& m) {
     json documents = json::array();
     for (const document_state& each : m.documents) {
-        documents.push_back(
-            json::array({each.name, each.revision, each.checksum, each.revision_in_force}));
+        json state = json::array({each.name, each.revision, each.checksum, each.revision_in_force});
+        if (each.read_revision > each.revision) {
+            state.push_back(each.read_revision);
+        }
+        documents.push_back(std::move(state));
     }
     json list = json::array({m.wants_reply, m.round, m.leaving, std::move(documents),
                              m.platform_age_ms, m.list_revision, json::binary(m.ages)});
@@ -233,6 +236,9 @@
         field_reader entry(each);
         document_state state;
         read_all(entry, state.name, state.revision, state.checksum, state.revision_in_force);
+        if (entry.has_more()) {
+            entry.read(state.read_revision);
+        }
         m.documents.push_back(std::move(state));
     }
     read_all(in, m.platform_age_ms, m.list_revision);
--- a/packages/messages/messages.h
+++ b/packages/messages/messages.h
@@ -76,6 +76,9 @@
     std::uint64_t revision = 0;           // Newest revision that the sender stores, valid or not.
     std::uint64_t checksum = 0;           // Checksum of that revision's body.
     std::uint64_t revision_in_force = 0;  // Newest valid revision, which the sender applies.
+    // Last revision of the platform at which the sender knows the body to have been read. Absent
+    // from an earlier version, and if it is not above `revision`.
+    std::uint64_t read_revision = 0;
 
     friend bool operator==(const document_state&, const document_state&) = default;
 };
--- a/packages/messages/testing/codec_test.cc
+++ b/packages/messages/testing/codec_test.cc
@@ -28,6 +28,7 @@
     BOOST_TEST(round_trips(pong{1, 2}));
     BOOST_TEST(round_trips(digest{true, 9, true, {{"base", 3, 4, 2}}, 100, 8, {0, 255}}));
     BOOST_TEST(round_trips(digest{true, 9, true, {{"base", 3, 4, 2}}, 100, 8, {}, {7, 255}}));
+    BOOST_TEST(round_trips(digest{true, 9, true, {{"base", 3, 4, 2, 7}, {"b", 3, 4, 2}}, 100, 8}));
     BOOST_TEST(round_trips(document_request{"base", 4}));
     BOOST_TEST(round_trips(document_request{"base", 4, true}));
     BOOST_TEST(round_trips(document_request{"base", 4, false, 100, 200}));
--- a/packages/source/configuration_service.h
+++ b/packages/source/configuration_service.h
@@ -16,6 +16,7 @@
 #include <string>
 
 #include "base/result.h"
+#include "base/time.h"
 
 namespace trefoil::source {
 
@@ -24,20 +25,41 @@
     std::uint64_t after = 0;  // Only a document with a greater revision is returned.
     // Maximum time to wait for such a document; 0 reads at once.
     std::chrono::milliseconds wait{0};
+    // Of the document with the revision `after`: its checksum, and the last revision of the service
+    // at which it is known to have been read. A service whose revisions do not identify a content
+    // returns a newer content whatever its revision is.
+    std::uint64_t checksum = 0;
+    std::uint64_t read_revision = 0;
 
     friend bool operator==(const read_request&, const read_request&) = default;
 };
 
+// When a service read what it returns. All fields are empty for a service that reads on request and
+// whose revisions identify contents.
+struct read_origin {
+    std::uint64_t revision = 0;  // Of the whole service, at that time.
+    // See dissemination::platform_reading.
+    bool partial = false;
+    // The service had this content at this time. Empty: at the time of the request.
+    std::optional<mono_time> at{};
+
+    friend bool operator==(const read_origin&, const read_origin&) = default;
+};
+
 struct document {
-    std::uint64_t revision = 0;  // Greater than the `after` of the request.
+    std::uint64_t revision = 0;  // Greater than the `after` of the request, if contents have one.
     std::string body;
+    read_origin origin{};
 
     friend bool operator==(const document&, const document&) = default;
 };
 
-// There is no document with a revision above the `after` of the request.
+// There is no newer document than that of the request.
 struct unchanged {
     std::uint64_t revision = 0;  // The service's newest; below `after` when the service is stale.
+    // Of the content that was read. 0: the revision identifies it.
+    std::uint64_t checksum = 0;
+    read_origin origin{};
 
     friend bool operator==(const unchanged&, const unchanged&) = default;
 };
--- a/packages/source/restore_guard.cc
+++ b/packages/source/restore_guard.cc
@@ -118,6 +118,11 @@
     return released;
 }
 
+bool restore_guard::holds_below(std::string_view prefix) const {
+    auto first = this->holds.lower_bound(prefix);
+    return first != this->holds.end() && first->first.starts_with(prefix);
+}
+
 void restore_guard::drop_timed_holds() {
     std::erase_if(this->holds,
                   [](const auto& entry) { return entry.second.until != mono_time::max(); });
--- a/packages/source/restore_guard.h
+++ b/packages/source/restore_guard.h
@@ -91,6 +91,8 @@
     std::optional<mono_time> next_release() const;
 
     std::size_t held() const { return this->holds.size(); }
+    // Whether an item whose key starts with `prefix` is held.
+    bool holds_below(std::string_view prefix) const;
 
     // Drops the holds that end at some time. To be called when the store is no longer followed:
     // what they hold is outdated when it is followed again.
