Confirmations are dated by when the copy of the store was current

Cause: a confirmation was dated by the time at which a daemon read its copy of the store. With an open watch the copy is read for up to 3.2 s without any word of the store, and the other daemons wait for old confirmations before they read the store themselves.

Change: the copy has the time at which it is known to have been current. While a watch is open, a cheap read every 0.4 s (a tenth of a call) shows that the store still answers this machine. The wait of a read of the copy ends when it is current again. A daemon that has heard nothing of its store for 1.5 s requests documents from peers at once, and daemons that lose their readers start within 0.3 s. Read revisions are sent as differences.

--- a/packages/dissemination/core.cc
+++ b/packages/dissemination/core.cc
@@ -40,6 +40,13 @@
                                                           : std::nullopt;
 }
 
+// The time at which the platform was read, if the answer states it.
+constexpr overloaded read_time{
+    [](const platform_document& found) { return found.origin.at; },
+    [](const platform_unchanged& same) { return same.origin.at; },
+    [](const platform_absent&) { return std::optional<mono_time>(); },
+    [](const platform_unavailable&) { return std::optional<mono_time>(); }};
+
 }  // namespace
 
 core::core(core_options settings, document_store& configuration, random_source& source,
@@ -236,7 +243,9 @@
     if (outcome == read_outcome::stale) {
         ++this->totals.stale_answers;
     }
-    this->schedule.schedule_next(now, *sent, outcome, this->reads_as_reader());
+    auto read_at = std::visit(read_time, answer);
+    bool read_since = read_at.has_value() && *read_at > sent->issued_at;
+    this->schedule.schedule_next(now, *sent, outcome, this->reads_as_reader(), read_since);
     this->read_platform(now);
     this->finish_input(now);
 }
@@ -296,8 +305,11 @@
             now - this->peer_platform_confirmed_at <= this->options.fallback_after;
         return readers_answer && !near ? this->options.pull_delay : milliseconds(0);
     }
+    // A mirror is known to be current more often than a watch of a document ends.
+    milliseconds lost_after =
+        this->options.mirrored ? this->options.fallback_after : this->options.read_after;
     bool answers = this->platform_answered_at != unknown_time &&
-                   now - this->platform_answered_at <= this->options.read_after;
+                   now - this->platform_answered_at <= lost_after;
     return answers ? this->options.pull_delay : milliseconds(0);
 }
 
--- a/packages/dissemination/core_options.h
+++ b/packages/dissemination/core_options.h
@@ -77,7 +77,7 @@
     milliseconds fallback_after{1500};
     // Daemons that lose their readers at the same time start to follow at random times within this
     // interval.
-    milliseconds fallback_jitter{500};
+    milliseconds fallback_jitter{300};
     // A daemon that is no reader stops following when the platform has not answered for this long.
     // Must exceed the call timeout of the platform client, so that a slow platform can be reached.
     milliseconds fallback_timeout{1600};
--- a/packages/dissemination/platform_schedule.cc
+++ b/packages/dissemination/platform_schedule.cc
@@ -111,7 +111,7 @@
 }
 
 void platform_schedule::schedule_next(mono_time now, const sent_read& finished,
-                                      read_outcome outcome, bool reader) {
+                                      read_outcome outcome, bool reader, bool read_since) {
     read_state& target = this->read_states[finished.document];
     bool good = outcome == read_outcome::newer || outcome == read_outcome::confirmed;
     target.failures = good ? 0 : target.failures + 1;
@@ -128,6 +128,10 @@
         return;
     }
     target.skip_wait = outcome == read_outcome::newer;
+    if (outcome == read_outcome::confirmed && read_since) {
+        target.next_at = now;
+        return;
+    }
     milliseconds gap = min_read_interval;
     if (outcome != read_outcome::newer) {
         // A platform that ends watches early is not queried more often than one that waits. An
--- a/packages/dissemination/platform_schedule.h
+++ b/packages/dissemination/platform_schedule.h
@@ -55,8 +55,11 @@
     // Returns the request that ended; nothing when it is unknown or has timed out.
     std::optional<sent_read> finish(std::uint64_t request);
 
-    // Sets the time of the next request for the document of a finished request.
-    void schedule_next(mono_time now, const sent_read& finished, read_outcome outcome, bool reader);
+    // Sets the time of the next request for the document of a finished request. `read_since`: the
+    // platform was read after the request, so an answer before the end of its wait shows something
+    // new even if the document is unchanged.
+    void schedule_next(mono_time now, const sent_read& finished, read_outcome outcome, bool reader,
+                       bool read_since);
 
 private:
     struct read_state {
--- a/packages/dissemination/testing/dissemination_benchmark.cc
+++ b/packages/dissemination/testing/dissemination_benchmark.cc
@@ -2,7 +2,8 @@
 // reads, confirmation, CPU time and memory. Each fleet size is also measured with the baseline in
 // which every daemon watches the platform and none gossips.
 //
-// Usage: dissemination_benchmark [count...]
+// Usage: dissemination_benchmark [count...], or dissemination_benchmark undone: the cost of ways to
+// find out that a change was undone
 
 #include <fmt/format.h>
 #include <malloc.h>
@@ -10,9 +11,11 @@
 #include <algorithm>
 #include <cstdlib>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 #include "dissemination/testing/fleet.h"
+#include "dissemination/testing/undone_change.h"
 
 namespace trefoil::dissemination {
 
@@ -129,7 +132,43 @@
 
 }  // namespace trefoil::dissemination
 
+namespace trefoil::dissemination {
+
+namespace {
+
+void print_undone_changes() {
+    struct way {
+        const char* name;
+        bool new_revision_at_each_load;
+        bool every_daemon_follows;
+    };
+    for (const auto& [daemons, domains] : {std::pair<std::size_t, std::size_t>{20, 2}, {195, 6}}) {
+        for (const way& each : {way{"contents are compared", false, false},
+                                way{"each load is a new revision", true, false},
+                                way{"every daemon follows the store", false, true}}) {
+            undone_change_result result =
+                play({.daemons = daemons,
+                      .domains = domains,
+                      .new_revision_at_each_load = each.new_revision_at_each_load,
+                      .every_daemon_follows = each.every_daemon_follows});
+            fmt::print(
+                "{} daemons, {}: held after {} ms; in 9 s {} bytes, {} calls, {} probes; calm {} "
+                "bytes, {} calls, {} probes\n",
+                daemons, each.name, result.time_ms, result.lost.bytes, result.lost.calls,
+                result.lost.probes, result.calm.bytes, result.calm.calls, result.calm.probes);
+        }
+    }
+}
+
+}  // namespace
+
+}  // namespace trefoil::dissemination
+
 int main(int argc, char** argv) {
+    if (argc == 2 && std::string_view(argv[1]) == "undone") {
+        trefoil::dissemination::print_undone_changes();
+        return 0;
+    }
     std::vector<std::size_t> counts;
     for (int i = 1; i < argc; ++i) {
         counts.push_back(std::strtoul(argv[i], nullptr, 10));
--- a/packages/dissemination/testing/fleet.cc
+++ b/packages/dissemination/testing/fleet.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/hash.h"
 #include "messages/codec.h"
 
 namespace trefoil::dissemination {
@@ -32,6 +33,7 @@
 }  // namespace
 
 fleet::fleet(fleet_options settings) : options(std::move(settings)), random(options.seed) {
+    this->store.one_counter = this->options.one_counter;
     for (std::size_t i = 0; i < this->options.count; ++i) {
         auto each = std::make_unique<node>();
         std::size_t domain = i % this->options.domains;
@@ -121,7 +123,7 @@
     if (settings.mirrored) {
         target.follower =
             std::make_unique<simulated_follower>(this->store, *target.random, this->time);
-        target.follower->refused = target.refused;
+        target.follower->access = target.access;
         target.follower->link_mbps = this->options.link_mbps;
         this->step_follower(index, incarnation);
     }
@@ -139,9 +141,9 @@
                    [this, index, incarnation] { this->step_follower(index, incarnation); });
 }
 
-void fleet::set_refused(std::size_t index, bool refused) {
-    this->nodes[index]->refused = refused;
-    this->nodes[index]->follower->refused = refused;
+void fleet::set_access(std::size_t index, store_access access) {
+    this->nodes[index]->access = access;
+    this->nodes[index]->follower->access = access;
 }
 
 void fleet::restart(std::size_t index) {
@@ -373,7 +375,8 @@
 
 void fleet::publish(const std::string& name, std::uint64_t revision, const std::string& body) {
     this->platform.publish(name, revision, body);
-    this->store.documents[name] = {revision, body};
+    this->store.documents[name] = {
+        .revision = revision, .body = body, .checksum = checksum64(body)};
     ++this->store.version;
 }
 
--- a/packages/dissemination/testing/fleet.h
+++ b/packages/dissemination/testing/fleet.h
@@ -29,6 +29,7 @@
     milliseconds longest_delay{5};  // Maximum random delay of an event, added to 0.5 ms.
     // Bandwidth of each node's link to the network, for messages in each direction; 0: unlimited.
     double link_mbps = 0;
+    bool one_counter = false;  // See simulated_store.
     core_options core = {};    // The identity and the seeds are filled in.
     bool measure_cpu = false;  // Measures the CPU time of ticks and digests.
 };
@@ -52,8 +53,11 @@
     // Delivers the messages that arrived during the pause at the current time.
     void resume(std::size_t index);
     void restart(std::size_t index);
-    // Sets whether the store refuses the node's calls. Requires core_options::mirrored.
-    void set_refused(std::size_t index, bool refused);
+    // Sets how the store treats the node's calls. Requires core_options::mirrored.
+    void set_access(std::size_t index, store_access access);
+    void set_refused(std::size_t index, bool refused) {
+        this->set_access(index, refused ? store_access::refused : store_access::served);
+    }
 
     // Nodes of different partitions cannot exchange messages. Only partition 0 reaches the
     // platform.
@@ -93,7 +97,7 @@
         std::unique_ptr<core> decision;
         std::unique_ptr<membership::tracker> tracker;
         std::unique_ptr<simulated_follower> follower;
-        bool refused = false;
+        store_access access = store_access::served;
         bool paused = false;
         int partition = 0;
         std::set<std::size_t> connections;
--- a/packages/dissemination/testing/mirrored_platform_test.cc
+++ b/packages/dissemination/testing/mirrored_platform_test.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "dissemination/testing/fleet.h"
+#include "dissemination/testing/undone_change.h"
 
 namespace trefoil::dissemination {
 
@@ -21,6 +22,9 @@
 // The bound that operators set for a change while some of the machines cannot reach the store.
 constexpr std::int64_t fault_limit_ms = 2500;
 
+// The time after which an upstream that leaves must get no more work.
+constexpr std::int64_t leave_limit_ms = 2000;
+
 // The bound that operators of a fleet of hundreds of machines set for a change of configuration.
 constexpr std::int64_t large_fleet_limit_ms = 3000;
 
@@ -170,7 +174,12 @@
     mirrored_fleet subject;
     BOOST_TEST(subject.followers() == reader_count);
     double small = mirrored_fleet(fleet_size / 2).calls_per_second(milliseconds(30000));
+    std::uint64_t probes = subject.store.probes;
     double idle = subject.calls_per_second(milliseconds(30000));
+    // A probe costs a tenth of a call.
+    double probes_per_second = static_cast<double>(subject.store.probes - probes) / 30;
+    BOOST_TEST_MESSAGE("probes per second: " << probes_per_second);
+    BOOST_TEST(idle + probes_per_second / 10 < 5.5);
     BOOST_TEST_MESSAGE("calls per second: every daemon " << before << ", readers " << idle
                                                          << ", half the fleet " << small);
     BOOST_TEST(idle < 5);
@@ -319,6 +328,50 @@
     }
 }
 
+// Guards against a failure domain that receives no changes because the store no longer answers its
+// readers, although their watches are still open.
+BOOST_AUTO_TEST_CASE(readers_ignored_by_the_store_are_replaced) {
+    for (int wait_ms : {0, 300, 2000}) {
+        mirrored_fleet subject;
+        for (std::size_t each : subject.readers()) {
+            subject.set_access(each, store_access::ignored);
+        }
+        subject.run(milliseconds(wait_ms));
+        std::int64_t time = subject.publish_and_measure();
+        BOOST_TEST_MESSAGE("published " << wait_ms << " ms after the readers got no more answers: "
+                                        << time << " ms, followers " << subject.followers());
+        BOOST_TEST(time <= leave_limit_ms);
+    }
+}
+
+// Guards against a daemon that counts its documents as confirmed although the store does not answer
+// it and no peer is confirmed.
+BOOST_AUTO_TEST_CASE(a_store_that_answers_nobody_confirms_nothing) {
+    fleet_options options = mirrored_options(12, false);
+    options.core.confirm_by_majority = false;
+    mirrored_fleet subject(options);
+    BOOST_TEST(subject.all_match([&](std::size_t i) { return subject.confirmed(i); }));
+    for (std::size_t i = 0; i < subject.size(); ++i) {
+        subject.set_access(i, store_access::ignored);
+    }
+    subject.run(options.core.max_confirmation_age + milliseconds(500));
+    BOOST_TEST(subject.all_match([&](std::size_t i) { return !subject.confirmed(i); }));
+}
+
+// Guards against a change that is undone while the readers are refused and stays in force at the
+// others, which load what they had loaded before the change (review/11).
+BOOST_AUTO_TEST_CASE(an_undone_change_is_in_force_without_the_readers) {
+    for (undone_change each : {undone_change{20, 2}, {195, 6}}) {
+        undone_change_result result = play(each);
+        BOOST_TEST_MESSAGE(each.daemons << " daemons: undone after " << result.time_ms
+                                        << " ms; in 9 s " << result.lost.bytes << " bytes, "
+                                        << result.lost.calls << " calls, " << result.lost.probes
+                                        << " probes");
+        BOOST_TEST(result.time_ms <= leave_limit_ms);
+        BOOST_TEST(result.regressions == 0U);
+    }
+}
+
 // Guards against missed changes while 35% of the machines, including all readers of one failure
 // domain, cannot reach the store for 9 s, and against daemons that keep following it afterwards.
 BOOST_AUTO_TEST_CASE(change_reaches_daemons_cut_off_from_the_store) {
--- a/packages/dissemination/testing/simulated_follower.cc
+++ b/packages/dissemination/testing/simulated_follower.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "dissemination/document_version.h"
+
 namespace trefoil::dissemination {
 
 namespace {
@@ -15,9 +17,20 @@
 constexpr milliseconds event_pause{150};
 constexpr milliseconds min_backoff{100};
 constexpr milliseconds max_backoff{1000};
+constexpr milliseconds load_timeout{1500};
+constexpr milliseconds watch_timeout_margin{700};
+constexpr milliseconds probe_interval{400};
 
 }  // namespace
 
+std::uint64_t simulated_store::revision() const {
+    std::uint64_t newest = 0;
+    for (const auto& [name, document] : this->documents) {
+        newest = std::max(newest, document.revision);
+    }
+    return newest;
+}
+
 simulated_follower::simulated_follower(simulated_store& followed, random_source& source,
                                        mono_time start)
     : store(followed),
@@ -34,9 +47,24 @@
     }
 }
 
-void simulated_follower::copy_documents() {
-    this->copy = this->store.documents;
+bool simulated_follower::is_served() const {
+    return this->access == store_access::served && !this->store.down;
+}
+
+void simulated_follower::copy_documents(bool load) {
+    std::uint64_t loaded_revision = this->store.revision();
+    for (const auto& [name, entry] : this->store.documents) {
+        simulated_store::entry& copied = this->copy[name];
+        bool same = copied.revision != 0 && copied.checksum == entry.checksum;
+        bool first_loaded = this->store.one_counter && load;
+        if (same && this->store.one_counter && !this->store.renames_at_each_load) {
+            continue;
+        }
+        copied = entry;
+        copied.revision = first_loaded ? loaded_revision : entry.revision;
+    }
     this->copied_version = this->store.version;
+    this->copied_revision = loaded_revision;
     this->reached_store = true;
     this->failures = 0;
 }
@@ -53,9 +81,9 @@
 
 void simulated_follower::call(mono_time now) {
     ++this->store.calls;
-    if (this->refused || this->store.down) {
+    if (!this->is_served() && this->access != store_access::ignored) {
         this->fail(now);
-    } else if (!this->loaded) {
+    } else if (!this->loaded && this->is_served()) {
         this->start_copy(now);
     } else {
         this->watching = true;
@@ -63,6 +91,20 @@
             this->watch_phase += watch_period;
         }
         this->watch_until = this->watch_phase;
+        this->call_ends =
+            this->loaded ? this->watch_until + watch_timeout_margin : now + load_timeout;
+    }
+}
+
+// Shows while a watch is outstanding that the store still answers this daemon.
+void simulated_follower::probe(mono_time now) {
+    if (now - std::max(this->known_current, this->last_probe) < probe_interval) {
+        return;
+    }
+    ++this->store.probes;
+    this->last_probe = now;
+    if (this->is_served() && this->loaded) {
+        this->known_current = now;
     }
 }
 
@@ -87,7 +129,8 @@
         return;
     }
     this->copied_at.reset();
-    this->copy_documents();
+    this->copy_documents(!this->loaded);
+    this->known_current = now;
     if (this->loaded) {
         this->next_call = now + event_pause;
     }
@@ -95,40 +138,64 @@
 }
 
 void simulated_follower::end_call(mono_time now) {
-    if (this->refused || this->store.down) {
+    if (this->access == store_access::ignored) {
+        if (now >= this->call_ends) {
+            this->fail(now);
+        }
+    } else if (!this->is_served()) {
         this->fail(now);
     } else if (this->store.version != this->copied_version) {
         this->watching = false;
         this->start_copy(now);
     } else if (now >= this->watch_until) {
         this->watching = false;
-        this->copy_documents();
+        this->copy_documents(false);
+        this->known_current = now;
     }
 }
 
 std::optional<platform_answer> simulated_follower::answer_to(mono_time now,
-                                                             const pending_read& request) const {
+                                                             const pending_read& pending) const {
+    const read_document& request = pending.request;
     auto found = this->copy.find(request.name);
-    if (found != this->copy.end() && found->second.revision > request.after) {
-        return platform_document{found->second.revision, found->second.body};
+    if (found != this->copy.end()) {
+        const auto& [name, entry] = *found;
+        std::uint64_t read_revision = this->store.one_counter
+                                          ? std::max(entry.revision, this->copied_revision)
+                                          : entry.revision;
+        read_origin origin{.revision = read_revision, .at = this->known_current};
+        auto applied =
+            apply_reading({.revision = request.after,
+                           .checksum = request.checksum,
+                           .read_revision = std::max(request.after, request.read_revision)},
+                          {.version = {.revision = entry.revision,
+                                       .checksum = entry.checksum,
+                                       .read_revision = read_revision}});
+        if (applied.outcome == reading_outcome::newer) {
+            return platform_document{
+                .revision = entry.revision, .body = entry.body, .origin = origin};
+        }
+        bool ends = now >= pending.begun + request.wait || this->known_current > pending.begun;
+        if (this->following && !ends) {
+            return std::nullopt;
+        }
+        if (this->following && this->reached_store && this->loaded) {
+            return platform_unchanged{
+                .revision = entry.revision, .checksum = entry.checksum, .origin = origin};
+        }
+        return platform_unavailable{};
     }
-    if (this->following && now < request.until) {
+    if (this->following && now < pending.begun + request.wait) {
         return std::nullopt;
     }
     if (!this->following || !this->reached_store || !this->loaded) {
         return platform_unavailable{};
     }
-    if (found == this->copy.end()) {
-        return platform_absent{};
-    }
-    return platform_unchanged{found->second.revision};
+    return platform_absent{};
 }
 
 void simulated_follower::read(mono_time now, const read_document& request, reply answer) {
-    pending_read made{.name = request.name,
-                      .after = request.after,
-                      .until = now + request.wait,
-                      .answer = std::move(answer)};
+    pending_read made{.request = request, .begun = now, .answer = std::move(answer)};
     auto result = this->answer_to(now, made);
     if (result.has_value()) {
         made.answer(*result);
@@ -141,6 +208,7 @@
     if (this->following && this->copied_at.has_value()) {
         this->finish_copy(now);
     } else if (this->following && this->watching) {
+        this->probe(now);
         this->end_call(now);
     } else if (this->following && now >= this->next_call) {
         this->call(now);
--- a/packages/messages/codec.cc
+++ b/packages/messages/codec.cc
@@ -42,8 +42,9 @@
     json documents = json::array();
     for (const document_state& each : m.documents) {
         json state = json::array({each.name, each.revision, each.checksum, each.revision_in_force});
+        // The difference, which takes fewer bytes.
         if (each.read_revision > each.revision) {
-            state.push_back(each.read_revision);
+            state.push_back(each.read_revision - each.revision);
         }
         documents.push_back(std::move(state));
     }
@@ -238,6 +239,7 @@
         read_all(entry, state.name, state.revision, state.checksum, state.revision_in_force);
         if (entry.has_more()) {
             entry.read(state.read_revision);
+            state.read_revision += state.revision;
         }
         m.documents.push_back(std::move(state));
     }
