A content that others have read later is still confirmed by a reading of it

A reading was discarded when a peer had read the same content at a later revision of the store. While changes of other documents arrive in quick succession, a daemon that pauses after a change is always behind one of its peers, so its readings would confirm nothing in the meantime.

Readings that cannot be ordered because items are held back no longer count as checksum conflicts.

--- a/packages/dissemination/core.cc
+++ b/packages/dissemination/core.cc
@@ -431,7 +431,7 @@
         return read_outcome::stale;
     }
     if (applied.outcome == reading_outcome::conflicting) {
-        ++this->totals.checksum_conflicts;
+        this->totals.checksum_conflicts += reading.partial ? 0 : 1;
         return read_outcome::failed;
     }
     bool replaced = applied.held.checksum != own.checksum;
--- a/packages/dissemination/document_version.cc
+++ b/packages/dissemination/document_version.cc
@@ -51,7 +51,8 @@
         if (reading.partial) {
             return {.outcome = reading_outcome::confirmed, .held = held};
         }
-        if (read.read_revision < held.read_revision) {
+        // Another daemon may have read the same content later.
+        if (read.read_revision < held.revision) {
             return {.outcome = reading_outcome::outdated, .held = held};
         }
         bool renamed = read.revision > held.revision;
--- a/packages/dissemination/testing/document_version_test.cc
+++ b/packages/dissemination/testing/document_version_test.cc
@@ -376,6 +376,17 @@
                 applied_reading{.outcome = reading_outcome::confirmed, .held = held}));
 }
 
+// Guards against a copy of the platform that confirms nothing while changes of other documents
+// arrive at other daemons first, and against a stale platform that confirms a later version.
+BOOST_AUTO_TEST_CASE(a_reading_confirms_what_others_have_read_later) {
+    document_version held = version(5, 'a', 9);
+    platform_reading reading{.version = version(3, 'a', 7)};
+    BOOST_TEST((apply_reading(held, reading) ==
+                applied_reading{.outcome = reading_outcome::confirmed, .held = held}));
+    reading = {.version = version(3, 'a', 4)};
+    BOOST_TEST((apply_reading(held, reading).outcome == reading_outcome::outdated));
+}
+
 // Guards against two contents that replace each other forever because each daemon prefers its own.
 BOOST_AUTO_TEST_CASE(contents_at_one_revision_of_the_platform_replace_none) {
     document_version one = version(3, 'a', 8);
