An empty document counts as a document

Cause: found in the read-through. Whether the platform had returned a body was decided by the body being empty, so an overlay without content was never adopted from a reading.

Change: a reading without a body has none, instead of an empty one.

--- a/packages/dissemination/core.cc
+++ b/packages/dissemination/core.cc
@@ -390,14 +390,13 @@
 
 read_outcome core::apply_document(mono_time now, const platform_schedule::sent_read& sent,
                                   const platform_document& answer) {
-    messages::document read{.name = this->held.name(sent.document),
-                            .revision = answer.revision,
-                            .checksum = checksum64(answer.body),
-                            .body = answer.body};
+    read_content read{.revision = answer.revision,
+                      .checksum = checksum64(answer.body),
+                      .body = &answer.body,
+                      .origin = answer.origin};
     // The time at which the platform read the document is unknown, but it is not earlier than the
     // request.
-    mono_time at = answer.origin.at.value_or(sent.issued_at);
-    return this->apply_reading(now, sent.document, std::move(read), answer.origin, at);
+    return this->apply_reading(now, sent.document, read, sent.issued_at);
 }
 
 read_outcome core::apply_unchanged(mono_time now, const platform_schedule::sent_read& sent,
@@ -407,24 +406,24 @@
     if (!identified) {
         return answer.revision < own.revision ? read_outcome::stale : read_outcome::failed;
     }
-    messages::document read{.name = this->held.name(sent.document),
-                            .revision = answer.revision,
-                            .checksum = answer.checksum != 0 ? answer.checksum : own.checksum};
+    read_content read{.revision = answer.revision,
+                      .checksum = answer.checksum != 0 ? answer.checksum : own.checksum,
+                      .origin = answer.origin};
     // By the protocol, a watch that ends without a newer document confirms the held one until the
     // end of its wait. An earlier answer confirms it at the time of the request.
     bool waited = answer.revision != 0 && now - sent.issued_at >= sent.wait;
-    mono_time at = answer.origin.at.value_or(waited ? sent.issued_at + sent.wait : sent.issued_at);
-    return this->apply_reading(now, sent.document, std::move(read), answer.origin, at);
-}
-
-// `read` has a body unless the platform answered that the document is unchanged. The platform had
-// its content at `at`.
-read_outcome core::apply_reading(mono_time now, std::size_t index, messages::document read,
-                                 const read_origin& origin, mono_time at) {
-    platform_reading reading{.version = {.revision = read.revision,
-                                         .checksum = read.checksum,
-                                         .read_revision = std::max(read.revision, origin.revision)},
-                             .partial = origin.partial};
+    mono_time at = waited ? sent.issued_at + sent.wait : sent.issued_at;
+    return this->apply_reading(now, sent.document, read, at);
+}
+
+// `at` is a time at which the platform had the content, unless its origin states one.
+read_outcome core::apply_reading(mono_time now, std::size_t index, const read_content& read,
+                                 mono_time at) {
+    platform_reading reading{
+        .version = {.revision = read.revision,
+                    .checksum = read.checksum,
+                    .read_revision = std::max(read.revision, read.origin.revision)},
+        .partial = read.origin.partial};
     document_version own = this->held.version(index);
     applied_reading applied = dissemination::apply_reading(own, reading);
     if (applied.outcome == reading_outcome::outdated) {
@@ -435,19 +434,23 @@
         return read_outcome::failed;
     }
     bool replaced = applied.held.checksum != own.checksum;
-    if (replaced && read.body.empty()) {
+    if (replaced && read.body == nullptr) {
         return read_outcome::failed;  // The next request returns the content.
     }
     if (replaced) {
-        read.revision = applied.held.revision;
-        this->offer(now, index, read);
+        this->offer(now, index,
+                    messages::document{.name = this->held.name(index),
+                                       .revision = applied.held.revision,
+                                       .checksum = read.checksum,
+                                       .body = *read.body});
     } else if (applied.held.revision > own.revision) {
         this->rename(now, index, applied.held.revision);
     }
     this->held.record_read(index, applied.held.checksum, applied.held.read_revision);
     this->platform_answered_at =
-        std::max(this->platform_answered_at, std::min(origin.at.value_or(now), now));
-    this->confirmations.confirm(index, this->confirmation_time(std::min(at, now), now));
+        std::max(this->platform_answered_at, std::min(read.origin.at.value_or(now), now));
+    mono_time current_at = std::min(read.origin.at.value_or(at), now);
+    this->confirmations.confirm(index, this->confirmation_time(current_at, now));
     this->merge_version(now, index, this->newest_named[index]);
     return applied.outcome == reading_outcome::newer ? read_outcome::newer
                                                      : read_outcome::confirmed;
--- a/packages/dissemination/core.h
+++ b/packages/dissemination/core.h
@@ -121,6 +121,14 @@
         bool equal[document_count] = {false, false, false};
     };
 
+    // What the platform answered to a read.
+    struct read_content {
+        std::uint64_t revision = 0;
+        std::uint64_t checksum = 0;
+        const std::string* body = nullptr;  // Null if the document is unchanged.
+        read_origin origin;
+    };
+
     comparison compare(mono_time now, const std::string& peer, const messages::digest& message);
     void send_reply(mono_time now, const std::string& peer, const messages::digest& digest_request);
     void apply_reply(mono_time now, const std::string& peer, const messages::digest& message,
@@ -133,8 +141,8 @@
                                 const platform_document& answer);
     read_outcome apply_unchanged(mono_time now, const platform_schedule::sent_read& sent,
                                  const platform_unchanged& answer);
-    read_outcome apply_reading(mono_time now, std::size_t index, messages::document read,
-                               const read_origin& origin, mono_time at);
+    read_outcome apply_reading(mono_time now, std::size_t index, const read_content& read,
+                               mono_time at);
     mono_time confirmation_time(mono_time requested_at, mono_time now) const;
     void continue_transfer(mono_time now, const std::string& peer, std::size_t index,
                            const messages::document& part);
--- a/packages/dissemination/testing/core_test.cc
+++ b/packages/dissemination/testing/core_test.cc
@@ -145,6 +145,16 @@
 
 }  // namespace
 
+// Guards against a document without content, such as an overlay that overrides nothing, that counts
+// as an answer without a document.
+BOOST_AUTO_TEST_CASE(an_empty_document_is_adopted) {
+    auto subject = converged_fleet({.count = 4, .domains = 2});
+    subject->publish("site/s0", 3, "");
+    subject->run(milliseconds(5000));
+    BOOST_TEST(all_hold(*subject, "site/s0", 3));
+    BOOST_TEST(subject->all_match([&](std::size_t i) { return subject->confirmed(i); }));
+}
+
 // Guards against a return to an older revision when restarted daemons read from a stale platform.
 BOOST_AUTO_TEST_CASE(revision_never_decreases_with_a_stale_platform) {
     BOOST_TEST(keeps_revision_with_stale_platform(true));
