--- a/packages/dissemination/testing/simulated_follower.cc
+++ b/packages/dissemination/testing/simulated_follower.cc
@@ -103,7 +103,8 @@
     }
     ++this->store.probes;
     this->last_probe = now;
-    if (this->is_served() && this->loaded) {
+    // A later revision shows that the watch has not returned a change yet.
+    if (this->is_served() && this->loaded && this->copied_version == this->store.version) {
         this->known_current = now;
     }
 }
