--- a/packages/dissemination/testing/document_version_test.cc
+++ b/packages/dissemination/testing/document_version_test.cc
@@ -13,6 +13,7 @@
 #include <deque>
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_set.h"
@@ -126,7 +127,7 @@
           late(late_digests) {
         this->add(fleet_state());
         while (!this->pending.empty()) {
-            fleet_state next = std::move(this->pending.front());
+            fleet_state next = this->pending.front();
             this->pending.pop_front();
             this->leave(next);
             this->check_agreement(next);
